--- /dev/null
+++ b/Source/call/call_answer.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "call/http_field.h"
+#include "decision/shedding_position.h"
+#include "decision/verdict.h"
+
+#include <cstdint>
+#include <string>
+
+namespace vanillashunt {
+
+// What came of one attempt: the backend server's answer, or why there is none.
+struct call_answer {
+    // Both echo the request.
+    std::uint64_t callId = 0;
+    std::uint32_t attempt = 0;
+    verdict outcome;
+    // HTTP status, fields and body of the backend server; empty unless it answered.
+    std::uint32_t status = 0;
+    http_fields fields;
+    std::string body;
+    // What is left of the retry tokens that the request carried.
+    std::uint32_t retryTokens = 0;
+    // The highest cut on the call chain below, so that the entrance can refuse
+    // for the deepest service.
+    shedding_position cut = 0;
+    // Load of the answering node: calls at its backend server, and their limit.
+    std::uint32_t inFlight = 0;
+    std::uint32_t limit = 0;
+};
+
+// An answer that a node gives in the place of a backend server.
+call_answer answerWithout(std::uint64_t callId, std::uint32_t attempt, const verdict&);
+
+}
--- /dev/null
+++ b/Source/contract/derive_limits.cpp
@@ -0,0 +1,68 @@
+#include "contract/derive_limits.h"
+
+#include "contract/entry_services.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    std::vector<service_part> deriveParts(const contract& terms, const contract_set& all)
+    {
+        std::vector<service_part> parts;
+        for (const auto& service : entryServices(terms)) {
+            double sum = 0;
+            for (const auto& [customer, other] : all.byCustomer) {
+                sum += entersAt(other.terms, service) ? other.terms.share : 0;
+            }
+            parts.push_back({ service, sum, terms.share / sum });
+        }
+        return parts;
+    }
+
+    customer_limits deriveCustomerLimits(const stored_contract& stored, const contract_set& all)
+    {
+        customer_limits limits;
+        limits.weight = stored.terms.share;
+        limits.revision = stored.revision;
+        limits.services = deriveParts(stored.terms, all);
+        for (const auto& terms : stored.terms.classes) {
+            limits.classes.push_back(deriveClassLimits(terms));
+        }
+        return limits;
+    }
+
+}
+
+shedding_band sheddingBand(importance level)
+{
+    auto first = static_cast<shedding_position>(level) * positionsPerImportance;
+    return { first, first + positionsPerImportance - 1 };
+}
+
+class_limits deriveClassLimits(const request_class& terms)
+{
+    class_limits limits;
+    limits.terms = terms;
+    limits.band = sheddingBand(terms.level);
+    limits.retryTokens = std::min(terms.retries, retryBound);
+    limits.refusalBudget = 1 - terms.target;
+    if (!terms.idempotent) {
+        limits.ticketLifetime = std::max(leastTicketLifetime, terms.deadline * deadlinesPerTicket);
+        limits.ledgerRetention = limits.ticketLifetime + terms.deadline;
+    }
+    return limits;
+}
+
+derived_limits deriveLimits(const contract_set& contracts)
+{
+    derived_limits limits;
+    limits.revision = contracts.revision;
+    for (const auto& [customer, stored] : contracts.byCustomer) {
+        limits.byCustomer[customer] = deriveCustomerLimits(stored, contracts);
+    }
+    return limits;
+}
+
+}
--- /dev/null
+++ b/Source/contract/derive_limits.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "contract/contract.h"
+#include "decision/shedding_position.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// A ticket outlives a caller's usual repeats, however short the deadline is.
+constexpr std::chrono::milliseconds leastTicketLifetime { 60000 };
+// Deadlines that a ticket lasts: of the first request and of its repeats.
+constexpr std::uint32_t deadlinesPerTicket = 1 + retryBound;
+
+// The shedding positions of one importance; both ends belong to it.
+struct shedding_band {
+    shedding_position first = 0;
+    shedding_position last = 0;
+};
+
+// What the nodes enforce for one class.
+struct class_limits {
+    request_class terms;
+    shedding_band band;
+    // For all calls of one whole request together.
+    std::uint32_t retryTokens = 0;
+    // Fraction of whole requests that may go unanswered.
+    double refusalBudget = 0;
+    // How long a ticket is taken after it was made; zero for an idempotent class, which needs none.
+    std::chrono::milliseconds ticketLifetime { 0 };
+    // How long the home keeps a run's entry in its ledger, from the ticket's making: a run
+    // that began with the ticket's last moment has ended by then. Zero as above.
+    std::chrono::milliseconds ledgerRetention { 0 };
+};
+
+// A customer's part of one service where its requests enter.
+struct service_part {
+    std::string service;
+    // Of all customers with a class that enters there.
+    double sumOfShares = 0;
+    // What the customer has of the service while all of them have requests waiting.
+    double part = 0;
+};
+
+// What the nodes enforce for one customer.
+struct customer_limits {
+    // Capacity under overload is divided in proportion to the weights of those who wait.
+    double weight = 0;
+    std::int64_t revision = 0;
+    std::vector<service_part> services;
+    std::vector<class_limits> classes;
+};
+
+// Everything that follows from the contracts in force.
+struct derived_limits {
+    std::map<std::string, customer_limits> byCustomer;
+    std::int64_t revision = 0;
+};
+
+shedding_band sheddingBand(importance);
+
+class_limits deriveClassLimits(const request_class&);
+
+derived_limits deriveLimits(const contract_set&);
+
+}
--- /dev/null
+++ b/Source/contract/entry_services.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "contract/contract.h"
+
+#include <set>
+#include <string>
+
+namespace vanillashunt {
+
+// Whether a class of the contract enters at the service.
+bool entersAt(const contract&, const std::string& service);
+
+// The services where the contract's classes enter.
+std::set<std::string> entryServices(const contract&);
+
+}
--- /dev/null
+++ b/Source/contract/explain_contract.cpp
@@ -0,0 +1,74 @@
+#include "contract/explain_contract.h"
+
+#include "contract/derive_limits.h"
+#include "contract/quantity.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    std::string explainPart(double share, const service_part& service)
+    {
+        return "  part of " + service.service + " = share / sum of shares there = " + formatReal(share) + " / " + formatRounded(service.sumOfShares)
+            + " = " + formatRounded(service.part) + ", while all customers there have requests waiting\n";
+    }
+
+    std::string explainBand(const class_limits& limits)
+    {
+        auto positions = std::to_string(positionsPerImportance);
+        return "  shedding band = importance x " + positions + ", and " + positions + " positions from there = "
+            + std::to_string(static_cast<int>(limits.terms.level)) + " x " + positions + " = " + std::to_string(limits.band.first) + " to " + std::to_string(limits.band.last)
+            + " (" + toString(limits.terms.level) + "); a node sheds the positions below its cut\n";
+    }
+
+    std::string explainRetries(const class_limits& limits)
+    {
+        return "  retry tokens = min(retries, bound) = min(" + std::to_string(limits.terms.retries) + ", " + std::to_string(retryBound) + ") = "
+            + std::to_string(limits.retryTokens) + ", for all calls of one request together\n";
+    }
+
+    std::string explainLedger(const class_limits& limits)
+    {
+        if (limits.terms.idempotent) {
+            return "  ledger retention = 0, because the class is idempotent and needs no ticket\n";
+        }
+        auto deadlines = limits.terms.deadline * deadlinesPerTicket;
+        return "  ticket lifetime = max(" + formatDuration(leastTicketLifetime) + ", " + std::to_string(deadlinesPerTicket) + " x deadline) = max("
+            + formatDuration(leastTicketLifetime) + ", " + formatDuration(deadlines) + ") = " + formatDuration(limits.ticketLifetime) + "\n"
+            + "  ledger retention = ticket lifetime + deadline = " + formatDuration(limits.ticketLifetime) + " + " + formatDuration(limits.terms.deadline)
+            + " = " + formatDuration(limits.ledgerRetention) + "\n";
+    }
+
+    std::string explainClass(const class_limits& limits)
+    {
+        const auto& terms = limits.terms;
+        return "class " + terms.name + ": " + terms.method + " " + terms.service + " " + terms.pathPrefix + "\n"
+            + "  time = min(deadline, what the caller still waits) = at most " + formatDuration(terms.deadline) + "\n"
+            + explainBand(limits)
+            + explainRetries(limits)
+            + "  refusal budget = 1 - target = 1 - " + formatReal(terms.target) + " = " + formatRounded(limits.refusalBudget) + " of the requests\n"
+            + explainLedger(limits);
+    }
+
+}
+
+std::optional<std::string> explainContract(const contract_set& contracts, const std::string& customer)
+{
+    auto limits = deriveLimits(contracts);
+    auto found = limits.byCustomer.find(customer);
+    if (found == limits.byCustomer.end()) {
+        return std::nullopt;
+    }
+    const auto& own = found->second;
+    std::string text = "customer " + customer + ", revision " + std::to_string(own.revision) + "\n"
+        + "  weight = share = " + formatReal(own.weight) + "\n";
+    for (const auto& service : own.services) {
+        text += explainPart(own.weight, service);
+    }
+    for (const auto& classLimits : own.classes) {
+        text += "\n" + explainClass(classLimits);
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/Source/decision/once_ledger.cpp
@@ -0,0 +1,68 @@
+#include "decision/once_ledger.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+once_ledger::once_ledger(std::uint64_t incarnation, std::chrono::steady_clock::time_point started)
+    : m_incarnation(incarnation)
+    , m_started(started)
+{
+}
+
+std::chrono::milliseconds once_ledger::uptime(std::chrono::steady_clock::time_point now) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started);
+}
+
+ledger_finding once_ledger::begin(const ticket& permit, std::chrono::steady_clock::time_point now)
+{
+    if (permit.home != m_incarnation) {
+        return ledger_finding::Foreign;
+    }
+    // A time of validity that nobody can have minted would outlive the memory of its run.
+    auto age = uptime(now);
+    if (permit.validUntil <= age || permit.validUntil > age + 2 * ticketLifetime) {
+        return ledger_finding::Expired;
+    }
+    auto [found, inserted] = m_entries.try_emplace(permit.nonce, entry { ledger_finding::Running, permit.validUntil });
+    if (inserted) {
+        return ledger_finding::Run;
+    }
+    // The same nonce with a later time must not be forgotten before that time.
+    found->second.validUntil = std::max(found->second.validUntil, permit.validUntil);
+    return found->second.state;
+}
+
+void once_ledger::ran(std::uint64_t nonce)
+{
+    m_entries.at(nonce).state = ledger_finding::Ran;
+}
+
+void once_ledger::lost(std::uint64_t nonce)
+{
+    m_entries.at(nonce).state = ledger_finding::Lost;
+}
+
+void once_ledger::burn(std::uint64_t nonce)
+{
+    m_entries.at(nonce).state = ledger_finding::Burnt;
+}
+
+std::vector<std::uint64_t> once_ledger::forgetExpired(std::chrono::steady_clock::time_point now)
+{
+    std::vector<std::uint64_t> forgotten;
+    auto age = uptime(now);
+    for (auto position = m_entries.begin(); position != m_entries.end();) {
+        bool keep = position->second.validUntil > age || position->second.state == ledger_finding::Running;
+        if (keep) {
+            ++position;
+            continue;
+        }
+        forgotten.push_back(position->first);
+        position = m_entries.erase(position);
+    }
+    return forgotten;
+}
+
+}
--- /dev/null
+++ b/Source/decision/verdict.cpp
@@ -0,0 +1,60 @@
+#include "decision/verdict.h"
+
+#include <array>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr std::array<const char*, 3> executionWords { "not_run", "may_have_run", "ran" };
+
+    constexpr std::array<const char*, verdictReasonCount> reasonWords {
+        "answered", "unknown_service", "unknown_customer", "unknown_class", "malformed", "too_large",
+        "overload", "over_share", "deadline_too_short", "deadline_passed", "caller_gone",
+        "no_backend_server", "draining", "peer_unreachable", "answer_lost", "backend_unreachable",
+        "backend_refused", "ticket_unknown", "ticket_needed", "answer_not_kept"
+    };
+
+}
+
+std::string toString(execution value)
+{
+    return executionWords.at(static_cast<std::size_t>(value));
+}
+
+std::string toString(verdict_reason value)
+{
+    return reasonWords.at(static_cast<std::size_t>(value));
+}
+
+std::optional<execution> parseExecution(const std::string& word)
+{
+    for (std::size_t index = 0; index < executionWords.size(); ++index) {
+        if (word == executionWords[index]) {
+            return static_cast<execution>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+verdict verdict::notRun(verdict_reason reason, std::chrono::milliseconds retryAfter)
+{
+    return { execution::NotRun, reason, retryAfter };
+}
+
+verdict verdict::mayHaveRun(verdict_reason reason)
+{
+    return { execution::MayHaveRun, reason, {} };
+}
+
+verdict verdict::answered()
+{
+    return ran(verdict_reason::Answered);
+}
+
+verdict verdict::ran(verdict_reason reason)
+{
+    return { execution::Ran, reason, {} };
+}
+
+}
--- /dev/null
+++ b/Source/events/event.cpp
@@ -0,0 +1,60 @@
+#include "events/event.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <array>
+#include <iostream>
+#include <sstream>
+
+namespace vanillashunt {
+
+namespace {
+
+    using boost::log::trivial::severity_level;
+
+    severity_level boostSeverity(severity level)
+    {
+        constexpr std::array<severity_level, 4> levels {
+            severity_level::debug, severity_level::info, severity_level::warning, severity_level::error
+        };
+        return levels.at(static_cast<std::size_t>(level));
+    }
+
+    void addConsoleOnce()
+    {
+        static const bool added = [] {
+            boost::log::add_common_attributes();
+            boost::log::add_console_log(std::clog, boost::log::keywords::format = "%TimeStamp% %Message%",
+                boost::log::keywords::auto_flush = true);
+            return true;
+        }();
+        (void)added;
+    }
+
+}
+
+void logEvent(const event& what, std::initializer_list<event_field> fields)
+{
+    addConsoleOnce();
+    std::ostringstream line;
+    line << boostSeverity(what.level) << " VS" << what.number << ' ' << what.text;
+    for (const auto& field : fields) {
+        line << ' ' << field.name << "=\"" << field.value << '"';
+    }
+    BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
+        (boost::log::keywords::severity = boostSeverity(what.level)))
+        << line.str();
+}
+
+void setLogLevel(const std::string& word)
+{
+    auto level = severity_level::info;
+    boost::log::trivial::from_string(word.data(), word.size(), level);
+    boost::log::core::get()->set_filter(boost::log::trivial::severity >= level);
+}
+
+}
--- /dev/null
+++ b/Source/heavy_headers.cpp
@@ -0,0 +1,1 @@
+#include "heavy_headers.h"
--- /dev/null
+++ b/Source/http/http_message.cpp
@@ -0,0 +1,21 @@
+#include "http/http_message.h"
+
+#include <array>
+
+namespace vanillashunt {
+
+bool isHopByHop(const std::string& fieldName)
+{
+    constexpr std::array<const char*, 10> names {
+        "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
+        "Upgrade", "Host", "Content-Length", "Expect"
+    };
+    for (const char* name : names) {
+        if (equalIgnoringCase(fieldName, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/Source/http/http_server.cpp
@@ -0,0 +1,318 @@
+#include "http/http_server.h"
+
+#include "http/socket_address.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <optional>
+#include <unordered_set>
+
+namespace vanillashunt {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusTooLarge = 413;
+    constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+
+    http_response unreadableResponse(const error_code& error)
+    {
+        bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
+        http_response response;
+        response.status = tooLarge ? statusTooLarge : statusBadRequest;
+        response.fields = {
+            { "Content-Type", "application/json" },
+            { "Vanillashunt-Verdict", "not_run" },
+            { "Vanillashunt-Reason", tooLarge ? "too_large" : "malformed" },
+        };
+        response.body = std::string(R"({"verdict":"not_run","reason":")") + (tooLarge ? "too_large" : "malformed")
+            + R"(","message":")" + error.message() + "\"}";
+        return response;
+    }
+
+}
+
+class http_session;
+
+struct http_server::state : std::enable_shared_from_this<http_server::state> {
+    state(asio::io_context& context, const http_server_limits& serverLimits, http_handler serverHandler)
+        : acceptor(context)
+        , limits(serverLimits)
+        , handler(std::move(serverHandler))
+    {
+    }
+
+    void accept();
+
+    tcp::acceptor acceptor;
+    http_server_limits limits;
+    http_handler handler;
+    std::unordered_set<http_session*> sessions;
+    bool stopping = false;
+};
+
+// One connection: reads a request, has it answered, and goes on with the next.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+    http_session(tcp::socket socket, std::shared_ptr<http_server::state>);
+    ~http_session();
+
+    void readRequest();
+    void closeIfIdle();
+
+private:
+    class exchange;
+
+    void requestArrived(const error_code&);
+    void watchClient();
+    void clientReadable(const error_code&, std::uint64_t exchangeNumber);
+    void send(http_response, bool keepAlive);
+    void close();
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<http_server::state> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    std::shared_ptr<exchange> m_exchange;
+    std::uint64_t m_exchangeNumber = 0;
+    bool m_idle = true;
+};
+
+class http_session::exchange : public http_exchange {
+public:
+    exchange(std::shared_ptr<http_session> session, bool keepAlive)
+        : m_session(std::move(session))
+        , m_keepAlive(keepAlive)
+    {
+    }
+
+    void respond(http_response response) override
+    {
+        auto session = std::exchange(m_session, nullptr);
+        m_whenGone = nullptr;
+        if (session) {
+            session->send(std::move(response), m_keepAlive);
+        }
+    }
+
+    void whenClientGone(std::function<void()> callback) override
+    {
+        m_whenGone = std::move(callback);
+    }
+
+    void clientGone()
+    {
+        m_session.reset();
+        auto callback = std::exchange(m_whenGone, nullptr);
+        if (callback) {
+            callback();
+        }
+    }
+
+private:
+    std::shared_ptr<http_session> m_session;
+    std::function<void()> m_whenGone;
+    bool m_keepAlive;
+};
+
+void http_server::state::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (self->stopping || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<http_session>(std::move(socket), self)->readRequest();
+        }
+        self->accept();
+    });
+}
+
+http_session::http_session(tcp::socket socket, std::shared_ptr<http_server::state> server)
+    : m_stream(std::move(socket))
+    , m_server(std::move(server))
+{
+    m_server->sessions.insert(this);
+}
+
+http_session::~http_session()
+{
+    m_server->sessions.erase(this);
+}
+
+void http_session::readRequest()
+{
+    m_idle = true;
+    m_parser.emplace();
+    m_parser->body_limit(m_server->limits.maxBodyBytes);
+    m_parser->header_limit(maxHeaderBytes);
+    m_stream.expires_after(m_server->limits.idleTimeout);
+    auto self = shared_from_this();
+    auto readWhole = [self] {
+        self->m_idle = false;
+        self->m_stream.expires_after(self->m_server->limits.requestTimeout);
+        http::async_read(self->m_stream, self->m_buffer, *self->m_parser, [self](error_code error, std::size_t) {
+            self->requestArrived(error);
+        });
+    };
+    if (m_buffer.size() > 0) {
+        readWhole();
+        return;
+    }
+    // The first byte may take the idle time; the rest of the request may not.
+    m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self, readWhole](error_code error, std::size_t count) {
+        if (error || self->m_server->stopping) {
+            self->close();
+            return;
+        }
+        self->m_buffer.commit(count);
+        readWhole();
+    });
+}
+
+void http_session::requestArrived(const error_code& error)
+{
+    if (error == http::error::end_of_stream || error == beast::error::timeout) {
+        close();
+        return;
+    }
+    if (error) {
+        send(unreadableResponse(error), false);
+        return;
+    }
+    m_stream.expires_never();
+    auto message = m_parser->release();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+        auto name = std::string(field.name_string());
+        if (!isHopByHop(name)) {
+            request.fields.push_back({ name, std::string(field.value()) });
+        }
+    }
+    request.body = std::move(message.body());
+    m_exchange = std::make_shared<exchange>(shared_from_this(), message.keep_alive());
+    ++m_exchangeNumber;
+    watchClient();
+    m_server->handler(std::move(request), m_exchange);
+}
+
+// Waits for the socket to become readable while a request is being answered:
+// then the client has either closed or sent its next request already.
+void http_session::watchClient()
+{
+    m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), number = m_exchangeNumber](error_code error) {
+        self->clientReadable(error, number);
+    });
+}
+
+void http_session::clientReadable(const error_code& error, std::uint64_t exchangeNumber)
+{
+    if (error || exchangeNumber != m_exchangeNumber || !m_exchange) {
+        return;
+    }
+    char byte = 0;
+    error_code readError;
+    auto& socket = m_stream.socket();
+    socket.non_blocking(true, readError);
+    auto count = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, readError);
+    if (readError == asio::error::would_block) {
+        watchClient();
+        return;
+    }
+    if (!readError && count > 0) {
+        return;
+    }
+    auto gone = std::exchange(m_exchange, nullptr);
+    close();
+    gone->clientGone();
+}
+
+void http_session::send(http_response response, bool keepAlive)
+{
+    m_exchange.reset();
+    ++m_exchangeNumber;
+    bool goOn = keepAlive && !m_server->stopping;
+    m_response = {};
+    m_response.version(11);
+    m_response.result(response.status);
+    for (const auto& field : response.fields) {
+        if (!isHopByHop(field.name)) {
+            m_response.insert(field.name, field.value);
+        }
+    }
+    m_response.body() = std::move(response.body);
+    m_response.keep_alive(goOn);
+    m_response.prepare_payload();
+    m_stream.expires_after(m_server->limits.requestTimeout);
+    http::async_write(m_stream, m_response, [self = shared_from_this(), goOn](error_code error, std::size_t) {
+        if (error || !goOn) {
+            self->close();
+            return;
+        }
+        self->readRequest();
+    });
+}
+
+void http_session::closeIfIdle()
+{
+    if (m_idle) {
+        close();
+    }
+}
+
+void http_session::close()
+{
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+http_server::http_server(asio::io_context& context, const std::string& listenAddress, const http_server_limits& limits, http_handler handler)
+    : m_state(std::make_shared<state>(context, limits, std::move(handler)))
+{
+    auto endpoint = parseEndpoint(listenAddress);
+    if (!endpoint) {
+        throw boost::system::system_error(asio::error::invalid_argument, "cannot listen on '" + listenAddress + "'");
+    }
+    auto& acceptor = m_state->acceptor;
+    acceptor.open(endpoint->protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(*endpoint);
+    acceptor.listen();
+    m_state->accept();
+}
+
+http_server::~http_server()
+{
+    stopAccepting();
+}
+
+std::string http_server::address() const
+{
+    return toString(m_state->acceptor.local_endpoint());
+}
+
+void http_server::stopAccepting()
+{
+    m_state->stopping = true;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+    auto sessions = m_state->sessions;
+    for (auto* session : sessions) {
+        session->closeIfIdle();
+    }
+}
+
+}
--- /dev/null
+++ b/Source/http/socket_address.cpp
@@ -0,0 +1,57 @@
+#include "http/socket_address.h"
+
+#include <charconv>
+
+namespace vanillashunt {
+
+using boost::asio::ip::tcp;
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    boost::system::error_code error;
+    auto address = boost::asio::ip::make_address(host, error);
+    if (error || parsed.ec != std::errc {} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(address, port);
+}
+
+std::string toString(const tcp::endpoint& endpoint)
+{
+    auto host = endpoint.address().to_string();
+    if (endpoint.address().is_v6()) {
+        host = "[" + host + "]";
+    }
+    return host + ":" + std::to_string(endpoint.port());
+}
+
+void openOutgoing(tcp::socket& socket, const tcp::endpoint& target, const std::string& outgoingAddress, boost::system::error_code& error)
+{
+    socket.open(target.protocol(), error);
+    if (error) {
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (outgoingAddress.empty()) {
+        return;
+    }
+    auto address = boost::asio::ip::make_address(outgoingAddress, error);
+    if (error) {
+        return;
+    }
+    socket.bind(tcp::endpoint(address, 0), error);
+}
+
+}
--- /dev/null
+++ b/Source/http/socket_address.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+
+namespace vanillashunt {
+
+// Reads "IP:port" or "[IPv6]:port"; no names are looked up.
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string& text);
+
+std::string toString(const boost::asio::ip::tcp::endpoint&);
+
+// Opens a socket for an outgoing connection, bound to the address of the own
+// instance where one is set, so that the other side can tell who calls.
+void openOutgoing(boost::asio::ip::tcp::socket&, const boost::asio::ip::tcp::endpoint& target,
+    const std::string& outgoingAddress, boost::system::error_code&);
+
+}
--- /dev/null
+++ b/Source/node/actor_host.cpp
@@ -0,0 +1,38 @@
+#include "node/actor_host.h"
+
+#include <boost/asio/post.hpp>
+#include <caf/resumable.hpp>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Messages that an actor handles before the sockets have their turn again.
+    constexpr std::size_t messagesPerTurn = 50;
+
+}
+
+actor_host::actor_host(caf::actor_system& system, boost::asio::io_context& context)
+    : caf::execution_unit(&system)
+    , m_context(context)
+{
+}
+
+void actor_host::exec_later(caf::resumable* actor)
+{
+    boost::asio::post(m_context, [this, actor] {
+        switch (actor->resume(this, messagesPerTurn)) {
+        case caf::resumable::resume_later:
+            exec_later(actor);
+            return;
+        case caf::resumable::done:
+        case caf::resumable::awaiting_message:
+            caf::intrusive_ptr_release(actor);
+            return;
+        case caf::resumable::shutdown_execution_unit:
+            return;
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/Source/node/call_actor.cpp
@@ -0,0 +1,162 @@
+#include "node/call_actor.h"
+
+#include "caller/caller_response.h"
+#include "caller/context_text.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    std::chrono::steady_clock::time_point currentTime()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+}
+
+call_actor::call_actor(caf::actor_config& config, call_actor_parts parts)
+    : caf::event_based_actor(config)
+    , m_parts(std::move(parts))
+    , m_inbound(m_parts.incarnation, m_parts.started, inboundHooks())
+    , m_outbound(router(m_parts.availabilityZone, [random = m_parts.random](std::uint64_t bound) { return random() % bound; }),
+          m_inbound, outboundHooks())
+{
+}
+
+template <typename Message>
+void call_actor::sendSelf(Message message)
+{
+    m_parts.host->send(caf::actor_cast<caf::actor>(this), std::move(message));
+}
+
+inbound_hooks call_actor::inboundHooks()
+{
+    inbound_hooks hooks;
+    hooks.run = [this](std::uint64_t runId, const std::string& address, const call_request& request) { runAtBackend(runId, address, request); };
+    hooks.cancelRun = [this](std::uint64_t runId) { cancelRun(runId); };
+    hooks.abandoned = [this](std::uint64_t runId) { m_outbound.cancelOnwardOf(runId, currentTime()); };
+    hooks.random = m_parts.random;
+    return hooks;
+}
+
+outbound_hooks call_actor::outboundHooks()
+{
+    outbound_hooks hooks;
+    hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
+    hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
+    hooks.random = m_parts.random;
+    return hooks;
+}
+
+caf::behavior call_actor::make_behavior()
+{
+    return {
+        [this](const caller_arrived& message) { callerArrived(message); },
+        [this](const caller_left& message) { m_outbound.cancel(message.callId, currentTime()); },
+        [this](const peer_call_arrived& message) { peerCallArrived(message); },
+        [this](const peer_call_cancelled& message) { m_inbound.cancel(message.arrivalId, currentTime()); },
+        [this](const attempt_answered& message) {
+            m_peerCallOfAttempt.erase(message.attemptId);
+            m_arrivalOfOwnAttempt.erase(message.attemptId);
+            m_outbound.attemptAnswered(message.attemptId, message.answer, currentTime());
+        },
+        [this](const run_answered& message) {
+            m_backendCallOfRun.erase(message.runId);
+            m_inbound.backendAnswered(message.runId, message.answer, currentTime());
+        },
+        [this](const members_changed& message) { m_outbound.setMembers(message.members, currentTime()); },
+        [this](const contracts_changed& message) { m_outbound.setContracts(message.contracts); },
+        [this](const backend_announced& message) { m_inbound.setBackend(message.announcement, currentTime()); },
+        [this](const backend_withdrawn&) { m_inbound.setBackend(std::nullopt, currentTime()); },
+        [this](const drain_requested& message) {
+            m_drained = message.drained;
+            m_inbound.drain(currentTime());
+        },
+        [this](const clock_tick&) { tick(); },
+        [this](const state_requested& message) { message.receiver(dump()); },
+    };
+}
+
+void call_actor::callerArrived(const caller_arrived& message)
+{
+    auto exchange = message.exchange;
+    auto callId = m_outbound.start(
+        message.request, [exchange](final_answer final) { exchange->respond(toResponse(std::move(final))); }, currentTime());
+    exchange->whenClientGone([this, callId] { sendSelf(caller_left { callId }); });
+}
+
+void call_actor::peerCallArrived(const peer_call_arrived& message)
+{
+    auto exchange = message.exchange;
+    auto arrivalId = m_inbound.arrive(
+        message.request, [exchange](const call_answer& answer) { exchange->answer(answer); }, currentTime());
+    exchange->whenCancelled([this, arrivalId] { sendSelf(peer_call_cancelled { arrivalId }); });
+}
+
+void call_actor::sendAttempt(std::uint64_t attemptId, const member& target, const call_request& request)
+{
+    auto answered = [this, attemptId](const call_answer& answer) { sendSelf(attempt_answered { attemptId, answer }); };
+    if (target.id == m_parts.incarnation) {
+        m_arrivalOfOwnAttempt[attemptId] = m_inbound.arrive(request, answered, currentTime());
+        return;
+    }
+    m_peerCallOfAttempt[attemptId] = m_parts.peers->start(target.address, request, answered);
+}
+
+void call_actor::cancelAttempt(std::uint64_t attemptId)
+{
+    if (auto own = m_arrivalOfOwnAttempt.extract(attemptId)) {
+        m_inbound.cancel(own.mapped(), currentTime());
+    }
+    if (auto peer = m_peerCallOfAttempt.extract(attemptId)) {
+        m_parts.peers->cancel(peer.mapped());
+    }
+}
+
+void call_actor::runAtBackend(std::uint64_t runId, const std::string& address, const call_request& request)
+{
+    auto context = toString(context_text { request.context.requestId, runId, 0, false });
+    m_backendCallOfRun[runId] = m_parts.backend->run(address, request, context, currentTime(), [this, runId](call_answer answer) {
+        sendSelf(run_answered { runId, std::move(answer) });
+    });
+}
+
+void call_actor::cancelRun(std::uint64_t runId)
+{
+    if (auto call = m_backendCallOfRun.extract(runId)) {
+        m_parts.backend->cancel(call.mapped());
+    }
+}
+
+void call_actor::tick()
+{
+    auto now = currentTime();
+    m_inbound.tick(now);
+    m_outbound.tick(now);
+    bool idle = m_inbound.inProgress() == 0 && m_outbound.inProgress() == 0;
+    if (m_drained && idle) {
+        std::exchange(m_drained, nullptr)();
+    }
+}
+
+Json::Value call_actor::dump() const
+{
+    Json::Value state;
+    const auto& gate = m_inbound.gate();
+    state["inbound"]["in_progress"] = Json::UInt64(m_inbound.inProgress());
+    state["inbound"]["running"] = gate.inFlight();
+    state["inbound"]["waiting"] = Json::UInt64(gate.waiting());
+    state["inbound"]["limit"] = gate.limit();
+    state["inbound"]["cut"] = gate.cut();
+    state["inbound"]["draining"] = m_inbound.draining();
+    state["inbound"]["ledger_entries"] = Json::UInt64(m_inbound.ledgerSize());
+    state["outbound"]["in_progress"] = Json::UInt64(m_outbound.inProgress());
+    if (const auto& backend = m_inbound.backend()) {
+        state["backend_server"]["service"] = backend->service;
+        state["backend_server"]["address"] = backend->address;
+        state["backend_server"]["slots"] = backend->slots;
+    }
+    return state;
+}
+
+}
--- /dev/null
+++ b/Source/node/inbound_calls.cpp
@@ -0,0 +1,299 @@
+#include "node/inbound_calls.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Bytes of answers that are kept for repeats of non-idempotent calls.
+    constexpr std::size_t keptAnswerBytes = 8ULL * 1024 * 1024;
+
+    // The ledger is searched for expired tickets no more often than this.
+    constexpr std::chrono::milliseconds forgetInterval { 1000 };
+
+    std::size_t sizeOf(const call_answer& answer)
+    {
+        std::size_t size = sizeof answer + answer.body.size();
+        for (const auto& field : answer.fields) {
+            size += field.name.size() + field.value.size();
+        }
+        return size;
+    }
+
+    verdict repeatVerdict(ledger_finding finding)
+    {
+        switch (finding) {
+        case ledger_finding::Ran:
+            return verdict::ran(verdict_reason::AnswerNotKept);
+        case ledger_finding::Burnt:
+            return verdict::notRun(verdict_reason::TicketNeeded);
+        case ledger_finding::Lost:
+            return verdict::mayHaveRun(verdict_reason::AnswerLost);
+        default:
+            return verdict::mayHaveRun(verdict_reason::TicketUnknown);
+        }
+    }
+
+}
+
+inbound_calls::inbound_calls(std::uint64_t incarnation, std::chrono::steady_clock::time_point started, inbound_hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_ledger(incarnation, started)
+{
+}
+
+void inbound_calls::setBackend(std::optional<backend_announcement> announcement, std::chrono::steady_clock::time_point now)
+{
+    m_backend = std::move(announcement);
+    m_gate.setSlots(m_backend ? m_backend->slots : 0, now);
+    startReleased(now);
+}
+
+void inbound_calls::drain(std::chrono::steady_clock::time_point)
+{
+    m_draining = true;
+}
+
+std::optional<verdict> inbound_calls::refusalBeforeGate(const call_request& request) const
+{
+    if (m_draining) {
+        return verdict::notRun(verdict_reason::Draining);
+    }
+    if (!m_backend || m_backend->service != request.service) {
+        return verdict::notRun(verdict_reason::NoBackendServer);
+    }
+    if (!request.context.idempotent && !request.permit) {
+        return verdict::notRun(verdict_reason::Malformed);
+    }
+    return std::nullopt;
+}
+
+std::uint64_t inbound_calls::arrive(call_request request, call_replier replier, std::chrono::steady_clock::time_point now)
+{
+    auto id = m_hooks.random();
+    if (request.permit) {
+        auto nonce = request.permit->nonce;
+        auto finding = m_ledger.begin(*request.permit, now);
+        if (finding == ledger_finding::Running) {
+            // The repeat waits for the answer of the attempt that runs.
+            auto running = m_arrivalOfNonce.at(nonce);
+            m_arrivals.at(running).waiters.push_back({ request.callId, request.attempt, std::move(replier) });
+            return running;
+        }
+        if (finding != ledger_finding::Run) {
+            answerRepeat(request, finding, replier);
+            return id;
+        }
+        m_arrivalOfNonce[nonce] = id;
+    }
+    auto refusal = refusalBeforeGate(request);
+    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline };
+    arrival entry;
+    entry.tokens = request.context.retryTokens;
+    entry.waiters.push_back({ request.callId, request.attempt, std::move(replier) });
+    entry.request = std::move(request);
+    m_arrivals.emplace(id, std::move(entry));
+    if (refusal) {
+        refuse(id, *refusal);
+        return id;
+    }
+    auto decision = m_gate.arrive(asking, now);
+    if (decision.outcome == admission_outcome::Refuse) {
+        refuse(id, decision.refusal);
+    } else if (decision.outcome == admission_outcome::Run) {
+        start(id, now);
+    }
+    return id;
+}
+
+void inbound_calls::answerRepeat(const call_request& request, ledger_finding finding, const call_replier& replier)
+{
+    auto answer = answerWithout(request.callId, request.attempt, repeatVerdict(finding));
+    auto kept = m_keptAnswers.find(request.permit->nonce);
+    if (finding == ledger_finding::Ran && kept != m_keptAnswers.end()) {
+        answer = *kept->second;
+        answer.callId = request.callId;
+        answer.attempt = request.attempt;
+    }
+    answer.retryTokens = request.context.retryTokens;
+    fillLoad(answer);
+    replier(answer);
+}
+
+void inbound_calls::start(std::uint64_t arrivalId, std::chrono::steady_clock::time_point now)
+{
+    auto& entry = m_arrivals.at(arrivalId);
+    entry.running = true;
+    entry.startedRunning = now;
+    m_hooks.run(arrivalId, m_backend->address, entry.request);
+}
+
+void inbound_calls::refuse(std::uint64_t arrivalId, const verdict& why)
+{
+    auto node = m_arrivals.extract(arrivalId);
+    auto& entry = node.mapped();
+    auto answer = answerWithout(0, 0, why);
+    settleTicket(entry.request, answer);
+    reply(entry, answer);
+}
+
+void inbound_calls::cancel(std::uint64_t arrivalId, std::chrono::steady_clock::time_point now)
+{
+    auto found = m_arrivals.find(arrivalId);
+    if (found == m_arrivals.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    if (entry.waiters.size() > 1 || (entry.running && entry.request.permit)) {
+        return;
+    }
+    if (entry.running) {
+        m_hooks.cancelRun(arrivalId);
+        m_hooks.abandoned(arrivalId);
+    }
+    settleTicket(entry.request, answerWithout(0, 0, verdict::notRun(verdict_reason::CallerGone)));
+    m_arrivals.erase(found);
+    m_gate.cancel(arrivalId, now);
+    startReleased(now);
+}
+
+void inbound_calls::backendAnswered(std::uint64_t runId, const call_answer& answer, std::chrono::steady_clock::time_point now)
+{
+    auto node = m_arrivals.extract(runId);
+    if (!node) {
+        return;
+    }
+    auto& entry = node.mapped();
+    service_outcome outcome;
+    outcome.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - entry.startedRunning);
+    outcome.refused = answer.outcome.reason == verdict_reason::BackendRefused;
+    m_gate.finish(runId, outcome, now);
+    settleTicket(entry.request, answer);
+    if (answer.outcome.run == execution::MayHaveRun) {
+        m_hooks.abandoned(runId);
+    }
+    reply(entry, answer);
+    startReleased(now);
+}
+
+// Records what became of a non-idempotent call, for its repeats.
+void inbound_calls::settleTicket(const call_request& request, const call_answer& answer)
+{
+    if (!request.permit) {
+        return;
+    }
+    auto nonce = request.permit->nonce;
+    m_arrivalOfNonce.erase(nonce);
+    switch (answer.outcome.run) {
+    case execution::NotRun:
+        m_ledger.burn(nonce);
+        return;
+    case execution::MayHaveRun:
+        m_ledger.lost(nonce);
+        return;
+    case execution::Ran:
+        m_ledger.ran(nonce);
+        keepAnswer(nonce, answer);
+    }
+}
+
+void inbound_calls::keepAnswer(std::uint64_t nonce, const call_answer& answer)
+{
+    m_keptAnswers[nonce] = std::make_shared<call_answer>(answer);
+    m_keptOrder.push_back(nonce);
+    m_keptBytes += sizeOf(answer);
+    while (m_keptBytes > keptAnswerBytes) {
+        auto oldest = m_keptAnswers.extract(m_keptOrder.front());
+        m_keptOrder.pop_front();
+        m_keptBytes -= sizeOf(*oldest.mapped());
+    }
+}
+
+void inbound_calls::reply(arrival& entry, const call_answer& answer) const
+{
+    auto complete = answer;
+    complete.retryTokens = entry.tokens;
+    complete.cut = entry.onwardCut;
+    fillLoad(complete);
+    for (auto& waiter : entry.waiters) {
+        complete.callId = waiter.callId;
+        complete.attempt = waiter.attempt;
+        waiter.replier(complete);
+        // Only the first may have the tokens, or there would be more than before.
+        complete.retryTokens = 0;
+    }
+}
+
+void inbound_calls::fillLoad(call_answer& answer) const
+{
+    answer.cut = std::max(answer.cut, m_gate.cut());
+    answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
+    answer.limit = m_gate.limit();
+}
+
+void inbound_calls::startReleased(std::chrono::steady_clock::time_point now)
+{
+    for (const auto& released : m_gate.release(now)) {
+        if (released.decision.outcome == admission_outcome::Refuse) {
+            refuse(released.callId, released.decision.refusal);
+            continue;
+        }
+        if (!m_backend) {
+            m_gate.cancel(released.callId, now);
+            refuse(released.callId, verdict::notRun(verdict_reason::NoBackendServer));
+            continue;
+        }
+        start(released.callId, now);
+    }
+}
+
+void inbound_calls::tick(std::chrono::steady_clock::time_point now)
+{
+    startReleased(now);
+    if (now < m_nextForget) {
+        return;
+    }
+    m_nextForget = now + forgetInterval;
+    for (auto nonce : m_ledger.forgetExpired(now)) {
+        auto kept = m_keptAnswers.extract(nonce);
+        if (!kept) {
+            continue;
+        }
+        m_keptBytes -= sizeOf(*kept.mapped());
+        m_keptOrder.erase(std::find(m_keptOrder.begin(), m_keptOrder.end(), nonce));
+    }
+}
+
+std::optional<request_context> inbound_calls::contextOfRun(std::uint64_t runId) const
+{
+    auto found = m_arrivals.find(runId);
+    if (found == m_arrivals.end() || !found->second.running) {
+        return std::nullopt;
+    }
+    return found->second.request.context;
+}
+
+std::uint32_t inbound_calls::takeTokens(std::uint64_t runId)
+{
+    auto found = m_arrivals.find(runId);
+    if (found == m_arrivals.end()) {
+        return 0;
+    }
+    auto& tokens = found->second.tokens;
+    auto taken = (tokens + 1) / 2;
+    tokens -= taken;
+    return taken;
+}
+
+void inbound_calls::onwardFinished(std::uint64_t runId, std::uint32_t tokensLeft, shedding_position cut)
+{
+    auto found = m_arrivals.find(runId);
+    if (found == m_arrivals.end()) {
+        return;
+    }
+    found->second.tokens += tokensLeft;
+    found->second.onwardCut = std::max(found->second.onwardCut, cut);
+}
+
+}
--- /dev/null
+++ b/Source/node/outbound_calls.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "call/call_answer.h"
+#include "call/call_request.h"
+#include "caller/caller_request.h"
+#include "caller/caller_response.h"
+#include "caller/context_text.h"
+#include "contract/contract.h"
+#include "decision/router.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillashunt {
+
+class inbound_calls;
+
+using final_handler = std::function<void(final_answer)>;
+
+struct outbound_hooks {
+    // Sends an attempt to a member's node; its answer comes back by attemptAnswered().
+    std::function<void(std::uint64_t attemptId, const member&, const call_request&)> send;
+    std::function<void(std::uint64_t attemptId)> cancelAttempt;
+    std::function<std::uint64_t()> random;
+};
+
+// The calls that callers outside and the own backend server make through this
+// node: which class each is, where it goes, whether it is tried again, and what
+// its caller is told. Every call gets its final answer at once when it is given up.
+class outbound_calls {
+public:
+    outbound_calls(router, inbound_calls&, outbound_hooks);
+
+    void setContracts(contract_snapshot);
+    void setMembers(member_list, std::chrono::steady_clock::time_point now);
+
+    // The handler is called exactly once, unless the call is cancelled.
+    // Returns the id for cancel().
+    std::uint64_t start(caller_request, final_handler, std::chrono::steady_clock::time_point now);
+
+    // For a caller that is gone.
+    void cancel(std::uint64_t callId, std::chrono::steady_clock::time_point now);
+
+    // Cancels the onward calls of a run that was given up.
+    void cancelOnwardOf(std::uint64_t runId, std::chrono::steady_clock::time_point now);
+
+    void attemptAnswered(std::uint64_t attemptId, call_answer, std::chrono::steady_clock::time_point now);
+
+    // Gives up the calls whose time is over; to be called every few milliseconds.
+    void tick(std::chrono::steady_clock::time_point now);
+
+    std::size_t inProgress() const { return m_calls.size(); }
+
+private:
+    struct outbound_call {
+        // As it is sent, but for call id, attempt and permit.
+        call_request request;
+        final_handler handler;
+        // The run that this is an onward call of; 0 at the entry.
+        std::uint64_t parentRun = 0;
+        // Retry tokens at hand, not with an attempt.
+        std::uint32_t tokens = 0;
+        // Retry tokens that went with the attempt in progress.
+        std::uint32_t tokensSent = 0;
+        std::uint32_t attempts = 0;
+        // Whether the permit is the caller's own, so that earlier tries may have used it.
+        bool permitFromCaller = false;
+        // Whether some attempt of the whole request may have run.
+        bool mayHaveRun = false;
+        std::vector<std::uint64_t> tried;
+        // The attempt in progress, 0 for none, and where it went.
+        std::uint64_t attemptId = 0;
+        std::uint64_t target = 0;
+        std::chrono::steady_clock::time_point attemptStarted;
+        shedding_position cut = 0;
+    };
+
+    // Why a call is refused before its first attempt.
+    struct early_refusal {
+        verdict why;
+        std::string message;
+    };
+
+    std::optional<early_refusal> classify(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
+    std::optional<early_refusal> classifyEntry(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
+    void attempt(std::uint64_t callId, std::chrono::steady_clock::time_point now);
+    std::optional<member> chooseTarget(outbound_call&, std::chrono::steady_clock::time_point now);
+    bool mayRetry(const outbound_call&, const verdict&, std::chrono::steady_clock::time_point now) const;
+    void finish(std::uint64_t callId, call_answer, const std::string& message, std::chrono::steady_clock::time_point now);
+    void abandonAttempt(outbound_call&, std::chrono::steady_clock::time_point now);
+
+    router m_router;
+    inbound_calls& m_inbound;
+    outbound_hooks m_hooks;
+    contract_snapshot m_contracts;
+    std::unordered_map<std::uint64_t, outbound_call> m_calls;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
+};
+
+}
--- /dev/null
+++ b/Source/peer/call_codec.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "call/call_answer.h"
+#include "call/call_request.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace vanillashunt {
+
+// The frames of node-to-node connections: a fixed head, then a payload in CAF's
+// binary format. The head holds the payload's kind, length and checksum, so that
+// a frame cut short, or bytes of something else, are never taken for a call.
+
+using byte_vector = std::vector<char>;
+
+enum class frame_kind : std::uint8_t {
+    Request = 1,
+    Answer = 2,
+};
+
+struct frame_head {
+    frame_kind kind = frame_kind::Request;
+    std::uint32_t length = 0;
+    std::uint64_t checksum = 0;
+};
+
+constexpr std::size_t frameHeadBytes = 20;
+
+// Bytes that a frame may have beside the bodies that the settings bound.
+constexpr std::uint64_t frameOverheadBytes = 64ULL * 1024;
+
+// Returns nothing for bytes that are not a frame's head.
+std::optional<frame_head> decodeHead(const char* bytes);
+
+bool checksumMatches(const frame_head&, const byte_vector& payload);
+
+// A request's deadline goes as the time that is left after now.
+byte_vector encodeFrame(const call_request&, std::chrono::steady_clock::time_point now);
+byte_vector encodeFrame(const call_answer&);
+
+// Both return nothing for a payload that the encoder cannot have made.
+std::optional<call_request> decodeRequest(const byte_vector& payload, std::chrono::steady_clock::time_point now);
+std::optional<call_answer> decodeAnswer(const byte_vector& payload);
+
+}
--- /dev/null
+++ b/Source/peer/peer_client.cpp
@@ -0,0 +1,353 @@
+#include "peer/peer_client.h"
+
+#include "http/socket_address.h"
+#include "peer/call_codec.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillashunt {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+    class peer_connection;
+    using connection_ptr = std::shared_ptr<peer_connection>;
+
+}
+
+struct peer_client::state : std::enable_shared_from_this<peer_client::state> {
+    state(asio::io_context& ioContext, const peer_client_settings& clientSettings)
+        : context(ioContext)
+        , settings(clientSettings)
+    {
+    }
+
+    connection_ptr takeIdle(const std::string& address);
+    void finish(const connection_ptr&, call_answer, bool reusable);
+    void dropIdle(const connection_ptr&);
+
+    asio::io_context& context;
+    peer_client_settings settings;
+    peer_client_counts counts;
+    std::uint64_t lastId = 0;
+    std::unordered_map<std::uint64_t, connection_ptr> active;
+    std::unordered_map<std::uint64_t, answer_handler> handlers;
+    std::map<std::string, std::vector<connection_ptr>> idle;
+};
+
+namespace {
+
+    // One connection to one peer, with at most one call in progress.
+    class peer_connection : public std::enable_shared_from_this<peer_connection> {
+    public:
+        peer_connection(const std::shared_ptr<peer_client::state>& client, std::string address)
+            : m_client(client)
+            , m_socket(client->context)
+            , m_timer(client->context)
+            , m_address(std::move(address))
+        {
+        }
+
+        const std::string& address() const { return m_address; }
+
+        std::uint64_t startedId = 0;
+
+        void start(const call_request& request)
+        {
+            m_callId = request.callId;
+            m_attempt = request.attempt;
+            m_idle = false;
+            m_sent = false;
+            m_outgoing = encodeFrame(request, std::chrono::steady_clock::now());
+            m_timer.cancel();
+            if (m_socket.is_open()) {
+                write();
+                return;
+            }
+            connect();
+        }
+
+        // A peer that closes an idle connection is noticed before a call is lost on it.
+        void watchIdle(std::chrono::milliseconds idleTimeout)
+        {
+            m_idle = true;
+            auto self = shared_from_this();
+            m_socket.async_wait(tcp::socket::wait_read, [self](error_code error) {
+                if (!error) {
+                    self->closeIdle();
+                }
+            });
+            m_timer.expires_after(idleTimeout);
+            m_timer.async_wait([self](error_code error) {
+                if (!error) {
+                    self->closeIdle();
+                }
+            });
+        }
+
+        void close()
+        {
+            m_closed = true;
+            error_code ignored;
+            m_timer.cancel();
+            m_socket.close(ignored);
+        }
+
+    private:
+        void closeIdle()
+        {
+            if (!m_idle) {
+                return;
+            }
+            close();
+            if (auto client = m_client.lock()) {
+                client->dropIdle(shared_from_this());
+            }
+        }
+
+        void connect()
+        {
+            auto client = m_client.lock();
+            auto endpoint = parseEndpoint(m_address);
+            error_code error;
+            if (!endpoint || !client) {
+                error = asio::error::invalid_argument;
+            } else {
+                openOutgoing(m_socket, *endpoint, client->settings.outgoingAddress, error);
+            }
+            auto self = shared_from_this();
+            if (error) {
+                asio::post(m_socket.get_executor(), [self] { self->connectFailed(); });
+                return;
+            }
+            m_timer.expires_after(client->settings.connectTimeout);
+            m_timer.async_wait([self](error_code timerError) {
+                if (!timerError && !self->m_connected) {
+                    error_code ignored;
+                    self->m_socket.close(ignored);
+                }
+            });
+            m_socket.async_connect(*endpoint, [self](error_code connectError) {
+                if (connectError || !self->m_socket.is_open()) {
+                    self->connectFailed();
+                    return;
+                }
+                self->m_connected = true;
+                self->m_timer.cancel();
+                self->write();
+            });
+        }
+
+        void connectFailed()
+        {
+            if (auto client = m_client.lock()) {
+                ++client->counts.connectsFailed;
+            }
+            fail(verdict::notRun(verdict_reason::PeerUnreachable));
+        }
+
+        void write()
+        {
+            m_sent = true;
+            asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
+                // A peer that refuses early may have answered before it closed.
+                if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
+                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                    return;
+                }
+                self->readHead();
+            });
+        }
+
+        void readHead()
+        {
+            asio::async_read(m_socket, asio::buffer(m_head), [self = shared_from_this()](error_code error, std::size_t) {
+                if (error) {
+                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                    return;
+                }
+                self->readPayload();
+            });
+        }
+
+        void readPayload()
+        {
+            auto client = m_client.lock();
+            auto head = decodeHead(m_head.data());
+            if (!client || !head || head->kind != frame_kind::Answer
+                || head->length > client->settings.maxBodyBytes + frameOverheadBytes) {
+                failDamaged();
+                return;
+            }
+            m_payload.resize(head->length);
+            asio::async_read(m_socket, asio::buffer(m_payload), [self = shared_from_this(), head = *head](error_code error, std::size_t) {
+                if (error) {
+                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                    return;
+                }
+                self->answerArrived(head);
+            });
+        }
+
+        void answerArrived(const frame_head& head)
+        {
+            if (!checksumMatches(head, m_payload)) {
+                failDamaged();
+                return;
+            }
+            auto answer = decodeAnswer(m_payload);
+            if (!answer) {
+                failDamaged();
+                return;
+            }
+            auto client = m_client.lock();
+            if (!client || m_closed) {
+                return;
+            }
+            if (answer->callId != m_callId || answer->attempt != m_attempt) {
+                ++client->counts.crossedAnswers;
+                fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                return;
+            }
+            client->finish(shared_from_this(), std::move(*answer), true);
+        }
+
+        void failDamaged()
+        {
+            if (auto client = m_client.lock()) {
+                ++client->counts.damagedAnswers;
+            }
+            fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+        }
+
+        void fail(const verdict& outcome)
+        {
+            auto client = m_client.lock();
+            if (!client || m_closed) {
+                return;
+            }
+            client->finish(shared_from_this(), answerWithout(m_callId, m_attempt, outcome), false);
+        }
+
+        std::weak_ptr<peer_client::state> m_client;
+        tcp::socket m_socket;
+        asio::steady_timer m_timer;
+        std::string m_address;
+        std::uint64_t m_callId = 0;
+        std::uint32_t m_attempt = 0;
+        byte_vector m_outgoing;
+        std::array<char, frameHeadBytes> m_head {};
+        byte_vector m_payload;
+        bool m_connected = false;
+        bool m_sent = false;
+        bool m_idle = false;
+        bool m_closed = false;
+    };
+
+}
+
+connection_ptr peer_client::state::takeIdle(const std::string& address)
+{
+    auto found = idle.find(address);
+    if (found == idle.end() || found->second.empty()) {
+        return nullptr;
+    }
+    auto connection = found->second.back();
+    found->second.pop_back();
+    return connection;
+}
+
+void peer_client::state::finish(const connection_ptr& connection, call_answer answer, bool reusable)
+{
+    auto handler = handlers.extract(connection->startedId);
+    active.erase(connection->startedId);
+    auto& kept = idle[connection->address()];
+    if (reusable && kept.size() < settings.maxIdle) {
+        kept.push_back(connection);
+        connection->watchIdle(settings.idleTimeout);
+    } else {
+        connection->close();
+    }
+    if (handler) {
+        handler.mapped()(std::move(answer));
+    }
+}
+
+void peer_client::state::dropIdle(const connection_ptr& connection)
+{
+    auto found = idle.find(connection->address());
+    if (found == idle.end()) {
+        return;
+    }
+    auto& kept = found->second;
+    kept.erase(std::remove(kept.begin(), kept.end(), connection), kept.end());
+    if (kept.empty()) {
+        idle.erase(found);
+    }
+}
+
+peer_client::peer_client(asio::io_context& context, const peer_client_settings& settings)
+    : m_state(std::make_shared<state>(context, settings))
+{
+}
+
+peer_client::~peer_client()
+{
+    for (auto& [id, connection] : m_state->active) {
+        connection->close();
+    }
+    for (auto& [address, connections] : m_state->idle) {
+        for (auto& connection : connections) {
+            connection->close();
+        }
+    }
+    m_state->active.clear();
+    m_state->idle.clear();
+}
+
+std::uint64_t peer_client::start(const std::string& address, const call_request& request, answer_handler handler)
+{
+    auto id = ++m_state->lastId;
+    auto connection = m_state->takeIdle(address);
+    if (!connection) {
+        connection = std::make_shared<peer_connection>(m_state, address);
+    }
+    connection->startedId = id;
+    m_state->active[id] = connection;
+    m_state->handlers[id] = std::move(handler);
+    connection->start(request);
+    return id;
+}
+
+void peer_client::cancel(std::uint64_t id)
+{
+    auto found = m_state->active.find(id);
+    if (found == m_state->active.end()) {
+        return;
+    }
+    auto connection = found->second;
+    m_state->active.erase(found);
+    m_state->handlers.erase(id);
+    connection->close();
+}
+
+const peer_client_counts& peer_client::counts() const
+{
+    return m_state->counts;
+}
+
+std::size_t peer_client::inProgress() const
+{
+    return m_state->active.size();
+}
+
+}
--- /dev/null
+++ b/Source/settings/format_settings.cpp
@@ -0,0 +1,55 @@
+#include "settings/format_settings.h"
+
+#include "contract/quantity.h"
+#include "contract/toml_node.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    std::string formatString(const std::string& key, const std::string& value)
+    {
+        return key + " = " + quoteToml(value) + "\n";
+    }
+
+    // One item a line, because the length of a line is bounded.
+    std::string formatStrings(const std::string& key, const std::vector<std::string>& values)
+    {
+        std::string text = key + " = [";
+        for (const auto& value : values) {
+            text += "\n    " + quoteToml(value) + ",";
+        }
+        return text + (values.empty() ? "]\n" : "\n]\n");
+    }
+
+    std::string formatPort(const std::string& section, const port_settings& port)
+    {
+        return "\n[" + section + "]\n" + formatString("listen", port.listen) + formatString("advertise", port.advertise);
+    }
+
+    std::string formatNode(const node_settings& settings)
+    {
+        return "[node]\n" + formatString("name", settings.name)
+            + formatString("availability_zone", settings.availabilityZone)
+            + formatString("region", settings.region)
+            + formatString("outgoing_address", settings.outgoingAddress)
+            + formatString("log_level", settings.logLevel)
+            + formatString("policy", settings.policy);
+    }
+
+}
+
+std::string formatSettings(const node_settings& settings)
+{
+    return formatNode(settings)
+        + formatPort("caller", settings.caller)
+        + formatPort("backend", settings.backend)
+        + formatPort("peer", settings.peer)
+        + formatStrings("join", settings.joinAddresses)
+        + formatPort("operators", settings.operators)
+        + "\n[platform]\n" + formatStrings("endpoints", settings.platformEndpoints)
+        + "\n[limits]\n" + formatString("max_body", formatSize(settings.maxBodyBytes))
+        + formatString("drain_timeout", formatDuration(settings.drainTimeout));
+}
+
+}
--- /dev/null
+++ b/Source/settings/node_settings.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// Where a port listens and where others reach it. The two differ behind a proxy
+// or address translation. An empty advertised address means the bound one.
+struct port_settings {
+    // "IP:port"; port 0 takes a free one.
+    std::string listen;
+    std::string advertise;
+};
+
+// What one node reads at its start.
+struct node_settings {
+    std::string name;
+    std::string availabilityZone;
+    std::string region;
+    // The address that outgoing sockets are bound to.
+    std::string outgoingAddress;
+
+    // HTTP for callers outside and for the own backend server's onward calls.
+    port_settings caller;
+    // Where the own backend server announces itself.
+    port_settings backend;
+    // Peers: calls over TCP and gossip over UDP, on the same port number.
+    port_settings peer;
+    // Metrics, dump and control calls.
+    port_settings operators;
+
+    // The platform's store: "IP:port" each.
+    std::vector<std::string> platformEndpoints;
+    // Peers to join besides the seeds in the store: "IP:port" each.
+    std::vector<std::string> joinAddresses;
+
+    // Largest body of a request or an answer, in bytes.
+    std::uint64_t maxBodyBytes = 1024ULL * 1024;
+    // Longest time that a planned stop waits for work in flight.
+    std::chrono::milliseconds drainTimeout { 30000 };
+    // Least severity that is logged: "debug", "info", "warning" or "error".
+    std::string logLevel = "info";
+    // How much the node decides: "full"; "hop" and "none" are baselines to
+    // measure against: plain limits per hop, and none.
+    std::string policy = "full";
+};
+
+}
--- /dev/null
+++ b/Source/settings/parse_settings.cpp
@@ -0,0 +1,243 @@
+#include "settings/parse_settings.h"
+
+#include "contract/parse_toml.h"
+#include "contract/toml_reader.h"
+#include "contract/toml_rules.h"
+#include "settings/ip_endpoint.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr std::uint64_t leastMaxBody = 1024;
+    constexpr std::uint64_t largestMaxBody = 64UL * 1024 * 1024;
+    constexpr std::chrono::milliseconds longestDrainTimeout { 600000 };
+    constexpr std::size_t longestLabel = 63;
+    const std::string defaultListen = "127.0.0.1:0";
+
+    const toml_key nodeKey { "node", "", presence::Optional };
+    const toml_key callerKey { "caller", "", presence::Optional };
+    const toml_key backendKey { "backend", "", presence::Optional };
+    const toml_key peerKey { "peer", "", presence::Optional };
+    const toml_key operatorsKey { "operators", "", presence::Optional };
+    const toml_key platformKey { "platform", "", presence::Optional };
+    const toml_key limitsKey { "limits", "", presence::Optional };
+
+    const toml_key nameKey { "name", "\"threads-1\"" };
+    const toml_key availabilityZoneKey { "availability_zone", "\"cyberjaya\"" };
+    const toml_key regionKey { "region", "\"klang\"", presence::Optional };
+    const toml_key outgoingAddressKey { "outgoing_address", "\"192.0.2.10\"", presence::Optional };
+    const toml_key logLevelKey { "log_level", "\"info\"", presence::Optional };
+    const toml_key policyKey { "policy", "\"full\"", presence::Optional };
+    const toml_key listenKey { "listen", "\"192.0.2.10:7000\"", presence::Optional };
+    const toml_key advertiseKey { "advertise", "\"192.0.2.10:7000\"", presence::Optional };
+    const toml_key joinKey { "join", "[\"192.0.2.11:7002\"]", presence::Optional };
+    const toml_key endpointsKey { "endpoints", "[\"192.0.2.5:2379\"]", presence::Optional };
+    const toml_key maxBodyKey { "max_body", "\"1MiB\"", presence::Optional };
+    const toml_key drainTimeoutKey { "drain_timeout", "\"30s\"", presence::Optional };
+
+    bool isLabelCharacter(char character)
+    {
+        bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        bool isDigit = character >= '0' && character <= '9';
+        return isLetter || isDigit || character == '-' || character == '_' || character == '.';
+    }
+
+    bool isLabel(const std::string& text)
+    {
+        return !text.empty() && text.size() <= longestLabel && std::all_of(text.begin(), text.end(), isLabelCharacter);
+    }
+
+    // An empty text is what the settings hold by default, and is written by formatSettings.
+    bool isLabelOrEmpty(const std::string& text)
+    {
+        return text.empty() || isLabel(text);
+    }
+
+    bool isAddressOrEmpty(const std::string& text)
+    {
+        return text.empty() || isIpAddress(text);
+    }
+
+    bool isListenEndpoint(const std::string& text)
+    {
+        return parseIpEndpoint(text).has_value();
+    }
+
+    bool isReachableEndpoint(const std::string& text)
+    {
+        auto endpoint = parseIpEndpoint(text);
+        return endpoint && endpoint->port != 0 && !isUnspecified(*endpoint);
+    }
+
+    bool isReachableEndpointOrEmpty(const std::string& text)
+    {
+        return text.empty() || isReachableEndpoint(text);
+    }
+
+    const std::string labelWords = "1 to 63 of a-z, A-Z, 0-9, \"-\", \"_\" and \".\"";
+    const std::string endpointWords = "\"IP:port\" with the address in numbers, IPv6 in brackets";
+    const std::string reachableWords = endpointWords + ", and neither the address nor the port 0";
+
+    const toml_rule<std::string> labelRule { isLabel, labelWords };
+    const toml_rule<std::string> labelOrEmptyRule { isLabelOrEmpty, "empty or " + labelWords };
+    const toml_rule<std::string> addressRule { isAddressOrEmpty, "empty or an IP address in numbers, without a port" };
+    const toml_rule<std::string> listenRule { isListenEndpoint, endpointWords };
+    const toml_rule<std::string> advertiseRule { isReachableEndpointOrEmpty, "empty or " + reachableWords };
+    const toml_rule<std::string> endpointRule { isReachableEndpoint, reachableWords };
+    const toml_rule<std::string> logLevelRule = wordRule({ "debug", "info", "warning", "error" });
+    const toml_rule<std::string> policyRule = wordRule({ "full", "hop", "none" });
+    const toml_rule<std::uint64_t> maxBodyRule = sizeRule(leastMaxBody, largestMaxBody);
+    const toml_rule<std::chrono::milliseconds> drainTimeoutRule = durationRule(std::chrono::milliseconds(0), longestDrainTimeout);
+
+    // Stands for a section that the text leaves out, so that its keys get their defaults.
+    const toml_node emptyTable { toml_node::table {}, 0 };
+
+    // A section and where it listens.
+    struct listener {
+        std::string section;
+        ip_endpoint endpoint;
+    };
+
+    // Whether two sockets of one machine can't have these addresses both; port 0 takes a free one.
+    bool overlap(const ip_endpoint& a, const ip_endpoint& b)
+    {
+        bool sameAddress = a.address == b.address || isUnspecified(a) || isUnspecified(b);
+        return a.port != 0 && a.port == b.port && sameAddress;
+    }
+
+    // Reads the sections of one text into the settings.
+    class settings_parser {
+    public:
+        settings_parser(const toml_node& root, problem_list& problems)
+            : m_root(root, "", problems)
+            , m_problems(problems)
+        {
+        }
+
+        node_settings read()
+        {
+            readNode();
+            m_settings.caller = readPort(callerKey);
+            m_settings.backend = readPort(backendKey);
+            readPeer();
+            readOperators();
+            readPlatform();
+            readLimits();
+            m_root.reportUnknownKeys();
+            return m_settings;
+        }
+
+    private:
+        toml_reader section(const toml_key& key)
+        {
+            const auto* table = m_root.readTable(key);
+            return toml_reader(table ? *table : emptyTable, "[" + key.name + "]", m_problems);
+        }
+
+        void readNode()
+        {
+            auto reader = section(nodeKey);
+            m_settings.name = reader.readString(nameKey, labelRule).value_or("");
+            m_settings.availabilityZone = reader.readString(availabilityZoneKey, labelRule).value_or("");
+            m_settings.region = reader.readString(regionKey, labelOrEmptyRule).value_or("");
+            m_settings.outgoingAddress = reader.readString(outgoingAddressKey, addressRule).value_or("");
+            m_settings.logLevel = reader.readString(logLevelKey, logLevelRule).value_or(m_settings.logLevel);
+            m_settings.policy = reader.readString(policyKey, policyRule).value_or(m_settings.policy);
+            reader.reportUnknownKeys();
+        }
+
+        port_settings readPortKeys(toml_reader& reader)
+        {
+            port_settings port;
+            port.listen = reader.readString(listenKey, listenRule).value_or(defaultListen);
+            port.advertise = reader.readString(advertiseKey, advertiseRule).value_or("");
+            checkListen(port, reader);
+            return port;
+        }
+
+        port_settings readPort(const toml_key& key)
+        {
+            auto reader = section(key);
+            auto port = readPortKeys(reader);
+            reader.reportUnknownKeys();
+            return port;
+        }
+
+        void readPeer()
+        {
+            auto reader = section(peerKey);
+            m_settings.peer = readPortKeys(reader);
+            checkAdvertised(m_settings.peer, reader);
+            m_settings.joinAddresses = reader.readStrings(joinKey, endpointRule);
+            reader.reportUnknownKeys();
+        }
+
+        void readOperators()
+        {
+            auto reader = section(operatorsKey);
+            m_settings.operators = readPortKeys(reader);
+            checkAdvertised(m_settings.operators, reader);
+            reader.reportUnknownKeys();
+        }
+
+        void readPlatform()
+        {
+            auto reader = section(platformKey);
+            m_settings.platformEndpoints = reader.readStrings(endpointsKey, endpointRule);
+            reader.reportUnknownKeys();
+        }
+
+        void readLimits()
+        {
+            auto reader = section(limitsKey);
+            m_settings.maxBodyBytes = reader.readSize(maxBodyKey, maxBodyRule).value_or(m_settings.maxBodyBytes);
+            m_settings.drainTimeout = reader.readDuration(drainTimeoutKey, drainTimeoutRule).value_or(m_settings.drainTimeout);
+            reader.reportUnknownKeys();
+        }
+
+        // Two ports of one node can't be bound to the same address.
+        void checkListen(const port_settings& port, toml_reader& reader)
+        {
+            auto endpoint = *parseIpEndpoint(port.listen);
+            for (const auto& taken : m_listeners) {
+                if (overlap(endpoint, taken.endpoint)) {
+                    reader.report(listenKey, "listen is " + quoteToml(port.listen) + ", a port that " + taken.section + " takes already; give each section a port of its own");
+                }
+            }
+            m_listeners.push_back({ reader.place(), endpoint });
+        }
+
+        // Other nodes learn this port's address, and "every address" leads nowhere.
+        static void checkAdvertised(const port_settings& port, toml_reader& reader)
+        {
+            if (port.advertise.empty() && isUnspecified(*parseIpEndpoint(port.listen))) {
+                reader.report(listenKey, "listen is " + quoteToml(port.listen) + ", which other nodes can't reach; name their way in, for example advertise = " + advertiseKey.example);
+            }
+        }
+
+        toml_reader m_root;
+        problem_list& m_problems;
+        node_settings m_settings;
+        std::vector<listener> m_listeners;
+    };
+
+}
+
+parse_settings_result parseSettings(const std::string& text, const std::string& fileName)
+{
+    auto parsed = parseToml(text, fileName);
+    if (const auto* problem = std::get_if<text_problem>(&parsed)) {
+        return std::vector<text_problem> { *problem };
+    }
+    problem_list problems(fileName);
+    auto result = settings_parser(std::get<toml_node>(parsed), problems).read();
+    if (!problems.isEmpty()) {
+        return problems.sorted();
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Tests/Harness/mesh.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Harness/child_process.h"
+#include "Harness/http_client.h"
+#include "Harness/stand_in.h"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// One backend server that a mesh is to have, and its node.
+struct server_spec {
+    // Names the server and its node; unique in the mesh.
+    std::string name;
+    std::string service;
+    std::string availabilityZone;
+    // Further options of the backend stand-in, for example "--slots=4".
+    std::vector<std::string> backendOptions;
+    // Further lines of the node's settings file.
+    std::string settings;
+};
+
+// A node and the backend stand-in beside it.
+struct mesh_server {
+    server_spec spec;
+    std::unique_ptr<child_process> node;
+    Json::Value nodeReady;
+    std::unique_ptr<stand_in> backend;
+
+    // Where the node takes callers: "IP:port".
+    std::string caller() const { return nodeReady["caller"].asString(); }
+};
+
+// A platform stand-in and the nodes and backend servers of a test, as real
+// processes on loopback addresses; all end with the object.
+class mesh {
+public:
+    mesh();
+    ~mesh();
+
+    mesh(const mesh&) = delete;
+    mesh& operator=(const mesh&) = delete;
+
+    // Writes a contract into the platform's store.
+    void putContract(const std::string& customer, const std::string& text);
+
+    mesh_server& add(const server_spec&);
+    mesh_server& server(const std::string& name) { return *m_servers.at(name); }
+    stand_in& platform() { return m_platform; }
+
+    // Waits until a request of that kind is answered through every node.
+    bool waitUntilServing(const std::string& path, const http_fields&);
+
+    // Ends a server's node by SIGTERM and waits for its exit.
+    std::optional<child_end> stopNode(const std::string& name);
+
+    std::string settingsFile(const server_spec&) const;
+
+private:
+    std::filesystem::path m_folder;
+    stand_in m_platform;
+    std::map<std::string, std::unique_ptr<mesh_server>> m_servers;
+};
+
+}
--- /dev/null
+++ b/Tests/VerdictWords/verdict_words_test.cpp
@@ -0,0 +1,35 @@
+#include "decision/ticket.h"
+#include "decision/verdict.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace vanillashunt {
+
+TEST(VerdictWords, ExecutionWordsReadBack)
+{
+    for (auto value : { execution::NotRun, execution::MayHaveRun, execution::Ran }) {
+        EXPECT_EQ(parseExecution(toString(value)), value);
+    }
+    EXPECT_FALSE(parseExecution("perhaps"));
+}
+
+TEST(VerdictWords, EachReasonHasItsOwnWord)
+{
+    std::set<std::string> words;
+    for (int index = 0; index < verdictReasonCount; ++index) {
+        words.insert(toString(static_cast<verdict_reason>(index)));
+    }
+    EXPECT_EQ(words.size(), static_cast<std::size_t>(verdictReasonCount));
+}
+
+TEST(VerdictWords, TicketsReadBack)
+{
+    ticket original { 0xfeedULL, std::chrono::milliseconds(60000), 0xffffffffffffffffULL };
+    EXPECT_EQ(parseTicket(toString(original)), original);
+    EXPECT_FALSE(parseTicket("feed-1-2"));
+    EXPECT_FALSE(parseTicket(std::string(50, '-')));
+}
+
+}
