Part membership and configuration from the node's process

Cause: both were polls of the store inside node_process, so nobody could work on the one without the other.

Measured: the four tests of WholePath pass as before.

Conclusion: membership_service and configuration_service are the seams; each tells the call actor by one hook.

--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -1,12 +1,12 @@
 #include "node/node_process.h"
 
 #include "backend/backend_port.h"
-#include "contract/parse_contract.h"
 #include "events/event.h"
 #include "node/call_actor.h"
+#include "node/configuration_service.h"
+#include "node/membership_service.h"
 #include "peer/peer_server.h"
 #include "platform/gateway_json.h"
-#include "platform/seed_directory.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
@@ -29,8 +29,6 @@
     constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
 
     constexpr std::chrono::milliseconds tickPeriod { 5 };
-    constexpr std::chrono::milliseconds platformPeriod { 500 };
-    constexpr std::chrono::milliseconds platformTimeout { 1000 };
 
     class node_process {
     public:
@@ -42,9 +40,6 @@
         void callerRequest(http_request, const std::shared_ptr<http_exchange>&);
         void announced(const backend_announcement&);
         void tick();
-        void pollPlatform();
-        void readMembers(const store_range&);
-        void readContracts(const store_range&);
         void startDrain();
         void printReady() const;
         std::string advertised(const port_settings&, const std::string& bound) const;
@@ -61,14 +56,14 @@
         std::unique_ptr<peer_client> m_peers;
         std::unique_ptr<backend_client> m_backend;
         std::unique_ptr<store_client> m_store;
+        std::unique_ptr<membership_service> m_membership;
+        std::unique_ptr<configuration_service> m_configuration;
         std::unique_ptr<http_server> m_callerServer;
         std::unique_ptr<backend_port> m_backendPort;
         std::unique_ptr<peer_server> m_peerServer;
         asio::steady_timer m_tickTimer { m_context };
-        asio::steady_timer m_platformTimer { m_context };
         asio::signal_set m_signals { m_context, SIGTERM, SIGINT };
         member m_self;
-        std::int64_t m_writtenRevision = 0;
     };
 
     node_process::node_process(const node_settings& settings)
@@ -101,6 +96,11 @@
         parts.availabilityZone = settings.availabilityZone;
         m_calls = m_system->spawn<call_actor, caf::lazy_init>(parts);
 
+        m_membership = std::make_unique<membership_service>(m_context, *m_store,
+            membership_hooks { [this](member_list members) { m_host->send(m_calls, members_changed { std::move(members) }); } });
+        m_configuration = std::make_unique<configuration_service>(m_context, *m_store,
+            configuration_hooks { [this](contract_snapshot contracts) { m_host->send(m_calls, contracts_changed { std::move(contracts) }); } });
+
         http_server_limits callerLimits;
         callerLimits.maxBodyBytes = settings.maxBodyBytes;
         m_callerServer = std::make_unique<http_server>(m_context, settings.caller.listen, callerLimits,
@@ -147,6 +147,7 @@
         }
         m_self.service = announcement.service;
         m_self.slots = announcement.slots;
+        m_membership->setSelf(m_self);
         m_host->send(m_calls, backend_announced { announcement });
     }
 
@@ -161,59 +162,6 @@
         });
     }
 
-    void node_process::pollPlatform()
-    {
-        m_self.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
-        auto key = seedPrefix + m_settings.availabilityZone + "/" + m_settings.name;
-        if (!m_self.service.empty()) {
-            m_store->swap(key, m_writtenRevision, writeSeed(m_self), platformTimeout, [this](store_result<store_swap> result) {
-                if (auto* swap = std::get_if<store_swap>(&result)) {
-                    m_writtenRevision = swap->succeeded || swap->standing.empty() ? swap->revision : swap->standing.front().modRevision;
-                }
-            });
-        }
-        m_store->rangePrefix(seedPrefix, platformTimeout, [this](store_result<store_range> result) {
-            if (auto* range = std::get_if<store_range>(&result)) {
-                readMembers(*range);
-            }
-        });
-        m_store->rangePrefix(contractPrefix, platformTimeout, [this](store_result<store_range> result) {
-            if (auto* range = std::get_if<store_range>(&result)) {
-                readContracts(*range);
-            }
-        });
-        m_platformTimer.expires_after(platformPeriod);
-        m_platformTimer.async_wait([this](error_code error) {
-            if (!error) {
-                pollPlatform();
-            }
-        });
-    }
-
-    void node_process::readMembers(const store_range& range)
-    {
-        auto members = std::make_shared<std::vector<member>>();
-        for (const auto& entry : range.entries) {
-            if (auto seed = readSeed(entry.value, std::chrono::steady_clock::now())) {
-                members->push_back(*seed);
-            }
-        }
-        m_host->send(m_calls, members_changed { members });
-    }
-
-    void node_process::readContracts(const store_range& range)
-    {
-        auto contracts = std::make_shared<contract_set>();
-        for (const auto& entry : range.entries) {
-            auto parsed = parseContract(entry.value, entry.key);
-            if (auto* terms = std::get_if<contract>(&parsed)) {
-                contracts->byCustomer[terms->customer] = { *terms, entry.value, entry.modRevision };
-                contracts->revision = std::max(contracts->revision, entry.modRevision);
-            }
-        }
-        m_host->send(m_calls, contracts_changed { contracts });
-    }
-
     void node_process::startDrain()
     {
         logEvent(drainStarted);
@@ -242,9 +190,8 @@
         printReady();
         logEvent(nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone } });
         tick();
-        if (!m_settings.platformEndpoints.empty()) {
-            pollPlatform();
-        }
+        m_membership->start(m_self);
+        m_configuration->start();
         m_context.run();
         m_calls = nullptr;
         logEvent(nodeStopped, { { "name", m_settings.name } });
