Take the ledger's retention from the ticket's lifetime

Ruled out: a lifetime for each class, since the home cannot know the class of a ticket that it has not seen.

Conclusion: ticketLifetime in decision/ticket.h is the only source.

--- a/Source/contract/derive_limits.cpp
+++ b/Source/contract/derive_limits.cpp
@@ -1,5 +1,7 @@
 #include "contract/derive_limits.h"
 
+#include "decision/ticket.h"
+
 #include "contract/entry_services.h"
 
 #include <algorithm>
@@ -49,8 +51,7 @@
     limits.retryTokens = std::min(terms.retries, retryBound);
     limits.refusalBudget = 1 - terms.target;
     if (!terms.idempotent) {
-        limits.ticketLifetime = std::max(leastTicketLifetime, terms.deadline * deadlinesPerTicket);
-        limits.ledgerRetention = limits.ticketLifetime + terms.deadline;
+        limits.ledgerRetention = ticketLifetime;
     }
     return limits;
 }
--- a/Source/contract/derive_limits.h
+++ b/Source/contract/derive_limits.h
@@ -11,11 +11,6 @@
 
 namespace vanillashunt {
 
-// A ticket outlives a caller's usual repeats, however short the deadline is.
-constexpr std::chrono::milliseconds leastTicketLifetime { 60000 };
-// Deadlines that a ticket lasts: of the first request and of its repeats.
-constexpr std::uint32_t deadlinesPerTicket = 1 + retryBound;
-
 // The shedding positions of one importance; both ends belong to it.
 struct shedding_band {
     shedding_position first = 0;
@@ -30,10 +25,8 @@
     std::uint32_t retryTokens = 0;
     // Fraction of whole requests that may go unanswered.
     double refusalBudget = 0;
-    // How long a ticket is taken after it was made; zero for an idempotent class, which needs none.
-    std::chrono::milliseconds ticketLifetime { 0 };
-    // How long the home keeps a run's entry in its ledger, from the ticket's making: a run
-    // that began with the ticket's last moment has ended by then. Zero as above.
+    // How long the home remembers a request, from its ticket's making: as long as it
+    // takes the ticket, or until the run ends. Zero for an idempotent class, which needs none.
     std::chrono::milliseconds ledgerRetention { 0 };
 };
 
--- a/Source/contract/explain_contract.cpp
+++ b/Source/contract/explain_contract.cpp
@@ -32,11 +32,7 @@
         if (limits.terms.idempotent) {
             return "  ledger retention = 0, because the class is idempotent and needs no ticket\n";
         }
-        auto deadlines = limits.terms.deadline * deadlinesPerTicket;
-        return "  ticket lifetime = max(" + formatDuration(leastTicketLifetime) + ", " + std::to_string(deadlinesPerTicket) + " x deadline) = max("
-            + formatDuration(leastTicketLifetime) + ", " + formatDuration(deadlines) + ") = " + formatDuration(limits.ticketLifetime) + "\n"
-            + "  ledger retention = ticket lifetime + deadline = " + formatDuration(limits.ticketLifetime) + " + " + formatDuration(limits.terms.deadline)
-            + " = " + formatDuration(limits.ledgerRetention) + "\n";
+        return "  ledger retention = ticket lifetime = " + formatDuration(limits.ledgerRetention) + "\n";
     }
 
     std::string explainClass(const class_limits& limits)
