--- /dev/null
+++ b/Source/backend/backend_watch.cpp
@@ -0,0 +1,77 @@
+#include "backend/backend_watch.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr std::chrono::milliseconds probePeriod { 500 };
+    constexpr std::chrono::milliseconds probeTimeout { 1000 };
+    constexpr unsigned statusOk = 200;
+
+    probe_result readProbe(const http_result& result)
+    {
+        if (const auto* failure = std::get_if<http_failure>(&result)) {
+            return failure->sent || failure->timedOut ? probe_result::Unwell : probe_result::Unreachable;
+        }
+        return std::get<http_response>(result).status == statusOk ? probe_result::Well : probe_result::Unwell;
+    }
+
+}
+
+backend_watch::backend_watch(boost::asio::io_context& context, backend_client& client, offered_hook offeredChanged)
+    : m_client(client)
+    , m_offeredChanged(std::move(offeredChanged))
+    , m_timer(context)
+{
+}
+
+void backend_watch::setBackend(const std::optional<backend_announcement>& announcement)
+{
+    bool same = announcement && m_backend && announcement->address == m_backend->address && announcement->healthPath == m_backend->healthPath;
+    if (same) {
+        return;
+    }
+    m_backend = announcement;
+    m_health = {};
+    schedule();
+}
+
+void backend_watch::callAnswered()
+{
+    m_health.callAnswered(std::chrono::steady_clock::now());
+}
+
+void backend_watch::schedule()
+{
+    m_timer.expires_after(probePeriod);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            probe();
+        }
+    });
+}
+
+void backend_watch::probe()
+{
+    if (!m_backend || m_backend->healthPath.empty()) {
+        return;
+    }
+    auto address = m_backend->address;
+    m_client.probe(address, m_backend->healthPath, probeTimeout, [this, address](const http_result& result) {
+        if (m_backend && m_backend->address == address) {
+            probed(result);
+        }
+    });
+}
+
+void backend_watch::probed(const http_result& result)
+{
+    bool before = m_health.offered();
+    m_health.probed(readProbe(result), std::chrono::steady_clock::now());
+    if (m_health.offered() != before) {
+        m_offeredChanged(m_health.offered());
+    }
+    schedule();
+}
+
+}
--- /dev/null
+++ b/Source/call/call_observation.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "call/call_request.h"
+#include "decision/verdict.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace vanillashunt {
+
+// One step that a node decided on a call.
+enum class call_decision : std::uint8_t {
+    Attempt, // Sent to a target's node for the first time.
+    Retry, // Sent again.
+    AttemptFailed, // An attempt came back without a backend server's answer.
+    Rejected, // Not admitted to the own backend server.
+    Finished, // The call's caller got its final answer, or left.
+};
+
+std::string toString(call_decision);
+
+// What metrics, logs and the request journal are told of one step; read at once.
+struct call_observation {
+    call_decision decision;
+    const request_context& context;
+    std::chrono::steady_clock::time_point now;
+    // With AttemptFailed, Rejected and Finished.
+    verdict outcome {};
+    // The target's name, or the text that the caller got.
+    std::string detail {};
+    // With Finished: whether it was a whole request, that is, no onward call, its
+    // HTTP status, and how long it took.
+    bool whole = false;
+    std::uint32_t status = 0;
+    std::chrono::microseconds duration { 0 };
+};
+
+// Whether a call was given up for the sake of others.
+bool isShed(verdict_reason);
+
+using call_observer = std::function<void(const call_observation&)>;
+
+}
--- /dev/null
+++ b/Source/command/contract_files.cpp
@@ -0,0 +1,55 @@
+#include "command/contract_files.h"
+
+#include "command/command_line.h"
+#include "command/read_file.h"
+#include "contract/parse_contract.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace vanillashunt {
+
+std::variant<std::vector<contract_file>, exit_code> readContractFiles(const command& self, const std::vector<std::string>& fileNames)
+{
+    if (fileNames.empty()) {
+        return reportUsage(self, "name a contract file");
+    }
+    std::vector<contract_file> files;
+    auto code = exit_code::Ok;
+    for (const auto& fileName : fileNames) {
+        auto text = readFile(fileName);
+        if (!text) {
+            reportError(self, "cannot read contract file '" + fileName + "'");
+            return exit_code::Usage;
+        }
+        auto parsed = parseContract(*text, fileName);
+        if (auto* problems = std::get_if<std::vector<text_problem>>(&parsed)) {
+            reportProblems(*problems);
+            code = exit_code::Refused;
+            continue;
+        }
+        files.push_back({ fileName, std::move(*text), std::move(std::get<contract>(parsed)) });
+    }
+    if (code != exit_code::Ok) {
+        return code;
+    }
+    return files;
+}
+
+contract_set contractSetOf(const std::vector<contract_file>& files)
+{
+    contract_set contracts;
+    for (const auto& file : files) {
+        contracts.byCustomer[file.terms.customer] = { file.terms, file.text, 0 };
+    }
+    return contracts;
+}
+
+void reportProblems(const std::vector<text_problem>& problems)
+{
+    for (const auto& problem : problems) {
+        std::cerr << toString(problem) << '\n';
+    }
+}
+
+}
--- /dev/null
+++ b/Source/command/node_options.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "command/command_line.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// Which nodes a command asks, and how.
+struct node_options {
+    // Operator ports: "IP:port" each.
+    std::vector<std::string> nodes;
+    // Whether to ask every member that the nodes know, too.
+    bool all = false;
+    bool json = false;
+    std::chrono::milliseconds timeout { 3000 };
+};
+
+// The options --node, --timeout and --json; they are written into the argument.
+std::vector<command_option> optionsOf(node_options&);
+
+// The option --all.
+command_option allOption(node_options&);
+
+// Takes words that are no options as further nodes; reports one that is no address.
+std::optional<exit_code> takeNodes(const command&, const std::vector<std::string>& words, node_options&);
+
+}
--- /dev/null
+++ b/Source/command/program.cpp
@@ -0,0 +1,87 @@
+#include "command/program.h"
+
+#include "command/check_settings_command.h"
+#include "command/command_line.h"
+#include "command/contract_command.h"
+#include "command/dump_command.h"
+#include "command/explain_command.h"
+#include "command/node_command.h"
+#include "command/status_command.h"
+#include "command/stop_command.h"
+#include "command/version_command.h"
+
+#include <iomanip>
+#include <iostream>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr const char* programHelp = R"(usage: vanillashunt COMMAND ...
+
+'vanillashunt help' lists the commands, 'vanillashunt COMMAND --help' tells of one.
+)";
+
+    constexpr const char* helpHelp = R"(usage: vanillashunt help [COMMAND ...]
+
+Lists the commands, or tells of one.
+)";
+
+    exit_code runHelp(const command&, const command_arguments&);
+    exit_code runAny(const command&, const command_arguments&);
+
+    command programCommand()
+    {
+        return { "", "", programHelp, runAny };
+    }
+
+    command_table programCommands()
+    {
+        return {
+            nodeCommand(),
+            contractCommand(),
+            stopCommand(),
+            statusCommand(),
+            dumpCommand(),
+            explainCommand(),
+            checkSettingsCommand(),
+            versionCommand(),
+            { "help", "lists the commands, or tells of one", helpHelp, runHelp },
+        };
+    }
+
+    exit_code runAny(const command& self, const command_arguments& arguments)
+    {
+        return runNamedCommand(self, programCommands(), arguments);
+    }
+
+    void listCommands()
+    {
+        constexpr int nameWidth = 16;
+        std::cout << "usage: vanillashunt COMMAND ...\n\n";
+        for (const auto& each : programCommands()) {
+            std::cout << "  " << std::left << std::setw(nameWidth) << each.path << each.summary << '\n';
+        }
+        std::cout << "\n'vanillashunt COMMAND --help' tells of one command.\n"
+                     "Exit codes: 0 done, 2 wrong usage, 3 refused, 4 not known, 5 unreachable.\n";
+    }
+
+    exit_code runHelp(const command&, const command_arguments& arguments)
+    {
+        if (arguments.empty()) {
+            listCommands();
+            return exit_code::Ok;
+        }
+        auto words = arguments;
+        words.push_back("--help");
+        return runAny(programCommand(), words);
+    }
+
+}
+
+int runProgram(const command_arguments& arguments)
+{
+    return static_cast<int>(runAny(programCommand(), arguments));
+}
+
+}
--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -1,70 +1,425 @@
 #include "decision/admission_gate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillashunt {
 
 namespace {
 
-    // Waiting calls for each slot; more would wait longer than they are worth.
+    // Waiting calls for each call of the limit, at most; more would wait longer
+    // than they are worth.
     constexpr std::size_t queueFactor = 2;
-    constexpr std::chrono::milliseconds defaultRetryAfter { 200 };
+    // What the backend server ends in this time may wait.
+    constexpr std::chrono::duration<double> queueTime { 0.05 };
+    // Work that waits this long during a whole window is a sign of overload.
+    constexpr std::chrono::duration<double> standingTime { 0.005 };
 
+    constexpr std::chrono::milliseconds windowLength { 50 };
+    constexpr double durationFade = 0.85;
+    constexpr double serviceQuantile = 0.5;
+    constexpr double drainWeight = 0.4;
+    // Part of a window during which all slots must be in use to measure the drain.
+    constexpr double fullPart = 0.25;
+
+    constexpr std::chrono::milliseconds leastRetryAfter { 100 };
+    constexpr std::chrono::milliseconds mostRetryAfter { 3000 };
+    // Time over which refusals are counted.
+    constexpr std::chrono::duration<double> refusalMemory { 1 };
+
+}
+
+admission_gate::admission_gate(admission_settings settings)
+    : m_settings(std::move(settings))
+{
+    m_limit.setBoundBySlots(m_settings.rules.boundBySlots);
+    m_cut.setOpens(m_settings.rules.cutOpens);
+}
+
+void admission_gate::setSlots(std::uint32_t slots, std::chrono::steady_clock::time_point now)
+{
+    setSlots(slots, {}, now);
 }
 
-void admission_gate::setSlots(std::uint32_t slots, std::chrono::steady_clock::time_point)
+void admission_gate::setSlots(std::uint32_t slots, std::chrono::milliseconds coldStart, std::chrono::steady_clock::time_point now)
 {
-    m_limit = slots;
+    m_limit.setSlots(slots, coldStart, now);
+    advance(now);
 }
 
 admission_decision admission_gate::arrive(const admission_request& request, std::chrono::steady_clock::time_point now)
 {
+    advance(now);
     if (request.deadline <= now) {
-        return { admission_outcome::Refuse, verdict::notRun(verdict_reason::DeadlinePassed) };
+        return refuse(verdict_reason::DeadlinePassed);
     }
-    if (m_limit == 0) {
-        return { admission_outcome::Refuse, verdict::notRun(verdict_reason::NoBackendServer) };
+    if (m_limit.slots() == 0) {
+        return refuse(verdict_reason::NoBackendServer);
     }
-    if (m_running.size() < m_limit && m_waiting.empty()) {
-        m_running.insert(request.callId);
-        return { admission_outcome::Run, {} };
+    waiting_call call;
+    call.callId = request.callId;
+    call.position = std::min(request.position, sheddingPositionCount - 1);
+    call.customer = m_shares.indexOf(request.customer);
+    call.deadline = request.deadline;
+    call.requestClass = m_leastTimes.indexOf(request.requestClass);
+    switch (m_settings.policy) {
+    case admission_policy::None:
+        return run(call, now);
+    case admission_policy::Hop:
+        return arriveHop(call);
+    case admission_policy::Full:
+        break;
     }
-    if (m_waiting.size() >= queueFactor * m_limit) {
-        return { admission_outcome::Refuse, verdict::notRun(verdict_reason::Overload, defaultRetryAfter) };
+    return arriveFull(call, now);
+}
+
+admission_decision admission_gate::arriveHop(const waiting_call& call)
+{
+    if (m_running.size() < m_limit.slots() && m_line.empty()) {
+        return run(call, {});
+    }
+    if (m_line.size() >= queueFactor * m_limit.slots()) {
+        return refuse(verdict_reason::Overload);
     }
-    m_waiting.emplace(request.position, request);
+    m_line.push_back(call);
     return { admission_outcome::Wait, {} };
 }
 
-void admission_gate::finish(std::uint64_t callId, const service_outcome&, std::chrono::steady_clock::time_point)
+admission_decision admission_gate::arriveFull(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
-    m_running.erase(callId);
+    if (cannotFinish(call, now)) {
+        return refuse(verdict_reason::DeadlineTooShort);
+    }
+    m_cut.arrived(call.customer, call.position);
+    if (call.position < m_cut.get(call.customer) && mayRefuse(call, now)) {
+        return refuseForOverload(call, overloadReason(call), now);
+    }
+    const auto* first = m_waiting.next();
+    bool goesFirst = !first || first->position / positionsPerImportance < call.position / positionsPerImportance;
+    if (slotFree() && goesFirst && mayStart(call, now)) {
+        return run(call, now);
+    }
+    if (waitsTooLong(call, now) && mayRefuse(call, now)) {
+        noteNoRoom();
+        return refuseForOverload(call, verdict_reason::Overload, now);
+    }
+    return placeInQueue(call, now);
 }
 
-void admission_gate::cancel(std::uint64_t callId, std::chrono::steady_clock::time_point)
+admission_decision admission_gate::placeInQueue(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
-    m_running.erase(callId);
-    auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [callId](const auto& item) { return item.second.callId == callId; });
-    if (found != m_waiting.end()) {
-        m_waiting.erase(found);
+    if (m_waiting.size() >= queueBound()) {
+        noteNoRoom();
+        const auto* victim = victimFor(call);
+        const auto& loser = victim ? *victim : call;
+        if (mayRefuse(loser, now)) {
+            if (!victim) {
+                return refuseForOverload(call, overloadReason(call), now);
+            }
+            evict(*victim, now);
+        }
+    }
+    m_waiting.add(call);
+    return { admission_outcome::Wait, {} };
+}
+
+// The waiting call that has to go for this one; null if this one has to.
+const waiting_call* admission_gate::victimFor(const waiting_call& call) const
+{
+    const auto* worst = m_waiting.worst();
+    if (!worst) {
+        return nullptr;
+    }
+    auto level = call.position / positionsPerImportance;
+    auto worstLevel = worst->position / positionsPerImportance;
+    if (level != worstLevel) {
+        return level > worstLevel ? worst : nullptr;
+    }
+    auto shared = static_cast<importance>(level);
+    if (m_waiting.load(shared, worst->customer, 0) >= m_waiting.load(shared, call.customer, 1)) {
+        return worst->customer != call.customer || call.position > worst->position ? worst : nullptr;
+    }
+    // The customer of this call is the one furthest over its share.
+    const auto* own = m_waiting.worst(shared, call.customer);
+    return own && own->position < call.position ? own : nullptr;
+}
+
+admission_decision admission_gate::run(const waiting_call& call, std::chrono::steady_clock::time_point now)
+{
+    m_running.emplace(call.callId, running_call { call.customer, call.requestClass });
+    if (call.customer >= m_runningOf.size()) {
+        m_runningOf.resize(call.customer + 1);
+    }
+    ++m_runningOf[call.customer];
+    m_order.admitted(call.position, now);
+    ++m_counters.admitted;
+    return { admission_outcome::Run, {} };
+}
+
+admission_decision admission_gate::refuse(verdict_reason reason)
+{
+    ++m_counters.refused[static_cast<std::size_t>(reason)];
+    bool comeBack = reason == verdict_reason::Overload || reason == verdict_reason::OverShare;
+    if (comeBack) {
+        m_recentRefusals += 1;
+    }
+    return { admission_outcome::Refuse, verdict::notRun(reason, comeBack ? retryAfter() : std::chrono::milliseconds(0)) };
+}
+
+admission_decision admission_gate::refuseForOverload(const waiting_call& call, verdict_reason reason, std::chrono::steady_clock::time_point now)
+{
+    m_order.refused(call.position, now);
+    ++m_counters.shed[call.position / positionsPerImportance];
+    return refuse(reason);
+}
+
+verdict_reason admission_gate::overloadReason(const waiting_call& call) const
+{
+    auto level = static_cast<importance>(call.position / positionsPerImportance);
+    auto own = m_waiting.load(level, call.customer, 1);
+    bool overShare = m_waiting.othersWait(level, call.customer) && own * m_shares.share(call.customer) > 1
+        && m_waiting.worst(level, call.customer) != nullptr;
+    bool cutHigher = m_cut.get(call.customer) > m_cut.get() && m_waiting.othersWait(level, call.customer);
+    return overShare || cutHigher ? verdict_reason::OverShare : verdict_reason::Overload;
+}
+
+bool admission_gate::mayRefuse(const waiting_call& call, std::chrono::steady_clock::time_point now) const
+{
+    return !m_settings.rules.confirmedLast || m_order.mayRefuse(call.position, now);
+}
+
+bool admission_gate::mayStart(const waiting_call& call, std::chrono::steady_clock::time_point now) const
+{
+    if (m_settings.rules.confirmedLast && !m_order.mayAdmit(call.position, now)) {
+        return false;
+    }
+    if (m_settings.rules.lendUnusedShares || call.customer >= m_runningOf.size()) {
+        return true;
+    }
+    double shares = 0;
+    for (customer_index customer = 0; customer < m_shares.size(); ++customer) {
+        shares += m_shares.share(customer);
+    }
+    return m_runningOf[call.customer] < std::max(1.0, m_limitNow * m_shares.share(call.customer) / shares);
+}
+
+// An idle backend server is tried all the same: it may have become faster.
+bool admission_gate::cannotFinish(const waiting_call& call, std::chrono::steady_clock::time_point now) const
+{
+    return !m_running.empty() && m_leastTimes.cannotFinish(call.requestClass, call.deadline, now);
+}
+
+bool admission_gate::waitsTooLong(const waiting_call& call, std::chrono::steady_clock::time_point now) const
+{
+    if (m_running.empty() || m_drainRate <= 0) {
+        return false;
+    }
+    auto wait = std::chrono::duration<double>(static_cast<double>(m_waiting.ahead(call)) / m_drainRate);
+    return wait + m_serviceTime > std::chrono::duration<double>(call.deadline - now);
+}
+
+std::size_t admission_gate::queueBound() const
+{
+    auto most = queueFactor * m_limitNow;
+    if (m_drainRate <= 0) {
+        return most;
+    }
+    auto drained = static_cast<std::size_t>(m_drainRate * queueTime.count());
+    return std::clamp<std::size_t>(drained, std::max<std::size_t>(1, m_limitNow / 4), most);
+}
+
+void admission_gate::evict(const waiting_call& victim, std::chrono::steady_clock::time_point now)
+{
+    auto call = victim;
+    auto decision = refuseForOverload(call, overloadReason(call), now);
+    m_waiting.remove(call.callId);
+    ++m_counters.evicted;
+    if (m_settings.rules.answerEvicted) {
+        m_released.push_back({ call.callId, decision });
+    }
+}
+
+void admission_gate::finish(std::uint64_t callId, const service_outcome& outcome, std::chrono::steady_clock::time_point now)
+{
+    advance(now);
+    auto node = m_running.extract(callId);
+    if (!node) {
+        return;
+    }
+    const auto& ended = node.mapped();
+    --m_runningOf[ended.customer];
+    m_limit.finished(outcome.duration, outcome.refused, inFlight() + 1, now);
+    if (outcome.refused) {
+        // The backend server itself had no room.
+        m_window.refusedForRoom = true;
+    } else {
+        ++m_window.finished;
+        m_window.finishedFull += inFlight() + 1 >= m_limitNow ? 1 : 0;
+        m_durations.add(outcome.duration);
+        m_leastTimes.add(ended.requestClass, outcome.duration, now);
+    }
+}
+
+void admission_gate::cancel(std::uint64_t callId, std::chrono::steady_clock::time_point now)
+{
+    advance(now);
+    if (auto node = m_running.extract(callId)) {
+        --m_runningOf[node.mapped().customer];
+        return;
+    }
+    m_waiting.remove(callId);
+    auto found = std::find_if(m_line.begin(), m_line.end(), [callId](const auto& call) { return call.callId == callId; });
+    if (found != m_line.end()) {
+        m_line.erase(found);
     }
 }
 
 std::vector<gate_release> admission_gate::release(std::chrono::steady_clock::time_point now)
 {
-    std::vector<gate_release> released;
-    while (!m_waiting.empty() && m_running.size() < m_limit) {
-        auto first = m_waiting.begin();
-        auto request = first->second;
-        m_waiting.erase(first);
-        if (request.deadline <= now) {
-            released.push_back({ request.callId, { admission_outcome::Refuse, verdict::notRun(verdict_reason::DeadlinePassed) } });
+    advance(now);
+    if (m_limit.slots() == 0) {
+        refuseWaiting(verdict_reason::NoBackendServer);
+    }
+    expireWaiting(now);
+    startLine(now);
+    startWaiting(now);
+    trimQueue(now);
+    m_window.leastWaiting = slotFree() ? 0 : std::min(m_window.leastWaiting, m_waiting.size());
+    return std::exchange(m_released, {});
+}
+
+void admission_gate::refuseWaiting(verdict_reason reason)
+{
+    while (const auto* call = m_waiting.next()) {
+        auto callId = call->callId;
+        m_waiting.remove(callId);
+        m_released.push_back({ callId, refuse(reason) });
+    }
+    for (const auto& call : m_line) {
+        m_released.push_back({ call.callId, refuse(reason) });
+    }
+    m_line.clear();
+}
+
+void admission_gate::expireWaiting(std::chrono::steady_clock::time_point now)
+{
+    while (auto expired = m_waiting.takeExpired(now)) {
+        noteNoRoom();
+        m_released.push_back({ expired->callId, refuse(verdict_reason::DeadlinePassed) });
+    }
+}
+
+void admission_gate::startLine(std::chrono::steady_clock::time_point now)
+{
+    while (!m_line.empty() && m_running.size() < m_limit.slots()) {
+        auto call = m_line.front();
+        m_line.pop_front();
+        if (call.deadline <= now) {
+            m_released.push_back({ call.callId, refuse(verdict_reason::DeadlinePassed) });
+            continue;
+        }
+        m_released.push_back({ call.callId, run(call, now) });
+    }
+}
+
+void admission_gate::startWaiting(std::chrono::steady_clock::time_point now)
+{
+    while (slotFree()) {
+        const auto* next = m_waiting.next();
+        if (!next || !mayStart(*next, now)) {
+            return;
+        }
+        auto call = m_waiting.takeNext();
+        if (cannotFinish(call, now)) {
+            m_released.push_back({ call.callId, refuse(verdict_reason::DeadlineTooShort) });
             continue;
         }
-        m_running.insert(request.callId);
-        released.push_back({ request.callId, { admission_outcome::Run, {} } });
+        m_released.push_back({ call.callId, run(call, now) });
+    }
+}
+
+// Takes back the room that confirmed calls were given above the bound.
+void admission_gate::trimQueue(std::chrono::steady_clock::time_point now)
+{
+    while (m_waiting.size() > queueBound()) {
+        const auto* worst = m_waiting.worst();
+        if (!mayRefuse(*worst, now)) {
+            return;
+        }
+        evict(*worst, now);
+    }
+}
+
+shedding_position admission_gate::cutFor(const std::string& customer) const
+{
+    auto known = m_shares.find(customer);
+    return known ? m_cut.get(*known) : m_cut.get();
+}
+
+// When what was refused lately will have been worked off, spread over that time
+// so that the callers do not come back together.
+std::chrono::milliseconds admission_gate::retryAfter() const
+{
+    auto backlog = m_recentRefusals + static_cast<double>(waiting());
+    auto drain = std::max(1.0, m_drainRate);
+    auto time = std::chrono::milliseconds(std::llround(std::min(1e6, 1000 * backlog / drain)));
+    time = std::clamp(time, leastRetryAfter, mostRetryAfter);
+    if (!m_settings.chance) {
+        return time;
+    }
+    auto spread = m_settings.chance(static_cast<std::uint64_t>(time.count()) + 1);
+    return time / 2 + std::chrono::milliseconds(spread);
+}
+
+// A refusal for want of room tells of overload only if no slot is free.
+void admission_gate::noteNoRoom()
+{
+    m_window.refusedForRoom = m_window.refusedForRoom || !slotFree();
+}
+
+void admission_gate::advance(std::chrono::steady_clock::time_point now)
+{
+    if (!slotFree() && m_lastAdvance >= m_window.start) {
+        m_window.full += now - m_lastAdvance;
+    }
+    m_lastAdvance = now;
+    m_limitNow = m_settings.policy == admission_policy::Full ? m_limit.get(now) : m_limit.slots();
+    if (now >= m_window.start + windowLength) {
+        closeWindow(now);
+    }
+}
+
+// What the backend server carries shows only while all its slots are in use;
+// until then it follows from the time that one call needs.
+void admission_gate::measureDrain(const window& seen, std::chrono::duration<double> length)
+{
+    if (seen.full < fullPart * length || m_drainRate <= 0) {
+        auto expected = m_serviceTime.count() > 0 ? m_limitNow / std::chrono::duration<double>(m_serviceTime).count() : 0;
+        m_drainRate = std::max({ m_drainRate, seen.finished / length.count(), expected });
+        return;
+    }
+    m_drainRate += drainWeight * (seen.finishedFull / seen.full.count() - m_drainRate);
+}
+
+void admission_gate::closeWindow(std::chrono::steady_clock::time_point now)
+{
+    auto seen = m_window;
+    m_window = {};
+    m_window.start = now;
+    m_window.leastWaiting = slotFree() ? 0 : m_waiting.size();
+    if (seen.start == std::chrono::steady_clock::time_point {}) {
+        return;
+    }
+    std::chrono::duration<double> length = now - seen.start;
+    measureDrain(seen, length);
+    m_durations.fade(durationFade);
+    m_serviceTime = m_durations.quantile(serviceQuantile);
+    m_recentRefusals *= std::exp(-length / refusalMemory);
+    if (m_settings.policy != admission_policy::Full) {
+        return;
     }
-    return released;
+    bool standing = static_cast<double>(seen.leastWaiting) > m_drainRate * standingTime.count();
+    m_cut.closeWindow({ length, m_drainRate, seen.refusedForRoom || standing });
 }
 
 }
--- /dev/null
+++ b/Source/decision/entrance_gate.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "decision/admission_policy.h"
+#include "decision/cut_memory.h"
+#include "decision/service_times.h"
+#include "decision/shedding_position.h"
+#include "decision/verdict.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace vanillashunt {
+
+// A whole request that enters here.
+struct entrance_request {
+    std::string customer;
+    std::string requestClass;
+    shedding_position position = 0;
+    std::chrono::steady_clock::time_point deadline;
+};
+
+struct entrance_settings {
+    admission_policy policy = admission_policy::Full;
+    // Returns a random number below its argument.
+    std::function<std::uint64_t(std::uint64_t bound)> chance;
+};
+
+// Calls since the start, for the dump and the metrics.
+struct entrance_counters {
+    std::uint64_t refusedBelowCut = 0;
+    std::uint64_t refusedTooShort = 0;
+    std::uint64_t probes = 0;
+};
+
+// Refuses whole requests where they enter, before any work is done for them: what
+// the deepest service would shed, and what cannot finish in time. Each customer
+// and class is judged for itself, because it has its own call chain and, by the
+// customer's share, its own cut.
+class entrance_gate {
+public:
+    explicit entrance_gate(entrance_settings);
+
+    // Nothing: the request may go on.
+    std::optional<verdict> refusal(const entrance_request&, std::chrono::steady_clock::time_point now);
+
+    // The cut and the advice that came back with an answer from below.
+    void learnCut(const entrance_request&, const remembered_cut&, std::chrono::steady_clock::time_point now);
+
+    // The time that a whole request took that was answered.
+    void learnTime(const entrance_request&, std::chrono::microseconds, std::chrono::steady_clock::time_point now);
+
+    const entrance_counters& counters() const { return m_counters; }
+    std::size_t rememberedCuts() const { return m_cuts.size(); }
+
+private:
+    bool isProbe(shedding_position, shedding_position cut);
+
+    entrance_settings m_settings;
+    cut_memory m_cuts;
+    service_times m_times;
+    entrance_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/Source/decision/least_time.cpp
@@ -0,0 +1,35 @@
+#include "decision/least_time.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // A duration counts for one to two of these.
+    constexpr std::chrono::milliseconds window { 500 };
+
+}
+
+void least_time::add(std::chrono::microseconds duration, std::chrono::steady_clock::time_point now)
+{
+    if (now >= m_windowEnd) {
+        m_previous = now < m_windowEnd + window ? m_current : std::nullopt;
+        m_current.reset();
+        m_windowEnd = now + window;
+    }
+    m_current = m_current ? std::min(*m_current, duration) : duration;
+}
+
+std::optional<std::chrono::microseconds> least_time::get(std::chrono::steady_clock::time_point now) const
+{
+    if (now >= m_windowEnd + window) {
+        return std::nullopt;
+    }
+    if (m_current && m_previous) {
+        return std::min(*m_current, *m_previous);
+    }
+    return m_current;
+}
+
+}
--- a/Source/decision/member.h
+++ b/Source/decision/member.h
@@ -37,6 +37,9 @@
     // Calls that the backend server takes at once.
     std::uint32_t slots = 0;
     member_state state = member_state::Alive;
+    // Whether this node reaches it. Not on the wire: a member that one node
+    // cannot reach may be well, for example in a zone that is cut off.
+    bool reachable = true;
     // The member's age when this entry was made, by its own clock.
     std::chrono::milliseconds uptime { 0 };
     // When this node received that age, on this node's clock. Not on the wire.
--- /dev/null
+++ b/Source/decision/shedding_cut.cpp
@@ -0,0 +1,167 @@
+#include "decision/shedding_cut.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Weight of a window among the smoothed ones before it.
+    constexpr float windowWeight = 0.4F;
+    // Rates below this many calls in a second are taken for none.
+    constexpr float leastRate = 0.05F;
+
+    // Part of what a node carries that it is given under overload, so that what
+    // waits can drain meanwhile.
+    constexpr double headroom = 0.97;
+    // The budget's growth in a window without overload.
+    constexpr double budgetGrowth = 1.1;
+    // What no node ends in a second.
+    constexpr double highestBudget = 1e9;
+
+    // Sums of rates differ by no more than this when nothing was cut off them.
+    constexpr double roundingError = 1e-4;
+
+    // The first step by which the cut opens, and the longest.
+    constexpr shedding_position firstStep = positionsPerImportance / 64;
+    constexpr shedding_position longestStep = positionsPerImportance / 2;
+
+    // The highest positions are admitted whatever happens, or nobody would learn
+    // that a backend server is well again.
+    constexpr shedding_position highestCut = sheddingPositionCount - positionsPerImportance / 32;
+
+    // The lowest position with no more than this rate of arrivals at it or above,
+    // among the buckets from first up to last.
+    template <typename Rates>
+    shedding_position positionFor(const Rates& rates, double amount, std::size_t first, std::size_t last, shedding_position width)
+    {
+        for (auto bucket = last; bucket-- > first;) {
+            if (rates[bucket] > amount) {
+                // The arrivals of one bucket are taken to be spread evenly.
+                auto part = static_cast<shedding_position>(width * (1 - amount / rates[bucket]));
+                return static_cast<shedding_position>(bucket) * width + part;
+            }
+            amount -= rates[bucket];
+        }
+        return static_cast<shedding_position>(first) * width;
+    }
+
+    // Arrivals in a second at the position or above, below the bucket last.
+    template <typename Rates>
+    double rateFrom(const Rates& rates, shedding_position from, std::size_t last, shedding_position width)
+    {
+        double sum = 0;
+        auto bucket = static_cast<std::size_t>(from / width);
+        if (bucket < last) {
+            sum = rates[bucket] * (1 - static_cast<double>(from % width) / width);
+        }
+        for (++bucket; bucket < last; ++bucket) {
+            sum += rates[bucket];
+        }
+        return sum;
+    }
+
+}
+
+shedding_cut::shedding_cut(const customer_shares& shares)
+    : m_shares(shares)
+{
+}
+
+void shedding_cut::arrived(customer_index customer, shedding_position position)
+{
+    if (customer >= m_tallies.size()) {
+        m_tallies.resize(customer + 1);
+    }
+    auto& tally = m_tallies[customer];
+    tally.active = true;
+    ++tally.present[std::min<std::size_t>(position / positionsPerBucket, bucketCount - 1)];
+}
+
+shedding_position shedding_cut::get(customer_index customer) const
+{
+    return customer < m_tallies.size() ? m_tallies[customer].cut : m_cut;
+}
+
+void shedding_cut::closeWindow(const gate_window& seen)
+{
+    smooth(seen.length);
+    moveCut(seen);
+    moveCustomerCuts();
+}
+
+void shedding_cut::smooth(std::chrono::duration<double> length)
+{
+    m_total.fill(0);
+    auto scale = windowWeight / static_cast<float>(length.count());
+    for (auto& tally : m_tallies) {
+        if (!tally.active) {
+            continue;
+        }
+        tally.active = false;
+        for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+            auto& rate = tally.smoothed[bucket];
+            rate = rate * (1 - windowWeight) + static_cast<float>(tally.present[bucket]) * scale;
+            if (rate < leastRate) {
+                rate = 0;
+            }
+            tally.active = tally.active || rate > 0;
+            tally.present[bucket] = 0;
+            m_total[bucket] += rate;
+        }
+    }
+}
+
+void shedding_cut::moveCut(const gate_window& seen)
+{
+    auto carried = seen.drainRate * headroom;
+    if (seen.overloaded) {
+        m_budget = carried;
+        m_step = firstStep;
+        auto target = positionFor(m_total, m_budget, 0, bucketCount, positionsPerBucket);
+        m_cut = std::min(highestCut, std::max(m_cut, target));
+        return;
+    }
+    if (!m_opens) {
+        return;
+    }
+    m_budget = std::min(highestBudget, std::max(carried, m_budget * budgetGrowth));
+    fall(m_cut, positionFor(m_total, m_budget, 0, bucketCount, positionsPerBucket));
+    m_step = std::clamp(2 * m_step, firstStep, longestStep);
+}
+
+// What is not seen below the cut may have been held back by the nodes above,
+// so the cut falls by no more than a step.
+void shedding_cut::fall(shedding_position& cut, shedding_position target) const
+{
+    auto lowest = cut - std::min(cut, m_step);
+    cut = std::min(cut, std::max(target, lowest));
+}
+
+void shedding_cut::moveCustomerCuts()
+{
+    auto level = std::min<std::size_t>(m_cut / positionsPerImportance, importanceCount - 1);
+    auto first = level * bucketsPerImportance;
+    auto last = first + bucketsPerImportance;
+    auto base = static_cast<shedding_position>(level) * positionsPerImportance;
+    auto amount = rateFrom(m_total, m_cut, last, positionsPerBucket);
+    std::vector<double> demands(m_tallies.size(), 0);
+    for (customer_index customer = 0; customer < m_tallies.size(); ++customer) {
+        if (m_tallies[customer].active) {
+            demands[customer] = rateFrom(m_tallies[customer].smoothed, base, last, positionsPerBucket);
+        }
+    }
+    auto parts = m_shares.divide(amount, demands);
+    for (customer_index customer = 0; customer < m_tallies.size(); ++customer) {
+        auto& tally = m_tallies[customer];
+        auto part = parts[customer] * (1 + roundingError);
+        auto target = demands[customer] > 0 ? positionFor(tally.smoothed, part, first, last, positionsPerBucket) : m_cut;
+        if (target < tally.cut) {
+            fall(tally.cut, target);
+            continue;
+        }
+        tally.cut = std::min(highestCut, target);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/decision/waiting_calls.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "decision/customer_shares.h"
+#include "decision/service_times.h"
+#include "decision/shedding_position.h"
+
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillashunt {
+
+struct waiting_call {
+    std::uint64_t callId = 0;
+    shedding_position position = 0;
+    customer_index customer = 0;
+    std::chrono::steady_clock::time_point deadline;
+    class_index requestClass = 0;
+    // Set by the queue: the order of arrival.
+    std::uint64_t order = 0;
+};
+
+// The calls that wait for a slot. Importance goes first; within one importance
+// the customers take turns by their shares (start-time fair queueing), and each
+// customer's calls go by shedding position and then by deadline. Every
+// operation is logarithmic in the number of calls.
+class waiting_calls {
+public:
+    // The shares outlive the queue.
+    explicit waiting_calls(const customer_shares&);
+
+    void add(waiting_call);
+
+    // Returns the call, or nothing if it does not wait.
+    std::optional<waiting_call> remove(std::uint64_t callId);
+
+    // The call whose turn is next; null if none waits.
+    const waiting_call* next() const;
+
+    // Removes the call whose turn it is and charges it to its customer.
+    waiting_call takeNext();
+
+    // The call to give up first: of the least importance, of the customer that
+    // is furthest over its share, the worst placed. Null if none waits.
+    const waiting_call* worst() const;
+
+    // The worst placed of one customer's calls of one importance; null if none waits.
+    const waiting_call* worst(importance, customer_index) const;
+
+    // How often the customer's calls of this importance, and one more, fill its share.
+    double load(importance, customer_index, std::size_t more) const;
+
+    // Whether calls of another customer wait at the same importance.
+    bool othersWait(importance, customer_index) const;
+
+    // Calls that are to start before one that would be placed here.
+    std::size_t ahead(const waiting_call&) const;
+
+    // Removes a call whose deadline has come; nothing if there is none.
+    std::optional<waiting_call> takeExpired(std::chrono::steady_clock::time_point now);
+
+    std::size_t size() const { return m_byId.size(); }
+    bool empty() const { return m_byId.empty(); }
+    std::size_t sizeOf(importance level) const { return m_levels[static_cast<std::size_t>(level)].size; }
+
+private:
+    struct better_placed {
+        bool operator()(const waiting_call&, const waiting_call&) const;
+    };
+    using ordered_calls = __gnu_pbds::tree<waiting_call, __gnu_pbds::null_type, better_placed,
+        __gnu_pbds::rb_tree_tag, __gnu_pbds::tree_order_statistics_node_update>;
+
+    struct customer_queue {
+        ordered_calls calls;
+        // Virtual time at which the customer's next call may start.
+        double turn = 0;
+        // The share and the load that it is ranked by now.
+        double share = 0;
+        double load = 0;
+    };
+
+    struct ranked_customer {
+        double rank;
+        customer_index customer;
+        bool operator<(const ranked_customer&) const;
+    };
+
+    // The calls of one importance.
+    struct level_queue {
+        std::unordered_map<customer_index, customer_queue> customers;
+        // The customers that have calls waiting, by turn and by load.
+        std::set<ranked_customer> byTurn;
+        std::set<ranked_customer> byLoad;
+        double virtualTime = 0;
+        // Of the customers that have calls waiting.
+        double waitingShares = 0;
+        std::size_t size = 0;
+    };
+
+    struct by_deadline {
+        std::chrono::steady_clock::time_point deadline;
+        std::uint64_t callId;
+        bool operator<(const by_deadline&) const;
+    };
+
+    level_queue& levelOf(shedding_position);
+    void rank(level_queue&, customer_index);
+    void unrank(level_queue&, customer_index);
+
+    const customer_shares& m_shares;
+    std::array<level_queue, importanceCount> m_levels;
+    std::unordered_map<std::uint64_t, waiting_call> m_byId;
+    std::set<by_deadline> m_byDeadline;
+    std::uint64_t m_arrivals = 0;
+};
+
+}
--- a/Source/events/event.cpp
+++ b/Source/events/event.cpp
@@ -24,6 +24,21 @@
         return levels.at(static_cast<std::size_t>(level));
     }
 
+    // A value may come from outside, and is not to end its line or its quotes.
+    std::string escape(const std::string& value)
+    {
+        constexpr unsigned char firstPrintable = 0x20;
+        std::string result;
+        for (char character : value) {
+            if (character == '"' || character == '\\') {
+                result += '\\';
+            }
+            bool printable = static_cast<unsigned char>(character) >= firstPrintable && character != 0x7f;
+            result += printable ? character : '?';
+        }
+        return result;
+    }
+
     void addConsoleOnce()
     {
         static const bool added = [] {
@@ -43,7 +58,7 @@
     std::ostringstream line;
     line << boostSeverity(what.level) << " VS" << what.number << ' ' << what.text;
     for (const auto& field : fields) {
-        line << ' ' << field.name << "=\"" << field.value << '"';
+        line << ' ' << field.name << "=\"" << escape(field.value) << '"';
     }
     BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
         (boost::log::keywords::severity = boostSeverity(what.level)))
--- /dev/null
+++ b/Source/events/event_catalogue.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "events/event.h"
+
+#include <array>
+
+// Every event that a node logs; docs/EVENTS.md tells of each. A number is never
+// given to another event.
+namespace vanillashunt::events {
+
+inline constexpr event nodeStarted { 100, severity::Info, "node started" };
+inline constexpr event drainStarted { 101, severity::Info, "planned stop started" };
+inline constexpr event nodeStopped { 102, severity::Info, "node stopped" };
+inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
+inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
+inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
+inline constexpr event contractsChanged { 130, severity::Info, "contracts changed" };
+inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
+inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
+inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
+
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, backendServerAnnounced, nameTakenOver, contractsChanged, callShed, requestRefused, requestUnknown };
+
+}
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -55,6 +55,7 @@
     http_server_limits limits;
     http_handler handler;
     std::unordered_set<http_session*> sessions;
+    bool closingAfterResponses = false;
     bool stopping = false;
 };
 
@@ -66,6 +67,7 @@
 
     void readRequest();
     void closeIfIdle();
+    bool idle() const { return m_idle; }
 
 private:
     class exchange;
@@ -243,7 +245,7 @@
 {
     m_exchange.reset();
     ++m_exchangeNumber;
-    bool goOn = keepAlive && !m_server->stopping;
+    bool goOn = keepAlive && !m_server->closingAfterResponses;
     m_response = {};
     m_response.version(11);
     m_response.result(response.status);
@@ -274,6 +276,7 @@
 
 void http_session::close()
 {
+    m_idle = true;
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
@@ -304,8 +307,23 @@
     return toString(m_state->acceptor.local_endpoint());
 }
 
+void http_server::closeAfterResponses()
+{
+    m_state->closingAfterResponses = true;
+}
+
+std::size_t http_server::inProgress() const
+{
+    std::size_t count = 0;
+    for (const auto* session : m_state->sessions) {
+        count += session->idle() ? 0 : 1;
+    }
+    return count;
+}
+
 void http_server::stopAccepting()
 {
+    m_state->closingAfterResponses = true;
     m_state->stopping = true;
     error_code ignored;
     m_state->acceptor.close(ignored);
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -46,9 +46,15 @@
     // Where it listens: "IP:port".
     std::string address() const;
 
+    // Closes each connection after its next response, so that clients go elsewhere.
+    void closeAfterResponses();
+
     // Accepts no further connection, and closes idle ones; exchanges in progress end normally.
     void stopAccepting();
 
+    // Requests that are arriving, being answered, or whose response is being sent.
+    std::size_t inProgress() const;
+
     struct state;
 
 private:
--- /dev/null
+++ b/Source/membership/rendezvous.cpp
@@ -0,0 +1,28 @@
+#include "membership/rendezvous.h"
+
+#include <xxhash.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    std::uint64_t weight(std::uint64_t memberId)
+    {
+        return XXH3_64bits(&memberId, sizeof(memberId));
+    }
+
+}
+
+std::optional<std::size_t> rendezvousRank(std::uint64_t memberId, const std::vector<std::uint64_t>& candidates, std::size_t bound)
+{
+    std::size_t rank = 0;
+    for (auto candidate : candidates) {
+        rank += weight(candidate) < weight(memberId) ? 1 : 0;
+        if (rank >= bound) {
+            return std::nullopt;
+        }
+    }
+    return rank;
+}
+
+}
--- /dev/null
+++ b/Source/membership/rendezvous.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace vanillashunt {
+
+// The member's place in the rendezvous order of the candidates, so that all nodes
+// that know the same candidates agree on who is first; nothing beyond the bound.
+std::optional<std::size_t> rendezvousRank(std::uint64_t memberId, const std::vector<std::uint64_t>& candidates, std::size_t bound);
+
+}
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/caller_response.h"
 #include "caller/context_text.h"
+#include "node/admission_dump.h"
 
 namespace vanillashunt {
 
@@ -20,9 +21,9 @@
 call_actor::call_actor(caf::actor_config& config, call_actor_parts parts)
     : caf::event_based_actor(config)
     , m_parts(std::move(parts))
-    , m_inbound(m_parts.incarnation, m_parts.started, inboundHooks())
+    , m_inbound(m_parts.incarnation, m_parts.started, inboundHooks(), admissionSettings())
     , m_outbound(router(m_parts.place, [random = m_parts.random](std::uint64_t bound) { return random() % bound; }),
-          m_inbound, outboundHooks())
+          m_inbound, outboundHooks(), m_parts.policy)
 {
 }
 
@@ -42,6 +43,14 @@
     return hooks;
 }
 
+admission_settings call_actor::admissionSettings() const
+{
+    admission_settings settings;
+    settings.policy = m_parts.policy;
+    settings.chance = [random = m_parts.random](std::uint64_t bound) { return random() % bound; };
+    return settings;
+}
+
 outbound_hooks call_actor::outboundHooks()
 {
     outbound_hooks hooks;
@@ -53,6 +62,7 @@
         });
     };
     hooks.random = m_parts.random;
+    hooks.observed = m_parts.observed;
     return hooks;
 }
 
@@ -70,17 +80,21 @@
         },
         [this](const run_answered& message) {
             m_backendCallOfRun.erase(message.runId);
+            if (message.answer.outcome.run == execution::Ran) {
+                m_parts.backendAnswered();
+            }
             m_inbound.backendAnswered(message.runId, message.answer, currentTime());
         },
         [this](const claim_answered& message) { m_outbound.claimAnswered(message.callId, message.result, currentTime()); },
         [this](const members_changed& message) { m_outbound.setMembers(message.members, currentTime()); },
-        [this](const contracts_changed& message) { m_outbound.setContracts(message.contracts); },
+        [this](const contracts_changed& message) {
+            m_inbound.setContracts(*message.contracts);
+            m_outbound.setContracts(message.contracts);
+        },
         [this](const backend_announced& message) { m_inbound.setBackend(message.announcement, currentTime()); },
         [this](const backend_withdrawn&) { m_inbound.setBackend(std::nullopt, currentTime()); },
-        [this](const drain_requested& message) {
-            m_drained = message.drained;
-            m_inbound.drain(currentTime());
-        },
+        [this](const drain_changed& message) { m_inbound.setDraining(message.draining); },
+        [this](const progress_requested& message) { message.receiver(m_inbound.inProgress() + m_outbound.inProgress()); },
         [this](const clock_tick&) { tick(); },
         [this](const state_requested& message) { message.receiver(dump()); },
     };
@@ -98,7 +112,11 @@
 {
     auto exchange = message.exchange;
     auto arrivalId = m_inbound.arrive(
-        message.request, [exchange](const call_answer& answer) { exchange->answer(answer); }, currentTime());
+        message.request, [this, exchange, context = message.request.context](const call_answer& answer) {
+            observeRejection(context, answer);
+            exchange->answer(answer);
+        },
+        currentTime());
     exchange->whenCancelled([this, arrivalId] { sendSelf(peer_call_cancelled { arrivalId }); });
 }
 
@@ -106,7 +124,11 @@
 {
     auto answered = [this, attemptId](const call_answer& answer) { sendSelf(attempt_answered { attemptId, answer }); };
     if (target.id == m_parts.incarnation) {
-        m_arrivalOfOwnAttempt[attemptId] = m_inbound.arrive(request, answered, currentTime());
+        auto observed = [this, answered, context = request.context](const call_answer& answer) {
+            observeRejection(context, answer);
+            answered(answer);
+        };
+        m_arrivalOfOwnAttempt[attemptId] = m_inbound.arrive(request, observed, currentTime());
         return;
     }
     m_peerCallOfAttempt[attemptId] = m_parts.peers->start(target.address, request, answered);
@@ -137,28 +159,28 @@
     }
 }
 
+void call_actor::observeRejection(const request_context& context, const call_answer& answer) const
+{
+    if (answer.outcome.run == execution::NotRun) {
+        m_parts.observed({ call_decision::Rejected, context, currentTime(), answer.outcome, "at the own backend server" });
+    }
+}
+
 void call_actor::tick()
 {
     auto now = currentTime();
     m_inbound.tick(now);
     m_outbound.tick(now);
-    bool idle = m_inbound.inProgress() == 0 && m_outbound.inProgress() == 0;
-    if (m_drained && idle) {
-        std::exchange(m_drained, nullptr)();
-    }
 }
 
 Json::Value call_actor::dump() const
 {
     Json::Value state;
-    const auto& gate = m_inbound.gate();
+    state["inbound"] = dumpGate(m_inbound.gate());
     state["inbound"]["in_progress"] = Json::UInt64(m_inbound.inProgress());
-    state["inbound"]["running"] = gate.inFlight();
-    state["inbound"]["waiting"] = Json::UInt64(gate.waiting());
-    state["inbound"]["limit"] = gate.limit();
-    state["inbound"]["cut"] = gate.cut();
     state["inbound"]["draining"] = m_inbound.draining();
     state["inbound"]["ledger_entries"] = Json::UInt64(m_inbound.ledgerSize());
+    state["entrance"] = dumpEntrance(m_outbound.entrance());
     state["outbound"]["in_progress"] = Json::UInt64(m_outbound.inProgress());
     if (const auto& backend = m_inbound.backend()) {
         state["backend_server"]["service"] = backend->service;
--- a/Source/node/call_actor.h
+++ b/Source/node/call_actor.h
@@ -20,6 +20,11 @@
     backend_client* backend = nullptr;
     claim_store* claims = nullptr;
     std::function<std::uint64_t()> random;
+    // Told of each call that the backend server answered.
+    std::function<void()> backendAnswered;
+    // Told of each step of each call.
+    call_observer observed;
+    admission_policy policy = admission_policy::Full;
     std::uint64_t incarnation = 0;
     std::chrono::steady_clock::time_point started;
     node_place place;
@@ -35,6 +40,7 @@
 
 private:
     inbound_hooks inboundHooks();
+    admission_settings admissionSettings() const;
     outbound_hooks outboundHooks();
     void callerArrived(const caller_arrived&);
     void peerCallArrived(const peer_call_arrived&);
@@ -42,6 +48,7 @@
     void cancelAttempt(std::uint64_t attemptId);
     void runAtBackend(std::uint64_t runId, const std::string& address, const call_request&);
     void cancelRun(std::uint64_t runId);
+    void observeRejection(const request_context&, const call_answer&) const;
     void tick();
     Json::Value dump() const;
 
@@ -56,7 +63,6 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_peerCallOfAttempt;
     std::unordered_map<std::uint64_t, std::uint64_t> m_arrivalOfOwnAttempt;
     std::unordered_map<std::uint64_t, std::uint64_t> m_backendCallOfRun;
-    std::function<void()> m_drained;
 };
 
 }
--- a/Source/node/call_messages.h
+++ b/Source/node/call_messages.h
@@ -68,9 +68,14 @@
 struct backend_withdrawn {
 };
 
-// Refuse new work; the hook is called once nothing is in progress.
-struct drain_requested {
-    std::function<void()> drained;
+// Refuse new work, or take it again.
+struct drain_changed {
+    bool draining;
+};
+
+// Asks how many calls are in progress, in both directions.
+struct progress_requested {
+    std::function<void(std::size_t inProgress)> receiver;
 };
 
 struct clock_tick {
@@ -94,6 +99,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::contracts_changed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::backend_announced)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::backend_withdrawn)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::drain_requested)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::drain_changed)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::progress_requested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::clock_tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::state_requested)
--- a/Source/node/inbound_calls.cpp
+++ b/Source/node/inbound_calls.cpp
@@ -37,22 +37,36 @@
 
 }
 
-inbound_calls::inbound_calls(std::uint64_t incarnation, std::chrono::steady_clock::time_point started, inbound_hooks hooks)
+inbound_calls::inbound_calls(std::uint64_t incarnation, std::chrono::steady_clock::time_point started, inbound_hooks hooks, admission_settings admission)
     : m_hooks(std::move(hooks))
+    , m_gate(std::move(admission))
     , m_ledger(incarnation, started)
 {
 }
 
 void inbound_calls::setBackend(std::optional<backend_announcement> announcement, std::chrono::steady_clock::time_point now)
 {
+    bool replaced = m_backend && announcement && m_backend->address != announcement->address;
+    if (replaced) {
+        // Another server: it is cold again.
+        m_gate.setSlots(0, now);
+    }
     m_backend = std::move(announcement);
-    m_gate.setSlots(m_backend ? m_backend->slots : 0, now);
+    if (m_backend) {
+        m_gate.setSlots(m_backend->slots, m_backend->coldStart, now);
+    } else {
+        m_gate.setSlots(0, now);
+    }
     startReleased(now);
 }
 
-void inbound_calls::drain(std::chrono::steady_clock::time_point)
+void inbound_calls::setContracts(const contract_set& contracts)
 {
-    m_draining = true;
+    std::map<std::string, double> shares;
+    for (const auto& [customer, stored] : contracts.byCustomer) {
+        shares[customer] = stored.terms.share;
+    }
+    m_gate.setShares(shares);
 }
 
 std::optional<verdict> inbound_calls::refusalBeforeGate(const call_request& request) const
@@ -88,7 +102,7 @@
         m_arrivalOfNonce[nonce] = id;
     }
     auto refusal = refusalBeforeGate(request);
-    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline };
+    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass };
     arrival entry;
     entry.tokens = request.context.retryTokens;
     entry.waiters.push_back({ request.callId, request.attempt, std::move(replier) });
@@ -104,6 +118,8 @@
     } else if (decision.outcome == admission_outcome::Run) {
         start(id, now);
     }
+    // It may have taken the place of a waiting call, which is to be told.
+    startReleased(now);
     return id;
 }
 
@@ -118,7 +134,7 @@
     }
     answer.retryTokens = request.context.retryTokens;
     answer.nextUse = m_ledger.nextUse(request.permit->nonce);
-    fillLoad(answer);
+    fillLoad(answer, request.context.customer);
     replier(answer);
 }
 
@@ -219,7 +235,7 @@
     if (entry.request.permit) {
         complete.nextUse = m_ledger.nextUse(entry.request.permit->nonce);
     }
-    fillLoad(complete);
+    fillLoad(complete, entry.request.context.customer);
     for (auto& waiter : entry.waiters) {
         complete.callId = waiter.callId;
         complete.attempt = waiter.attempt;
@@ -229,9 +245,9 @@
     }
 }
 
-void inbound_calls::fillLoad(call_answer& answer) const
+void inbound_calls::fillLoad(call_answer& answer, const std::string& customer) const
 {
-    answer.cut = std::max(answer.cut, m_gate.cut());
+    answer.cut = std::max(answer.cut, m_gate.cutFor(customer));
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
 }
@@ -239,6 +255,10 @@
 void inbound_calls::startReleased(std::chrono::steady_clock::time_point now)
 {
     for (const auto& released : m_gate.release(now)) {
+        if (m_arrivals.count(released.callId) == 0) {
+            m_gate.cancel(released.callId, now);
+            continue;
+        }
         if (released.decision.outcome == admission_outcome::Refuse) {
             refuse(released.callId, released.decision.refusal);
             continue;
--- a/Source/node/inbound_calls.h
+++ b/Source/node/inbound_calls.h
@@ -3,6 +3,7 @@
 #include "backend/backend_announcement.h"
 #include "call/call_answer.h"
 #include "call/call_request.h"
+#include "contract/contract.h"
 #include "decision/admission_gate.h"
 #include "decision/once_ledger.h"
 
@@ -35,13 +36,16 @@
 // server, and so the only place that can say for certain that a call was not run.
 class inbound_calls {
 public:
-    inbound_calls(std::uint64_t incarnation, std::chrono::steady_clock::time_point started, inbound_hooks);
+    inbound_calls(std::uint64_t incarnation, std::chrono::steady_clock::time_point started, inbound_hooks, admission_settings = {});
 
     // Nothing while no backend server is announced.
     void setBackend(std::optional<backend_announcement>, std::chrono::steady_clock::time_point now);
 
-    // Refuses new calls from now on; calls in progress end normally.
-    void drain(std::chrono::steady_clock::time_point now);
+    // The customers' parts of the backend server under overload.
+    void setContracts(const contract_set&);
+
+    // Refuses new calls while set; calls in progress end normally.
+    void setDraining(bool draining) { m_draining = draining; }
     bool draining() const { return m_draining; }
 
     // The replier is called exactly once. Returns the id for cancel().
@@ -96,7 +100,7 @@
     void settleTicket(const call_request&, const call_answer&);
     void keepAnswer(std::uint64_t nonce, const call_answer&);
     void reply(arrival&, const call_answer&) const;
-    void fillLoad(call_answer&) const;
+    void fillLoad(call_answer&, const std::string& customer) const;
 
     inbound_hooks m_hooks;
     std::optional<backend_announcement> m_backend;
--- /dev/null
+++ b/Source/node/membership_actor.cpp
@@ -0,0 +1,130 @@
+#include "node/membership_actor.h"
+
+#include "events/event_catalogue.h"
+#include "membership/rendezvous.h"
+#include "node/membership_dump.h"
+#include "node/membership_messages.h"
+#include "platform/seed_directory.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    // A snapshot of many members takes longer, and is made less often.
+    constexpr std::chrono::milliseconds publishPeriod { 20 };
+    constexpr std::size_t membersPerMillisecond = 50;
+
+    std::chrono::steady_clock::time_point currentTime()
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+}
+
+membership_actor::membership_actor(caf::actor_config& config, membership_actor_parts parts)
+    : caf::event_based_actor(config)
+    , m_parts(std::move(parts))
+    , m_random(std::random_device {}())
+    , m_socket(*m_parts.context, m_parts.listenAddress, [this](gossip_message message) {
+        m_parts.host->send(caf::actor_cast<caf::actor>(this), gossip_arrived { std::move(message) });
+    })
+    , m_protocol(m_parts.self, membership_options {}, gossipHooks(), currentTime())
+    , m_seeds(*m_parts.store, m_parts.self.availabilityZone, m_parts.self.address, seedHooks())
+{
+    m_protocol.setContacts(m_parts.joinAddresses, currentTime());
+}
+
+gossip_hooks membership_actor::gossipHooks()
+{
+    gossip_hooks hooks;
+    hooks.send = [this](const std::string& address, const gossip_message& message) { m_socket.send(address, message); };
+    hooks.random = [this](std::uint64_t bound) { return m_random() % bound; };
+    hooks.ownRevision = m_parts.hooks.ownRevision;
+    hooks.peerRevision = m_parts.hooks.peerRevision;
+    hooks.superseded = [this] { superseded(); };
+    return hooks;
+}
+
+seed_keeper_hooks membership_actor::seedHooks()
+{
+    seed_keeper_hooks hooks;
+    hooks.seedsRead = [this](std::vector<std::string> addresses) {
+        m_parts.host->send(caf::actor_cast<caf::actor>(this), seeds_read { std::move(addresses) });
+    };
+    hooks.random = [this](std::uint64_t bound) { return m_random() % bound; };
+    return hooks;
+}
+
+caf::behavior membership_actor::make_behavior()
+{
+    return {
+        [this](const gossip_arrived& message) {
+            auto now = currentTime();
+            m_protocol.receive(message.message, now);
+            publish(now);
+        },
+        [this](const clock_tick&) { tick(); },
+        [this](const seeds_read& message) { seedsRead(message.addresses); },
+        [this](const self_changed& message) {
+            m_protocol.setSelf(message.self, currentTime());
+            publish(currentTime());
+        },
+        [this](const spread_requested&) { m_protocol.spreadSoon(currentTime()); },
+        [this](const member_call_ended& message) {
+            m_protocol.callEnded(message.memberId, message.answered, currentTime());
+            publish(currentTime());
+        },
+        [this](const state_requested& message) { message.receiver(dump()); },
+    };
+}
+
+void membership_actor::seedsRead(const std::vector<std::string>& addresses)
+{
+    auto contacts = m_parts.joinAddresses;
+    contacts.insert(contacts.end(), addresses.begin(), addresses.end());
+    m_protocol.setContacts(contacts, currentTime());
+}
+
+seed_duty membership_actor::seedDuty(std::chrono::steady_clock::time_point now) const
+{
+    const auto& self = m_protocol.table().self();
+    seed_duty duty;
+    duty.alone = m_protocol.alone(now);
+    if (self.state == member_state::Alive) {
+        duty.number = rendezvousRank(self.id, m_protocol.table().liveIn(self.availabilityZone), seedsPerZone);
+    }
+    return duty;
+}
+
+void membership_actor::tick()
+{
+    auto now = currentTime();
+    m_protocol.tick(now);
+    m_seeds.tick(seedDuty(now), now);
+    publish(now);
+}
+
+void membership_actor::publish(std::chrono::steady_clock::time_point now)
+{
+    auto period = publishPeriod + std::chrono::milliseconds(m_protocol.table().liveCount() / membersPerMillisecond);
+    if (m_protocol.changes() == m_published || now - m_lastPublished < period) {
+        return;
+    }
+    m_published = m_protocol.changes();
+    m_lastPublished = now;
+    m_parts.hooks.membersChanged(m_protocol.snapshot());
+}
+
+void membership_actor::superseded()
+{
+    if (!std::exchange(m_superseded, true)) {
+        logEvent(events::nameTakenOver, { { "name", m_parts.self.name }, { "address", m_parts.self.address } });
+    }
+}
+
+Json::Value membership_actor::dump() const
+{
+    return dumpMembership(m_protocol, m_socket.counts(), m_seeds.counts(), currentTime());
+}
+
+}
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -1,68 +1,74 @@
 #include "node/membership_service.h"
 
-#include "platform/seed_directory.h"
+#include "node/membership_actor.h"
+#include "node/membership_messages.h"
 
 namespace vanillashunt {
 
-namespace {
+membership_service::membership_service(actor_host& host, boost::asio::io_context& context, store_client& store, std::vector<std::string> joinAddresses, membership_hooks hooks)
+    : m_host(host)
+    , m_context(context)
+    , m_store(store)
+    , m_joinAddresses(std::move(joinAddresses))
+    , m_hooks(std::move(hooks))
+    , m_timer(context)
+{
+}
 
-    constexpr std::chrono::milliseconds pollPeriod { 500 };
-    constexpr std::chrono::milliseconds storeTimeout { 1000 };
+membership_service::~membership_service() = default;
 
+void membership_service::start(const member& self, const std::string& listenAddress)
+{
+    membership_actor_parts parts;
+    parts.host = &m_host;
+    parts.context = &m_context;
+    parts.store = &m_store;
+    parts.listenAddress = listenAddress;
+    parts.joinAddresses = m_joinAddresses;
+    parts.hooks = m_hooks;
+    parts.self = self;
+    m_actor = m_host.system().spawn<membership_actor, caf::lazy_init>(std::move(parts));
+    tick();
 }
 
-membership_service::membership_service(boost::asio::io_context& context, store_client& store, membership_hooks hooks)
-    : m_store(store)
-    , m_hooks(std::move(hooks))
-    , m_timer(context)
+template <typename Message>
+void membership_service::sendActor(Message&& message) const
 {
+    if (m_actor) {
+        m_host.send(m_actor, std::forward<Message>(message));
+    }
 }
 
-void membership_service::start(const member& self)
+void membership_service::setSelf(const member& self)
 {
-    m_self = self;
-    poll();
+    sendActor(self_changed { self });
 }
 
-void membership_service::setSelf(const member& self)
+void membership_service::spreadSoon()
 {
-    m_self = self;
+    sendActor(spread_requested {});
 }
 
-void membership_service::poll()
+void membership_service::callEnded(std::uint64_t memberId, bool answered)
 {
-    auto now = std::chrono::steady_clock::now();
-    m_self.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started);
-    auto key = seedPrefix + m_self.availabilityZone + "/" + m_self.name;
-    if (!m_self.service.empty()) {
-        m_store.swap(key, m_writtenRevision, writeSeed(m_self), storeTimeout, [this](store_result<store_swap> result) {
-            if (auto* swap = std::get_if<store_swap>(&result)) {
-                m_writtenRevision = swap->succeeded || swap->standing.empty() ? swap->revision : swap->standing.front().modRevision;
-            }
-        });
-    }
-    m_store.rangePrefix(seedPrefix, storeTimeout, [this](store_result<store_range> result) {
-        if (auto* range = std::get_if<store_range>(&result)) {
-            readMembers(*range);
-        }
-    });
-    m_timer.expires_after(pollPeriod);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error) {
-            poll();
-        }
-    });
+    sendActor(member_call_ended { memberId, answered });
+}
+
+void membership_service::dump(std::function<void(const Json::Value&)> receiver) const
+{
+    sendActor(state_requested { std::move(receiver) });
 }
 
-void membership_service::readMembers(const store_range& range)
+void membership_service::tick()
 {
-    auto members = std::make_shared<std::vector<member>>();
-    for (const auto& entry : range.entries) {
-        if (auto seed = readSeed(entry.value, std::chrono::steady_clock::now())) {
-            members->push_back(*seed);
+    constexpr std::chrono::milliseconds tickPeriod { 50 };
+    sendActor(clock_tick {});
+    m_timer.expires_after(tickPeriod);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
         }
-    }
-    m_hooks.membersChanged(members);
+    });
 }
 
 }
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -1,42 +1,74 @@
 #pragma once
 
 #include "decision/member.h"
+#include "node/actor_host.h"
 #include "platform/store_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <json/value.h>
 
+#include <cstdint>
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace vanillashunt {
 
+// All of them are called on the thread of the sockets.
 struct membership_hooks {
     // Called with each change of what this node knows of the members.
-    std::function<void(member_list)> membersChanged;
+    std::function<void(member_list)> membersChanged {};
+    // The highest contract revision that this node has; goes with each datagram.
+    std::function<std::int64_t()> ownRevision {};
+    // Called with the contract revision in each datagram from a known member.
+    std::function<void(const member&, std::int64_t revision)> peerRevision {};
 };
 
-// Keeps what this node knows of the other nodes, and lets them know of this one.
+// Keeps what this node knows of the other nodes, and lets them know of this one:
+// the narrow face of the actor that owns it.
 class membership_service {
 public:
-    // The store outlives the service.
-    membership_service(boost::asio::io_context&, store_client&, membership_hooks);
+    // The host, the context and the store outlive the service. The addresses are
+    // of peers to join besides the seeds in the store.
+    membership_service(actor_host&, boost::asio::io_context&, store_client&, std::vector<std::string> joinAddresses, membership_hooks);
+    ~membership_service();
 
-    // Starts with the own entry; addresses are as advertised.
-    void start(const member& self);
+    membership_service(const membership_service&) = delete;
+    membership_service& operator=(const membership_service&) = delete;
 
-    // Lets the others know of a change of the own entry: service, slots or state.
+    // Starts with the own entry; its addresses are as advertised. Gossip is bound
+    // to the listen address, which is the peer port's. Throws
+    // boost::system::system_error if it cannot be bound.
+    void start(const member& self, const std::string& listenAddress);
+
+    // Lets the others know of a change of the own entry at once: service, slots,
+    // operator address or state. After the state Left the node falls silent.
     void setSelf(const member& self);
 
+    // Pushes at once, since the own contract revision has risen.
+    void spreadSoon();
+
+    // What came of a call to a member: whether anything came back. Counts towards
+    // whether its availability zone can be reached.
+    void callEnded(std::uint64_t memberId, bool answered);
+
+    // Calls the receiver with the members, their states and the counts.
+    void dump(std::function<void(const Json::Value&)> receiver) const;
+
 private:
-    void poll();
-    void readMembers(const store_range&);
+    void tick();
+
+    template <typename Message>
+    void sendActor(Message&& message) const;
 
+    actor_host& m_host;
+    boost::asio::io_context& m_context;
     store_client& m_store;
+    std::vector<std::string> m_joinAddresses;
     membership_hooks m_hooks;
     boost::asio::steady_timer m_timer;
-    std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
-    member m_self;
-    std::int64_t m_writtenRevision = 0;
+    caf::actor m_actor;
 };
 
 }
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -1,10 +1,18 @@
 #include "node/node_process.h"
 
 #include "backend/backend_port.h"
-#include "events/event.h"
+#include "backend/backend_watch.h"
+#include "events/event_catalogue.h"
 #include "node/call_actor.h"
 #include "node/configuration_service.h"
 #include "node/membership_service.h"
+#include "node/planned_stop.h"
+#include "operator/call_log.h"
+#include "operator/node_metrics.h"
+#include "operator/operator_port.h"
+#include "operator/operator_state.h"
+#include "operator/request_journal.h"
+#include "peer/gossip_socket.h"
 #include "peer/peer_server.h"
 #include "platform/gateway_json.h"
 
@@ -23,13 +31,14 @@
 
 namespace {
 
-    constexpr event nodeStarted { 100, severity::Info, "node started" };
-    constexpr event drainStarted { 101, severity::Info, "planned stop started" };
-    constexpr event nodeStopped { 102, severity::Info, "node stopped" };
-    constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
-
     constexpr std::chrono::milliseconds tickPeriod { 5 };
 
+    // Decisions that are remembered for the command explain: some megabytes.
+    constexpr std::size_t journalCapacity = 16384;
+
+    // Time for the last news of this node to leave it.
+    constexpr std::chrono::milliseconds farewellTime { 100 };
+
     class node_process {
     public:
         explicit node_process(const node_settings&);
@@ -40,8 +49,22 @@
         void callerRequest(http_request, const std::shared_ptr<http_exchange>&);
         void announced(const backend_announcement&);
         void tick();
-        void startDrain();
+        void offerBackend(bool offered);
+        void withdrawn();
+        void requestStop(stop_reason);
+        void applyStop();
+        void stepStop();
         void printReady() const;
+        operator_hooks operatorHooks();
+        void collectState(state_receiver);
+        void collectMetrics(const std::function<void(std::string)>& receiver);
+        void setGauges(const Json::Value& calls);
+        operator_reply explain(const std::string& requestId) const;
+        operator_reply announceStop();
+        operator_reply withdrawStop();
+        Json::Value stopState() const;
+        void observe(const call_observation&);
+        void bindPeerPort();
         std::string advertised(const port_settings&, const std::string& bound) const;
 
         node_settings m_settings;
@@ -62,9 +85,18 @@
         std::unique_ptr<http_server> m_callerServer;
         std::unique_ptr<backend_port> m_backendPort;
         std::unique_ptr<peer_server> m_peerServer;
+        std::unique_ptr<operator_port> m_operatorPort;
         asio::steady_timer m_tickTimer { m_context };
+        asio::steady_timer m_exitTimer { m_context };
         asio::signal_set m_signals { m_context, SIGTERM, SIGINT };
         member m_self;
+        std::optional<backend_announcement> m_announcement;
+        std::unique_ptr<backend_watch> m_backendWatch;
+        planned_stop m_stop { m_settings.drainTimeout };
+        member_list m_members;
+        node_metrics m_metrics { std::chrono::system_clock::now() };
+        request_journal m_journal { journalCapacity };
+        call_log m_callLog;
     };
 
     node_process::node_process(const node_settings& settings)
@@ -95,35 +127,60 @@
         parts.backend = m_backend.get();
         parts.claims = m_claims.get();
         parts.random = [this] { return m_random(); };
+        parts.backendAnswered = [this] { m_backendWatch->callAnswered(); };
+        parts.observed = [this](const call_observation& seen) { observe(seen); };
+        parts.policy = parseAdmissionPolicy(settings.policy).value_or(admission_policy::Full);
         parts.incarnation = m_incarnation;
         parts.started = m_started;
         parts.place = { settings.availabilityZone, settings.region };
         m_calls = m_system->spawn<call_actor, caf::lazy_init>(parts);
 
-        m_membership = std::make_unique<membership_service>(m_context, *m_store,
-            membership_hooks { [this](member_list members) { m_host->send(m_calls, members_changed { std::move(members) }); } });
+        m_membership = std::make_unique<membership_service>(*m_host, m_context, *m_store, settings.joinAddresses,
+            membership_hooks { [this](member_list members) {
+                m_members = members;
+                m_host->send(m_calls, members_changed { std::move(members) });
+            } });
         m_configuration = std::make_unique<configuration_service>(m_context, *m_store,
-            configuration_hooks { [this](contract_snapshot contracts) { m_host->send(m_calls, contracts_changed { std::move(contracts) }); } });
+            configuration_hooks { [this](contract_snapshot contracts) {
+                logEvent(events::contractsChanged, { { "revision", std::to_string(contracts->revision) } });
+                m_host->send(m_calls, contracts_changed { std::move(contracts) });
+            } });
 
         http_server_limits callerLimits;
         callerLimits.maxBodyBytes = settings.maxBodyBytes;
         m_callerServer = std::make_unique<http_server>(m_context, settings.caller.listen, callerLimits,
             [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { callerRequest(std::move(request), exchange); });
-        m_peerServer = std::make_unique<peer_server>(m_context, settings.peer.listen, settings.maxBodyBytes,
-            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) {
-                m_host->send(m_calls, peer_call_arrived { std::move(request), exchange });
-            });
+        bindPeerPort();
+        m_backendWatch = std::make_unique<backend_watch>(m_context, *m_backend, [this](bool offered) { offerBackend(offered); });
         backend_port_hooks hooks;
         hooks.announced = [this](const backend_announcement& announcement) { announced(announcement); };
-        hooks.withdrawn = [this] { m_host->send(m_calls, backend_withdrawn {}); };
-        hooks.draining = [this] { startDrain(); };
+        hooks.withdrawn = [this] { withdrawn(); };
+        hooks.draining = [this] { requestStop(stop_reason::BackendServer); };
         m_backendPort = std::make_unique<backend_port>(m_context, settings.backend.listen, hooks);
 
+        m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
+
         m_self.id = m_incarnation;
         m_self.name = settings.name;
         m_self.availabilityZone = settings.availabilityZone;
         m_self.region = settings.region;
         m_self.address = advertised(settings.peer, m_peerServer->address());
+        m_self.operatorAddress = advertised(settings.operators, m_operatorPort->address());
+    }
+
+    // Where any free port will do, it has to be free for gossip over UDP too.
+    void node_process::bindPeerPort()
+    {
+        constexpr int mostTries = 20;
+        for (int i = 0; i < mostTries; ++i) {
+            m_peerServer = std::make_unique<peer_server>(m_context, m_settings.peer.listen, m_settings.maxBodyBytes,
+                [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) {
+                    m_host->send(m_calls, peer_call_arrived { std::move(request), exchange });
+                });
+            if (isUdpPortFree(m_context, m_peerServer->address())) {
+                return;
+            }
+        }
     }
 
     std::string node_process::advertised(const port_settings& port, const std::string& bound) const
@@ -138,6 +195,7 @@
             final_answer final;
             final.answer.outcome = verdict::notRun(problem->reason);
             final.message = problem->message;
+            m_metrics.observe({ call_decision::Finished, request_context {}, std::chrono::steady_clock::now(), final.answer.outcome, problem->message, true });
             exchange->respond(toResponse(std::move(final)));
             return;
         }
@@ -146,18 +204,42 @@
 
     void node_process::announced(const backend_announcement& announcement)
     {
+        m_backendWatch->setBackend(announcement);
         if (m_self.service != announcement.service) {
-            logEvent(backendServerAnnounced, { { "service", announcement.service }, { "address", announcement.address } });
+            logEvent(events::backendServerAnnounced, { { "service", announcement.service }, { "address", announcement.address } });
         }
-        m_self.service = announcement.service;
-        m_self.slots = announcement.slots;
-        m_membership->setSelf(m_self);
+        m_announcement = announcement;
         m_host->send(m_calls, backend_announced { announcement });
+        offerBackend(m_backendWatch->offered());
+    }
+
+    // Tells the other nodes which service they may call here; none where the
+    // backend server cannot be reached.
+    void node_process::offerBackend(bool offered)
+    {
+        bool offer = offered && m_announcement;
+        m_self.service = offer ? m_announcement->service : "";
+        m_self.slots = offer ? m_announcement->slots : 0;
+        m_membership->setSelf(m_self);
+    }
+
+    void node_process::withdrawn()
+    {
+        m_announcement.reset();
+        m_backendWatch->setBackend(std::nullopt);
+        m_host->send(m_calls, backend_withdrawn {});
+        offerBackend(false);
+        // Whatever announces itself next is not the backend server that drained.
+        m_stop.withdraw(stop_reason::BackendServer);
+        applyStop();
     }
 
     void node_process::tick()
     {
         m_host->send(m_calls, clock_tick {});
+        if (m_stop.exiting()) {
+            stepStop();
+        }
         m_tickTimer.expires_after(tickPeriod);
         m_tickTimer.async_wait([this](error_code error) {
             if (!error) {
@@ -166,10 +248,133 @@
         });
     }
 
-    void node_process::startDrain()
+    void node_process::requestStop(stop_reason reason)
+    {
+        if (!m_stop.draining()) {
+            logEvent(events::drainStarted);
+        }
+        m_stop.request(reason, std::chrono::steady_clock::now());
+        applyStop();
+    }
+
+    void node_process::applyStop()
+    {
+        m_host->send(m_calls, drain_changed { m_stop.draining() });
+        if (m_stop.exiting()) {
+            m_callerServer->closeAfterResponses();
+        }
+        auto state = m_stop.draining() ? member_state::Draining : member_state::Alive;
+        if (m_self.state == state) {
+            return;
+        }
+        m_self.state = state;
+        m_membership->setSelf(m_self);
+    }
+
+    // One step towards the exit; called with each tick.
+    void node_process::stepStop()
+    {
+        m_host->send(m_calls, progress_requested { [this](std::size_t inProgress) {
+            auto now = std::chrono::steady_clock::now();
+            if (m_stop.mayClosePorts(now)) {
+                m_callerServer->stopAccepting();
+            }
+            bool idle = inProgress == 0 && m_callerServer->inProgress() == 0 && m_peerServer->inProgress() == 0;
+            if (m_stop.mayExit(idle, now) && m_self.state != member_state::Left) {
+                m_self.state = member_state::Left;
+                m_membership->setSelf(m_self);
+                m_exitTimer.expires_after(farewellTime);
+                m_exitTimer.async_wait([this](error_code) { m_context.stop(); });
+            }
+        } });
+    }
+
+    operator_hooks node_process::operatorHooks()
+    {
+        operator_hooks hooks;
+        hooks.collectState = [this](state_receiver receiver) { collectState(std::move(receiver)); };
+        hooks.collectMetrics = [this](const std::function<void(std::string)>& receiver) { collectMetrics(receiver); };
+        hooks.announceStop = [this](const Json::Value&) { return announceStop(); };
+        hooks.withdrawStop = [this](const Json::Value&) { return withdrawStop(); };
+        hooks.explain = [this](const std::string& requestId) { return explain(requestId); };
+        return hooks;
+    }
+
+    void node_process::collectState(state_receiver receiver)
+    {
+        m_host->send(m_calls, state_requested { [this, receiver = std::move(receiver)](const Json::Value& calls) {
+            auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
+            auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, m_configuration->contracts() }, calls);
+            m_membership->dump([state, receiver](const Json::Value& membership) {
+                auto whole = state;
+                whole["membership"] = membership;
+                receiver(whole);
+            });
+        } });
+    }
+
+    void node_process::collectMetrics(const std::function<void(std::string)>& receiver)
+    {
+        m_host->send(m_calls, state_requested { [this, receiver](const Json::Value& calls) {
+            setGauges(calls);
+            receiver(m_metrics.text());
+        } });
+    }
+
+    void node_process::setGauges(const Json::Value& calls)
+    {
+        auto gauges = readGauges(calls);
+        gauges.contractRevision = m_configuration->contracts()->revision;
+        gauges.members = m_members ? m_members->size() : 0;
+        gauges.crossedAnswers = m_peers->counts().crossedAnswers;
+        gauges.damagedAnswers = m_peers->counts().damagedAnswers;
+        gauges.connectsFailed = m_peers->counts().connectsFailed;
+        gauges.damagedFrames = m_peerServer->damagedFrames();
+        m_metrics.set(gauges);
+    }
+
+    operator_reply node_process::explain(const std::string& requestId) const
+    {
+        Json::Value json;
+        json["name"] = m_settings.name;
+        json["request_id"] = requestId;
+        json["decisions"] = toJson(m_journal.find(requestId), std::chrono::steady_clock::now());
+        return json;
+    }
+
+    operator_reply node_process::announceStop()
+    {
+        requestStop(stop_reason::Operator);
+        return stopState();
+    }
+
+    operator_reply node_process::withdrawStop()
+    {
+        m_stop.withdraw(stop_reason::Operator);
+        if (m_stop.exiting()) {
+            return operator_refusal { "the node got SIGTERM and exits when its work is done; start it again" };
+        }
+        if (m_stop.draining()) {
+            return operator_refusal { "its backend server drains, so that it goes on taking no new work until the backend server announces itself anew" };
+        }
+        applyStop();
+        logEvent(events::stopWithdrawn);
+        return stopState();
+    }
+
+    Json::Value node_process::stopState() const
+    {
+        Json::Value json;
+        json["name"] = m_settings.name;
+        json["draining"] = m_stop.draining();
+        return json;
+    }
+
+    void node_process::observe(const call_observation& seen)
     {
-        logEvent(drainStarted);
-        m_host->send(m_calls, drain_requested { [this] { m_context.stop(); } });
+        m_metrics.observe(seen);
+        m_journal.record(seen);
+        m_callLog.observe(seen);
     }
 
     void node_process::printReady() const
@@ -180,6 +385,7 @@
         ready["caller"] = m_callerServer->address();
         ready["backend"] = m_backendPort->address();
         ready["peer"] = m_peerServer->address();
+        ready["operator"] = m_operatorPort->address();
         ready["incarnation"] = Json::UInt64(m_incarnation);
         std::cout << writeJson(ready) << std::endl;
     }
@@ -188,17 +394,17 @@
     {
         m_signals.async_wait([this](error_code error, int) {
             if (!error) {
-                startDrain();
+                requestStop(stop_reason::Signal);
             }
         });
         printReady();
-        logEvent(nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone } });
+        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone } });
         tick();
-        m_membership->start(m_self);
+        m_membership->start(m_self, m_peerServer->address());
         m_configuration->start();
         m_context.run();
         m_calls = nullptr;
-        logEvent(nodeStopped, { { "name", m_settings.name } });
+        logEvent(events::nodeStopped, { { "name", m_settings.name } });
         return 0;
     }
 
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -45,6 +45,11 @@
         return path.substr(0, path.find('?'));
     }
 
+    entrance_request entranceRequest(const request_context& context)
+    {
+        return { context.customer, context.requestClass, context.position, context.deadline };
+    }
+
     // Whether a caller's try can be its first of a request, by its own words.
     bool isFirstTry(const caller_request& asked, bool bringsContext)
     {
@@ -56,10 +61,11 @@
 
 }
 
-outbound_calls::outbound_calls(router routing, inbound_calls& inbound, outbound_hooks hooks)
+outbound_calls::outbound_calls(router routing, inbound_calls& inbound, outbound_hooks hooks, admission_policy policy)
     : m_router(std::move(routing))
     , m_inbound(inbound)
     , m_hooks(std::move(hooks))
+    , m_entrance({ policy, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; } })
     , m_contracts(std::make_shared<contract_set>())
 {
 }
@@ -129,6 +135,34 @@
     return std::nullopt;
 }
 
+// An onward call is never refused here: its whole request was let in at this very
+// position, and its run would be wasted. Neither is a repeat that brings a ticket,
+// which may only want the answer that its home keeps for it.
+std::optional<outbound_calls::early_refusal> outbound_calls::entranceRefusal(const outbound_call& call, std::chrono::steady_clock::time_point now)
+{
+    if (call.parentRun != 0 || call.progress.permit()) {
+        return std::nullopt;
+    }
+    auto refusal = m_entrance.refusal(entranceRequest(call.request.context), now);
+    if (!refusal) {
+        return std::nullopt;
+    }
+    return early_refusal { *refusal, "a service that the request needs would refuse it now" };
+}
+
+void outbound_calls::learnAtEntrance(const outbound_call& call, const call_answer& answer, std::chrono::steady_clock::time_point now)
+{
+    // An answer that no admission gate has seen tells nothing of the cut.
+    if (call.parentRun != 0 || answer.limit == 0) {
+        return;
+    }
+    auto request = entranceRequest(call.request.context);
+    m_entrance.learnCut(request, { answer.cut, answer.outcome.retryAfter }, now);
+    if (answer.outcome.run == execution::Ran && answer.outcome.reason == verdict_reason::Answered) {
+        m_entrance.learnTime(request, std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived), now);
+    }
+}
+
 std::uint64_t outbound_calls::start(caller_request asked, final_handler handler, std::chrono::steady_clock::time_point now)
 {
     auto callId = m_hooks.random();
@@ -136,6 +170,7 @@
     outbound_call call;
     call.handler = std::move(handler);
     call.request.callId = callId;
+    call.arrived = now;
     auto refusal = classify(asked, brought, call, now);
     if (asked.permit) {
         call.progress.setPermit(*asked.permit, permit_origin::Brought);
@@ -145,6 +180,9 @@
     call.request.path = std::move(asked.path);
     call.request.fields = std::move(asked.fields);
     call.request.body = std::move(asked.body);
+    if (!refusal) {
+        refusal = entranceRefusal(call, now);
+    }
     m_calls.emplace(callId, std::move(call));
     if (refusal) {
         finish(callId, answerWithout(callId, 0, refusal->why), refusal->message, now);
@@ -234,6 +272,7 @@
     call.attemptId = m_hooks.random();
     m_callOfAttempt[call.attemptId] = callId;
     m_router.started(target->id, now);
+    observe(call, start.attempt > 1 ? call_decision::Retry : call_decision::Attempt, now, target->name);
     m_hooks.send(call.attemptId, *target, call.request);
 }
 
@@ -249,6 +288,10 @@
     m_router.finished(call.target, outcome, now);
     call.attemptId = 0;
     call.cut = std::max(call.cut, answer.cut);
+    learnAtEntrance(call, answer, now);
+    if (answer.outcome.reason != verdict_reason::Answered) {
+        observe(call, call_decision::AttemptFailed, now, answer, "");
+    }
     call.progress.finished({ answer.outcome, answer.retryTokens, answer.nextUse });
     bool retry = call.progress.mayRetry(call.request.context.deadline, now)
         && (call.progress.repeatsUse() || m_retryBudget.takeRetry(call.request.service));
@@ -282,6 +325,7 @@
     if (run != execution::Ran && entry && !call.request.context.idempotent) {
         result.permit = permitForRepeat(call, run, now);
     }
+    observe(call, call_decision::Finished, now, answer, result.message);
     result.answer = std::move(answer);
     call.handler(std::move(result));
 }
@@ -300,6 +344,25 @@
     return mintTicket(*home, m_hooks.random(), now);
 }
 
+void outbound_calls::observe(const outbound_call& call, call_decision decision, std::chrono::steady_clock::time_point now, const std::string& detail) const
+{
+    observe(call, decision, now, {}, detail);
+}
+
+void outbound_calls::observe(const outbound_call& call, call_decision decision, std::chrono::steady_clock::time_point now, const call_answer& answer, const std::string& detail) const
+{
+    if (!m_hooks.observed) {
+        return;
+    }
+    call_observation seen { decision, call.request.context, now };
+    seen.outcome = answer.outcome;
+    seen.detail = detail;
+    seen.whole = call.parentRun == 0;
+    seen.status = answer.status;
+    seen.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived);
+    m_hooks.observed(seen);
+}
+
 void outbound_calls::abandonAttempt(outbound_call& call, std::chrono::steady_clock::time_point now)
 {
     if (call.attemptId == 0) {
@@ -320,6 +383,7 @@
     }
     auto& call = node.mapped();
     abandonAttempt(call, now);
+    observe(call, call_decision::Finished, now, answerWithout(callId, 0, verdict::mayHaveRun(verdict_reason::CallerGone)), "the caller left");
     if (call.parentRun != 0) {
         m_inbound.onwardFinished(call.parentRun, call.progress.tokens(), call.cut);
     }
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/call_answer.h"
+#include "call/call_observation.h"
 #include "call/call_request.h"
 #include "caller/caller_request.h"
 #include "caller/caller_response.h"
@@ -8,6 +9,7 @@
 #include "contract/contract.h"
 #include "decision/call_progress.h"
 #include "decision/claim_budget.h"
+#include "decision/entrance_gate.h"
 #include "decision/retry_budget.h"
 #include "decision/router.h"
 #include "platform/claim_store.h"
@@ -34,6 +36,8 @@
     // Writes a claim to the platform's store; what came of it comes back by claimAnswered().
     std::function<void(std::uint64_t callId, const std::string& customer, const std::string& idempotencyKey, const ticket&)> claim;
     std::function<std::uint64_t()> random;
+    // Told of each step of each call; may be empty.
+    call_observer observed;
 };
 
 // The calls that callers outside and the own backend server make through this
@@ -41,7 +45,7 @@
 // its caller is told. Every call gets its final answer at once when it is given up.
 class outbound_calls {
 public:
-    outbound_calls(router, inbound_calls&, outbound_hooks);
+    outbound_calls(router, inbound_calls&, outbound_hooks, admission_policy = admission_policy::Full);
 
     void setContracts(contract_snapshot);
     void setMembers(member_list, std::chrono::steady_clock::time_point now);
@@ -63,6 +67,7 @@
     // Gives up the calls whose time is over; to be called every few milliseconds.
     void tick(std::chrono::steady_clock::time_point now);
 
+    const entrance_gate& entrance() const { return m_entrance; }
     std::size_t inProgress() const { return m_calls.size(); }
 
 private:
@@ -72,6 +77,7 @@
         final_handler handler;
         // The run that this is an onward call of; 0 at the entry.
         std::uint64_t parentRun = 0;
+        std::chrono::steady_clock::time_point arrived;
         call_progress progress;
         // Set while the call waits for its claim: the ticket that it claims.
         std::optional<ticket> claiming;
@@ -90,11 +96,15 @@
 
     std::optional<early_refusal> classify(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
     std::optional<early_refusal> classifyEntry(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
+    std::optional<early_refusal> entranceRefusal(const outbound_call&, std::chrono::steady_clock::time_point now);
+    void learnAtEntrance(const outbound_call&, const call_answer&, std::chrono::steady_clock::time_point now);
     void attempt(std::uint64_t callId, std::chrono::steady_clock::time_point now);
     void startClaim(std::uint64_t callId, const std::string& idempotencyKey, std::chrono::steady_clock::time_point now);
     std::optional<member> chooseTarget(const outbound_call&, std::chrono::steady_clock::time_point now);
     std::optional<ticket> permitForRepeat(const outbound_call&, execution, std::chrono::steady_clock::time_point now);
     void finish(std::uint64_t callId, call_answer, const std::string& message, std::chrono::steady_clock::time_point now);
+    void observe(const outbound_call&, call_decision, std::chrono::steady_clock::time_point now, const std::string& detail) const;
+    void observe(const outbound_call&, call_decision, std::chrono::steady_clock::time_point now, const call_answer&, const std::string& detail) const;
     void abandonAttempt(outbound_call&, std::chrono::steady_clock::time_point now);
 
     router m_router;
@@ -103,6 +113,7 @@
     std::size_t m_liveNodes = 1;
     inbound_calls& m_inbound;
     outbound_hooks m_hooks;
+    entrance_gate m_entrance;
     contract_snapshot m_contracts;
     std::unordered_map<std::uint64_t, outbound_call> m_calls;
     std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
--- /dev/null
+++ b/Source/node/planned_stop.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <set>
+
+namespace vanillashunt {
+
+// Who asked that no new work comes.
+enum class stop_reason {
+    Signal, // SIGTERM: the process exits when its work is done.
+    Operator, // Announced by an operator, and may be taken back.
+    BackendServer, // The backend server drains, and may announce itself again.
+};
+
+// Decides the steps of a planned stop: refuse new work at once, keep the ports
+// open until the news has reached those who call, end when nothing is in
+// progress, and at the latest after the drain timeout.
+class planned_stop {
+public:
+    explicit planned_stop(std::chrono::milliseconds drainTimeout);
+
+    void request(stop_reason, std::chrono::steady_clock::time_point now);
+    void withdraw(stop_reason);
+
+    // Whether new work is refused.
+    bool draining() const { return !m_reasons.empty(); }
+
+    // Whether the process is to exit.
+    bool exiting() const { return m_reasons.count(stop_reason::Signal) != 0; }
+
+    // Whether callers have had the time to go elsewhere.
+    bool mayClosePorts(std::chrono::steady_clock::time_point now) const;
+
+    bool mayExit(bool idle, std::chrono::steady_clock::time_point now) const;
+
+private:
+    std::chrono::milliseconds m_drainTimeout;
+    std::set<stop_reason> m_reasons;
+    std::chrono::steady_clock::time_point m_exitRequested;
+};
+
+}
--- /dev/null
+++ b/Source/operator/node_metrics.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "call/call_observation.h"
+
+#include <json/value.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace vanillashunt {
+
+// What a node reads off its parts when its metrics are asked for.
+struct node_gauges {
+    std::uint64_t gateLimit = 0;
+    std::uint64_t gateInFlight = 0;
+    std::uint64_t gateWaiting = 0;
+    std::uint64_t gateCut = 0;
+    std::uint64_t ledgerEntries = 0;
+    std::uint64_t inboundCalls = 0;
+    std::uint64_t outboundCalls = 0;
+    bool draining = false;
+    std::int64_t contractRevision = 0;
+    std::uint64_t members = 0;
+    // Totals since the start of the process.
+    std::uint64_t crossedAnswers = 0;
+    std::uint64_t damagedAnswers = 0;
+    std::uint64_t damagedFrames = 0;
+    std::uint64_t connectsFailed = 0;
+};
+
+// Reads the gauges that the call actor's part of the dump holds.
+node_gauges readGauges(const Json::Value& calls);
+
+// The metrics of one node; docs/METRICS.md tells of each.
+class node_metrics {
+public:
+    // The time when the process started.
+    explicit node_metrics(std::chrono::system_clock::time_point started);
+    ~node_metrics();
+
+    void observe(const call_observation&);
+
+    void set(const node_gauges&);
+
+    // Writes all of them in the text format of Prometheus.
+    std::string text() const;
+
+private:
+    struct families;
+
+    std::unique_ptr<families> m_families;
+};
+
+}
--- /dev/null
+++ b/Source/peer/gossip_codec.cpp
@@ -0,0 +1,168 @@
+#include "peer/gossip_codec.h"
+
+#include <caf/binary_deserializer.hpp>
+#include <caf/binary_serializer.hpp>
+#include <caf/meta/type_name.hpp>
+
+#include <boost/endian/conversion.hpp>
+#include <xxhash.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    // "VSG1", little-endian; the digit is the version of the format.
+    constexpr std::uint32_t magic = 0x31475356;
+    constexpr std::size_t checksumOffset = 4;
+    constexpr std::size_t headBytes = 12;
+    // Bounds what a datagram can make this node allocate.
+    constexpr std::size_t mostElements = 1000;
+    constexpr std::int64_t longestUptimeMilliseconds = 1000LL * 60 * 60 * 24 * 3650;
+
+    template <class Inspector>
+    bool inspectHeader(Inspector& f, gossip_message& x, std::uint8_t& kind)
+    {
+        return !f(kind, x.senderId, x.senderAddress, x.revision, x.digest, x.settled);
+    }
+
+    bool isProbe(gossip_kind kind)
+    {
+        return kind == gossip_kind::Ping || kind == gossip_kind::Ack || kind == gossip_kind::PingRequest || kind == gossip_kind::PingAccepted;
+    }
+
+    // The part that belongs to the kind of the message, without its updates.
+    template <class Inspector>
+    bool inspectBody(Inspector& f, gossip_message& x)
+    {
+        if (isProbe(x.kind)) {
+            return !f(x.sequence, x.targetId, x.targetAddress);
+        }
+        switch (x.kind) {
+        case gossip_kind::BucketDigest:
+            return !f(x.availabilityZone, x.buckets);
+        case gossip_kind::Pull:
+            return !f(x.availabilityZone, x.bucketMask);
+        case gossip_kind::Entries:
+            return !f(x.availabilityZone, x.bucketMask, x.remainingMask, x.isLast);
+        case gossip_kind::Digest:
+            return !f(x.isReply);
+        default:
+            return true;
+        }
+    }
+
+    template <class Inspector>
+    bool inspectEntry(Inspector& f, member& x, std::int64_t& uptime)
+    {
+        return !f(x.name, x.availabilityZone, x.region, x.address, x.operatorAddress, x.service, x.slots, uptime);
+    }
+
+    bool writeUpdate(caf::binary_serializer& sink, member_update update)
+    {
+        auto& entry = update.entry;
+        auto state = static_cast<std::uint8_t>(entry.state);
+        if (sink(update.whole, entry.id, entry.version, state)) {
+            return false;
+        }
+        std::int64_t uptime = entry.uptime.count();
+        return !update.whole || inspectEntry(sink, entry, uptime);
+    }
+
+    bool readUpdate(caf::binary_deserializer& source, member_update& update)
+    {
+        auto& entry = update.entry;
+        std::uint8_t state = 0;
+        if (source(update.whole, entry.id, entry.version, state) || state > static_cast<std::uint8_t>(member_state::Dead)) {
+            return false;
+        }
+        entry.state = static_cast<member_state>(state);
+        if (!update.whole) {
+            return true;
+        }
+        std::int64_t uptime = 0;
+        if (!inspectEntry(source, entry, uptime) || uptime < 0 || uptime > longestUptimeMilliseconds) {
+            return false;
+        }
+        entry.uptime = std::chrono::milliseconds(uptime);
+        return true;
+    }
+
+    bool writeLists(caf::binary_serializer& sink, const gossip_message& message)
+    {
+        auto zoneCount = static_cast<std::uint16_t>(message.zones.size());
+        auto updateCount = static_cast<std::uint16_t>(message.updates.size());
+        bool written = !sink(zoneCount, updateCount);
+        for (auto zone : message.zones) {
+            written = written && !sink(zone.availabilityZone, zone.hash);
+        }
+        for (const auto& update : message.updates) {
+            written = written && writeUpdate(sink, update);
+        }
+        return written;
+    }
+
+    bool readLists(caf::binary_deserializer& source, gossip_message& message)
+    {
+        std::uint16_t zoneCount = 0;
+        std::uint16_t updateCount = 0;
+        if (source(zoneCount, updateCount) || zoneCount > mostElements || updateCount > mostElements) {
+            return false;
+        }
+        for (std::uint16_t i = 0; i < zoneCount; ++i) {
+            zone_hash zone;
+            if (source(zone.availabilityZone, zone.hash)) {
+                return false;
+            }
+            message.zones.push_back(std::move(zone));
+        }
+        for (std::uint16_t i = 0; i < updateCount; ++i) {
+            member_update update;
+            if (!readUpdate(source, update)) {
+                return false;
+            }
+            message.updates.push_back(std::move(update));
+        }
+        return true;
+    }
+
+}
+
+std::vector<char> encodeGossip(const gossip_message& message)
+{
+    std::vector<char> bytes(headBytes);
+    caf::binary_serializer sink(nullptr, bytes);
+    sink.seek(headBytes);
+    auto copy = message;
+    auto kind = static_cast<std::uint8_t>(message.kind);
+    if (!inspectHeader(sink, copy, kind) || !inspectBody(sink, copy) || !writeLists(sink, message)) {
+        return {};
+    }
+    auto* raw = reinterpret_cast<unsigned char*>(bytes.data());
+    boost::endian::store_little_u32(raw, magic);
+    boost::endian::store_little_u64(raw + checksumOffset, XXH3_64bits(raw + headBytes, bytes.size() - headBytes));
+    return bytes;
+}
+
+std::optional<gossip_message> decodeGossip(const char* bytes, std::size_t size)
+{
+    const auto* raw = reinterpret_cast<const unsigned char*>(bytes);
+    if (size < headBytes || boost::endian::load_little_u32(raw) != magic) {
+        return std::nullopt;
+    }
+    if (boost::endian::load_little_u64(raw + checksumOffset) != XXH3_64bits(raw + headBytes, size - headBytes)) {
+        return std::nullopt;
+    }
+    caf::binary_deserializer source(nullptr, bytes + headBytes, size - headBytes);
+    gossip_message message;
+    std::uint8_t kind = 0;
+    if (!inspectHeader(source, message, kind) || kind == 0 || kind >= gossipKindCount) {
+        return std::nullopt;
+    }
+    message.kind = static_cast<gossip_kind>(kind);
+    if (!inspectBody(source, message) || !readLists(source, message) || source.remaining() != 0) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+}
--- /dev/null
+++ b/Source/peer/gossip_socket.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "membership/gossip_message.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace vanillashunt {
+
+struct gossip_traffic {
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
+};
+
+struct gossip_counts {
+    // By kind of the message.
+    std::array<gossip_traffic, gossipKindCount> sent;
+    std::array<gossip_traffic, gossipKindCount> received;
+    // Datagrams that were no gossip, or damaged on the way.
+    std::uint64_t garbage = 0;
+    // Datagrams that the operating system did not take.
+    std::uint64_t unsent = 0;
+};
+
+// A word for the kind, as the dump shows it.
+std::string toString(gossip_kind);
+
+using gossip_handler = std::function<void(gossip_message)>;
+
+// Whether a UDP socket could be bound to the address at this moment.
+bool isUdpPortFree(boost::asio::io_context&, const std::string& address);
+
+// Sends and receives gossip over UDP, from one socket that is bound to the peer
+// port. A datagram that cannot be sent at once is lost, as any datagram may be.
+class gossip_socket {
+public:
+    // Throws boost::system::system_error if the address, "IP:port", cannot be bound.
+    gossip_socket(boost::asio::io_context&, const std::string& listenAddress, gossip_handler);
+    ~gossip_socket();
+
+    void send(const std::string& address, const gossip_message&);
+
+    const gossip_counts& counts() const;
+
+    struct state;
+
+private:
+    std::shared_ptr<state> m_state;
+};
+
+}
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -27,6 +27,7 @@
     std::uint64_t maxBodyBytes;
     peer_call_handler handler;
     std::uint64_t damagedFrames = 0;
+    std::size_t inProgress = 0;
     bool stopping = false;
 };
 
@@ -136,6 +137,7 @@
             return;
         }
         m_exchange = std::make_shared<exchange>(shared_from_this());
+        ++m_server->inProgress;
         ++m_exchangeNumber;
         watchPeer();
         m_server->handler(std::move(*request), m_exchange);
@@ -155,6 +157,7 @@
             return;
         }
         auto gone = std::exchange(m_exchange, nullptr);
+        --m_server->inProgress;
         close();
         gone->cancelled();
     }
@@ -165,6 +168,7 @@
         ++m_exchangeNumber;
         m_outgoing = encodeFrame(answer);
         asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
+            --self->m_server->inProgress;
             if (error) {
                 self->close();
                 return;
@@ -227,6 +231,11 @@
     return toString(m_state->acceptor.local_endpoint());
 }
 
+std::size_t peer_server::inProgress() const
+{
+    return m_state->inProgress;
+}
+
 std::uint64_t peer_server::damagedFrames() const
 {
     return m_state->damagedFrames;
--- a/Source/peer/peer_server.h
+++ b/Source/peer/peer_server.h
@@ -42,6 +42,9 @@
 
     void stopAccepting();
 
+    // Calls that are being answered, or whose answer is being sent.
+    std::size_t inProgress() const;
+
     struct state;
 
 private:
--- a/Source/platform/seed_directory.h
+++ b/Source/platform/seed_directory.h
@@ -1,17 +1,18 @@
 #pragma once
 
-#include "decision/member.h"
-#include "platform/store_client.h"
-
-#include <functional>
+#include <cstddef>
+#include <string>
 
 namespace vanillashunt {
 
-// Reads and writes the members' entries in the platform's store.
-std::string writeSeed(const member&);
-std::optional<member> readSeed(const std::string& text, std::chrono::steady_clock::time_point now);
-
+// Where the platform's store keeps a few peer addresses of each availability
+// zone, for nodes that do not know anyone yet. The members themselves are not
+// in the store.
 constexpr const char* seedPrefix = "/vanillashunt/seeds/";
+constexpr std::size_t seedsPerZone = 3;
+
+std::string seedKey(const std::string& availabilityZone, std::size_t number);
+
 constexpr const char* contractPrefix = "/vanillashunt/contracts/";
 
 }
--- /dev/null
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -0,0 +1,137 @@
+#include "backend/backend_announcement.h"
+#include "caller/caller_request.h"
+#include "caller/context_text.h"
+#include "peer/call_codec.h"
+#include "platform/gateway_json.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr int rounds = 20000;
+
+    // Bytes that are a valid text with some of them changed, cut off or repeated.
+    std::string damage(std::string text, std::mt19937_64& random)
+    {
+        auto changes = random() % 4;
+        for (std::uint64_t i = 0; i < changes && !text.empty(); ++i) {
+            auto place = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[place] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(place, 1 + random() % 8);
+                break;
+            default:
+                text.insert(place, text.substr(0, random() % 16));
+            }
+        }
+        return text;
+    }
+
+    call_request sampleRequest()
+    {
+        call_request request;
+        request.callId = 7;
+        request.context.requestId = "0123456789abcdef";
+        request.context.customer = "hotel-seri";
+        request.context.level = importance::Confirmed;
+        request.permit = ticket { 1, std::chrono::milliseconds(2), 3, 4, true };
+        request.service = "desk";
+        request.method = "POST";
+        request.path = "/reply/7";
+        request.fields = { { "Content-Type", "text/plain" } };
+        request.body = "late checkout";
+        return request;
+    }
+
+}
+
+TEST(OutsideBytes, FramesReadBack)
+{
+    auto now = std::chrono::steady_clock::now();
+    auto request = sampleRequest();
+    request.context.deadline = now + std::chrono::milliseconds(1500);
+    auto bytes = encodeFrame(request, now);
+    auto head = decodeHead(bytes.data());
+    ASSERT_TRUE(head);
+    byte_vector payload(bytes.begin() + frameHeadBytes, bytes.end());
+    EXPECT_TRUE(checksumMatches(*head, payload));
+    auto read = decodeRequest(payload, now);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->permit, request.permit);
+    EXPECT_EQ(read->context.deadline, request.context.deadline);
+    EXPECT_EQ(read->context.level, importance::Confirmed);
+    EXPECT_EQ(read->body, request.body);
+    EXPECT_EQ(read->fields.at(0).value, "text/plain");
+}
+
+TEST(OutsideBytes, DamagedFramesNeverCrashAndNeverPassTheChecksum)
+{
+    std::mt19937_64 random(1);
+    auto now = std::chrono::steady_clock::now();
+    auto request = encodeFrame(sampleRequest(), now);
+    std::string original(request.begin() + frameHeadBytes, request.end());
+    auto head = *decodeHead(request.data());
+    for (int i = 0; i < rounds; ++i) {
+        auto text = damage(original, random);
+        byte_vector payload(text.begin(), text.end());
+        decodeRequest(payload, now);
+        decodeAnswer(payload);
+        EXPECT_EQ(checksumMatches(head, payload), text == original);
+    }
+}
+
+TEST(OutsideBytes, DamagedTextsNeverCrashAndWhatIsReadIsWrittenTheSame)
+{
+    std::mt19937_64 random(2);
+    const std::string permit = toString(ticket { 0xfeed, std::chrono::milliseconds(60000), 0xbeef, 3, true });
+    const std::string context = toString(context_text { "0123456789abcdef", 0xabc, 2, true });
+    for (int i = 0; i < rounds; ++i) {
+        if (auto read = parseTicket(damage(permit, random))) {
+            EXPECT_EQ(parseTicket(toString(*read)), read);
+        }
+        if (auto read = parseContextText(damage(context, random))) {
+            EXPECT_TRUE(isRequestId(read->requestId));
+        }
+        readTimeout(damage("1500ms", random));
+    }
+}
+
+TEST(OutsideBytes, DamagedRequestsAreReadOrRefusedWithAReason)
+{
+    std::mt19937_64 random(3);
+    for (int i = 0; i < rounds; ++i) {
+        http_request request;
+        request.method = "GET";
+        request.target = damage("/threads/history/7?from=2", random);
+        for (const char* name : { "Vanillashunt-Customer", "Vanillashunt-Timeout", "Vanillashunt-Attempt", "Idempotency-Key", "Vanillashunt-Ticket" }) {
+            request.fields.push_back({ name, damage("1500", random) });
+        }
+        auto result = readCallerRequest(request);
+        if (const auto* problem = std::get_if<caller_problem>(&result)) {
+            EXPECT_FALSE(problem->message.empty());
+        }
+    }
+}
+
+TEST(OutsideBytes, DamagedJsonIsReadOrRefusedWithAMend)
+{
+    std::mt19937_64 random(4);
+    const std::string announcement = R"({"service":"threads","address":"127.0.0.1:9000","slots":120,"connections":800,"cold_start_ms":2000})";
+    const std::string entry = R"({"key":"L3ZhbmlsbGFzaHVudA==","value":"YWJj","mod_revision":"17"})";
+    for (int i = 0; i < rounds; ++i) {
+        auto result = parseAnnouncement(damage(announcement, random));
+        if (const auto* problem = std::get_if<announcement_problem>(&result)) {
+            EXPECT_FALSE(problem->message.empty());
+        }
+        readEntry(readJson(damage(entry, random)));
+    }
+}
+
+}
