Say not_run of a repeat, and hand out a ticket, only if no earlier try may have run

A key whose claim stood in the store got a second ticket when the claims' rate was used up; and a client whose second answer was lost brought back the context of its first refusal, which said that nothing ran.

Ruled out: remembering keys in each node, because repeats come through others; dropping the enclosed ticket altogether, because first tries then end with the store's outage.

Conclusion: the context counts the caller's tries and goes with every answer; a gap means that a try may have run.

--- a/Source/caller/caller_response.cpp
+++ b/Source/caller/caller_response.cpp
@@ -49,7 +49,7 @@
     case verdict_reason::OverShare:
         return 429;
     case verdict_reason::TicketNeeded:
-        return 428;
+        return outcome.run == execution::NotRun ? 428 : 503;
     case verdict_reason::DeadlinePassed:
     case verdict_reason::DeadlineTooShort:
         return 504;
--- a/Source/caller/caller_response.h
+++ b/Source/caller/caller_response.h
@@ -13,9 +13,9 @@
 struct final_answer {
     call_answer answer;
     std::string requestId;
-    // For a refused caller to bring back with a repeat; empty when answered.
+    // For the caller to bring back with a repeat; empty for an onward call.
     std::string context;
-    // For the repeat of a refused non-idempotent request.
+    // For the repeat of a non-idempotent request that did not succeed.
     std::optional<ticket> permit;
     // One sentence for people; empty when answered.
     std::string message;
--- a/Source/caller/context_text.cpp
+++ b/Source/caller/context_text.cpp
@@ -3,22 +3,36 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <sstream>
+#include <vector>
 
 namespace vanillashunt {
 
 namespace {
 
-    // The form is "1.<request id>.<run id>.<tokens>.<may have run>", numbers in
-    // hexadecimal; the first field is the version of the form.
-    constexpr const char* versionPrefix = "1.";
-    constexpr std::size_t versionLength = 2;
+    // The form is version, request id, run id, tokens, may have run, attempt;
+    // all but the id in hexadecimal.
+    constexpr const char* version = "1";
+    constexpr std::size_t fieldCount = 6;
     constexpr std::size_t longestId = 64;
 
+    std::vector<std::string> split(const std::string& text)
+    {
+        std::vector<std::string> fields;
+        std::istringstream stream(text);
+        std::string field;
+        while (std::getline(stream, field, '.')) {
+            fields.push_back(field);
+        }
+        return fields;
+    }
+
     template <typename Integer>
-    bool readHex(const std::string& text, std::size_t from, std::size_t to, Integer& value)
+    bool readHex(const std::string& text, Integer& value)
     {
-        auto parsed = std::from_chars(text.data() + from, text.data() + to, value, 16);
-        return parsed.ec == std::errc {} && parsed.ptr == text.data() + to;
+        const char* end = text.data() + text.size();
+        auto parsed = std::from_chars(text.data(), end, value, 16);
+        return !text.empty() && parsed.ec == std::errc {} && parsed.ptr == end;
     }
 
 }
@@ -32,37 +46,24 @@
 
 std::string toString(const context_text& value)
 {
-    char numbers[48];
-    std::snprintf(numbers, sizeof numbers, ".%llx.%x.%d", static_cast<unsigned long long>(value.runId), value.retryTokens, value.mayHaveRun ? 1 : 0);
-    return versionPrefix + value.requestId + numbers;
+    char numbers[64];
+    std::snprintf(numbers, sizeof numbers, ".%llx.%x.%d.%x", static_cast<unsigned long long>(value.runId), value.retryTokens,
+        value.mayHaveRun ? 1 : 0, value.attempt);
+    return std::string(version) + "." + value.requestId + numbers;
 }
 
 std::optional<context_text> parseContextText(const std::string& text)
 {
-    if (text.compare(0, versionLength, versionPrefix) != 0) {
-        return std::nullopt;
-    }
-    auto idEnd = text.find('.', versionLength);
-    if (idEnd == std::string::npos) {
-        return std::nullopt;
-    }
-    auto runEnd = text.find('.', idEnd + 1);
-    if (runEnd == std::string::npos) {
-        return std::nullopt;
-    }
-    auto tokensEnd = text.find('.', runEnd + 1);
-    if (tokensEnd == std::string::npos) {
-        return std::nullopt;
-    }
-    auto flag = text.substr(tokensEnd + 1);
-    if (flag != "0" && flag != "1") {
+    auto fields = split(text);
+    if (fields.size() != fieldCount || text.back() == '.' || fields[0] != version) {
         return std::nullopt;
     }
     context_text value;
-    value.mayHaveRun = flag == "1";
-    value.requestId = text.substr(versionLength, idEnd - versionLength);
-    if (!isRequestId(value.requestId) || !readHex(text, idEnd + 1, runEnd, value.runId)
-        || !readHex(text, runEnd + 1, tokensEnd, value.retryTokens)) {
+    value.requestId = fields[1];
+    value.mayHaveRun = fields[4] == "1";
+    bool flagKnown = value.mayHaveRun || fields[4] == "0";
+    if (!flagKnown || !isRequestId(value.requestId) || !readHex(fields[2], value.runId)
+        || !readHex(fields[3], value.retryTokens) || !readHex(fields[5], value.attempt)) {
         return std::nullopt;
     }
     return value;
--- a/Source/caller/context_text.h
+++ b/Source/caller/context_text.h
@@ -15,10 +15,12 @@
     std::string requestId;
     // The run that an onward call is part of; 0 outside of one.
     std::uint64_t runId = 0;
-    // Retry tokens that a refused caller brings back.
+    // Retry tokens that the caller brings back.
     std::uint32_t retryTokens = 0;
-    // Whether an earlier try of a refused caller may have run.
+    // Whether this or an earlier try of the caller may have run.
     bool mayHaveRun = false;
+    // The caller's try that this context was the answer to; 0 where it did not count.
+    std::uint32_t attempt = 0;
 };
 
 std::string toString(const context_text&);
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -146,7 +146,7 @@
 
 void call_actor::runAtBackend(std::uint64_t runId, const std::string& address, const call_request& request)
 {
-    auto context = toString(context_text { request.context.requestId, runId, 0, false });
+    auto context = toString(context_text { request.context.requestId, runId, 0, false, 0 });
     m_backendCallOfRun[runId] = m_parts.backend->run(address, request, context, currentTime(), [this, runId](call_answer answer) {
         sendSelf(run_answered { runId, std::move(answer) });
     });
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -1,5 +1,6 @@
 #include "node/outbound_calls.h"
 
+#include "caller/caller_history.h"
 #include "node/inbound_calls.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
         return std::any_of(methods.begin(), methods.end(), [&](const char* candidate) { return method == candidate; });
     }
 
+    constexpr std::uint32_t leastErrorStatus = 400;
+
     // Whether a refusal comes from servers that cannot be reached now.
     bool isUnavailable(verdict_reason reason)
     {
@@ -50,15 +53,6 @@
         return { context.customer, context.requestClass, context.position, context.deadline };
     }
 
-    // Whether a caller's try can be its first of a request, by its own words.
-    bool isFirstTry(const caller_request& asked, bool bringsContext)
-    {
-        if (bringsContext || asked.permit) {
-            return false;
-        }
-        return asked.attempt == 1 || (asked.attempt == 0 && asked.idempotencyKey.empty());
-    }
-
 }
 
 outbound_calls::outbound_calls(router routing, inbound_calls& inbound, outbound_hooks hooks, admission_policy policy)
@@ -123,15 +117,9 @@
     context.idempotent = kind->idempotent;
     auto time = asked.timeout ? std::min(*asked.timeout, kind->deadline) : kind->deadline;
     context.deadline = now + time;
-    // A repeat that brings nothing back gets no tokens, so that the repeats of
-    // one request together spend no more than its allowance.
-    bool first = isFirstTry(asked, brought.has_value());
-    std::uint32_t tokens = first ? kind->retries : 0;
-    if (brought) {
-        tokens = std::min(brought->retryTokens, kind->retries);
-    }
-    bool earlierMayHaveRun = !first && (!brought || brought->mayHaveRun);
-    call.progress = call_progress(kind->idempotent, tokens, earlierMayHaveRun);
+    auto history = readHistory(asked, brought, kind->retries);
+    call.progress = call_progress(kind->idempotent, history.tokens, history.earlierMayHaveRun);
+    call.callerAttempt = asked.attempt;
     return std::nullopt;
 }
 
@@ -229,6 +217,13 @@
     auto own = *call.claiming;
     call.claiming.reset();
     if (std::holds_alternative<claim_unknown>(result)) {
+        if (call.progress.mustNotRun()) {
+            // The store may hold a claim of an earlier try, and only it knows.
+            auto why = verdict::mayHaveRun(verdict_reason::TicketNeeded);
+            why.retryAfter = unavailableRetryAfter(m_hooks.random());
+            finish(callId, answerWithout(callId, 0, why), "the store that knows this Idempotency-Key does not answer; repeat the request later", now);
+            return;
+        }
         // The ticket goes to the caller unused: its repeat needs no store.
         call.progress.setPermit(own, permit_origin::Brought);
         finish(callId, answerWithout(callId, 0, verdict::notRun(verdict_reason::TicketNeeded)), "repeat the request with the enclosed ticket", now);
@@ -320,9 +315,12 @@
     }
     if (run != execution::Ran) {
         result.message = message;
-        result.context = toString(context_text { result.requestId, call.parentRun, entry ? call.progress.tokens() : 0, run != execution::NotRun });
     }
-    if (run != execution::Ran && entry && !call.request.context.idempotent) {
+    if (entry) {
+        result.context = toString(context_text { result.requestId, 0, call.progress.tokens(), run != execution::NotRun, call.callerAttempt });
+    }
+    bool succeeded = run == execution::Ran && answer.status < leastErrorStatus;
+    if (!succeeded && entry && !call.request.context.idempotent) {
         result.permit = permitForRepeat(call, run, now);
     }
     observe(call, call_decision::Finished, now, answer, result.message);
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -78,6 +78,8 @@
         // The run that this is an onward call of; 0 at the entry.
         std::uint64_t parentRun = 0;
         std::chrono::steady_clock::time_point arrived;
+        // The caller's own count of its tries.
+        std::uint32_t callerAttempt = 0;
         call_progress progress;
         // Set while the call waits for its claim: the ticket that it claims.
         std::optional<ticket> claiming;
--- a/Tests/Harness/mesh.cpp
+++ b/Tests/Harness/mesh.cpp
@@ -60,6 +60,7 @@
     auto path = m_folder / (spec.name + ".toml");
     std::ofstream file(path);
     file << "[node]\nname = \"" << spec.name << "\"\navailability_zone = \"" << spec.availabilityZone << "\"\n"
+         << spec.nodeSettings
          << "[platform]\nendpoints = [\"" << m_platform.address() << "\"]\n"
          << spec.settings;
     return path.string();
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -20,8 +20,9 @@
     std::string availabilityZone;
     // Further options of the backend stand-in, for example "--slots=4".
     std::vector<std::string> backendOptions;
-    // Further lines of the node's settings file.
+    // Further lines of the node's settings file: sections, and keys of its section "node".
     std::string settings;
+    std::string nodeSettings = {};
 };
 
 // A node and the backend stand-in beside it.
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -91,7 +91,7 @@
 {
     std::mt19937_64 random(2);
     const std::string permit = toString(ticket { 0xfeed, std::chrono::milliseconds(60000), 0xbeef, 3, true });
-    const std::string context = toString(context_text { "0123456789abcdef", 0xabc, 2, true });
+    const std::string context = toString(context_text { "0123456789abcdef", 0xabc, 2, true, 3 });
     for (int i = 0; i < rounds; ++i) {
         if (auto read = parseTicket(damage(permit, random))) {
             EXPECT_EQ(parseTicket(toString(*read)), read);
