--- a/Tests/Harness/mesh.cpp
+++ b/Tests/Harness/mesh.cpp
@@ -81,6 +81,15 @@
     return *place;
 }
 
+std::string mesh::callers() const
+{
+    std::string text;
+    for (const auto& [name, server] : m_servers) {
+        text += (text.empty() ? "" : ",") + server->caller();
+    }
+    return text;
+}
+
 bool mesh::waitUntilServing(const std::string& path, const http_fields& fields)
 {
     return waitUntil([&] {
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -59,9 +59,15 @@
     // Ends a server's node by SIGTERM and waits for its exit.
     std::optional<child_end> stopNode(const std::string& name);
 
-    std::string settingsFile(const server_spec&) const;
+    // Where nodes' settings and servers' run logs are, until the mesh ends.
+    const std::filesystem::path& folder() const { return m_folder; }
+
+    // The callers' addresses of all nodes, as the load stand-in takes them.
+    std::string callers() const;
 
 private:
+    std::string settingsFile(const server_spec&) const;
+
     std::filesystem::path m_folder;
     stand_in m_platform;
     std::map<std::string, std::unique_ptr<mesh_server>> m_servers;
--- a/Tests/Measure/scenario.cpp
+++ b/Tests/Measure/scenario.cpp
@@ -2,15 +2,10 @@
 
 #include "Harness/mesh.h"
 
-#include <cmath>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
 
-#include <unistd.h>
-
 namespace vanillashunt {
 
 namespace {
@@ -96,46 +91,30 @@
         // Runs the load and calls the hook at the begin of each phase.
         void load(const std::vector<load_phase>& phases, std::uint64_t seed, const std::function<void(std::size_t)>& phaseBegins)
         {
-            m_outFile = std::filesystem::temp_directory_path() / ("vanillashunt-load-" + std::to_string(getpid()) + ".jsonl");
-            child_process load({ STANDIN_PATH, "load", "--targets", targets(), "--mix", loadMix(m_plan), "--phases", phasesText(phases),
-                "--retries", clientRetries, "--retry-delay-ms", clientRetryDelay, "--give-up-ms", std::to_string(clientPatience.count()), "--seed", std::to_string(seed), "--out", m_outFile.string() });
-            load.readReady();
-            m_loadStart = std::chrono::system_clock::now();
+            load_run load({ targets(), loadMix(m_plan), phasesText(phases),
+                { "--retries", clientRetries, "--retry-delay-ms", clientRetryDelay, "--give-up-ms", std::to_string(clientPatience.count()) }, seed });
+            m_loadStart = load.started();
             auto next = std::chrono::steady_clock::now();
             for (std::size_t phase = 0; phase < phases.size(); ++phase) {
                 phaseBegins(phase);
                 next += phases[phase].length;
                 std::this_thread::sleep_until(next);
             }
-            if (!load.wait(seconds(60))) {
-                throw std::runtime_error("the load did not end within a minute of its last arrival");
+            m_requests = load.finish();
+            for (auto& request : m_requests) {
+                request.whole = request.whole && request.latency <= clientPatience;
             }
         }
 
-        std::vector<request_record> readRequests() const
-        {
-            std::vector<request_record> records;
-            std::ifstream file(m_outFile);
-            std::string line;
-            while (std::getline(file, line)) {
-                auto value = parseJson(line);
-                if (!value.isMember("summary")) {
-                    records.push_back(readRequest(value));
-                }
-            }
-            std::filesystem::remove(m_outFile);
-            return records;
-        }
+        const std::vector<request_record>& requests() const { return m_requests; }
+        std::chrono::system_clock::time_point loadStart() const { return m_loadStart; }
 
-        std::vector<run_record> readRuns()
+        std::vector<run_record> readAllRuns()
         {
             std::vector<run_record> records;
             for (const auto& name : m_names) {
-                auto& server = m_mesh.server(name);
-                auto page = server.backend->read("/control/runs");
-                for (const auto& value : page["runs"]) {
-                    records.push_back(readRun(server.spec.service, value));
-                }
+                auto runs = readRuns(m_mesh.server(name));
+                records.insert(records.end(), runs.begin(), runs.end());
             }
             return records;
         }
@@ -176,46 +155,10 @@
             return text;
         }
 
-        request_record readRequest(const Json::Value& value) const
-        {
-            request_record record;
-            record.nonce = value["nonce"].asString();
-            for (const auto& request : m_plan.requests) {
-                if (request.name == value["name"].asString()) {
-                    record.plan = &request;
-                }
-            }
-            record.sent = milliseconds(std::llround(value["at_ms"].asDouble()));
-            record.latency = milliseconds(std::llround(value["latency_ms"].asDouble()));
-            record.attempts = value["attempts"].asUInt64();
-            for (const auto& verdict : value["verdicts"]) {
-                record.verdicts.push_back(verdict.asString());
-            }
-            for (const auto& reason : value["reasons"]) {
-                record.reasons.push_back(reason.asString());
-            }
-            record.whole = value["whole"].asBool() && value["status"].asInt() / 100 == 2 && record.latency <= clientPatience;
-            record.wrong = value["wrong"].asBool();
-            return record;
-        }
-
-        run_record readRun(const std::string& service, const Json::Value& value) const
-        {
-            auto zero = std::chrono::duration_cast<milliseconds>(m_loadStart.time_since_epoch()).count();
-            run_record record;
-            record.service = service;
-            record.nonce = value["nonce"].asString();
-            record.attempt = value["attempt"].asString();
-            record.start = milliseconds(value["start_ms"].asInt64() - zero);
-            record.length = milliseconds(value.isMember("end_ms") ? value["end_ms"].asInt64() - value["start_ms"].asInt64() : 0);
-            record.outcome = value["outcome"].asString();
-            return record;
-        }
-
         const mesh_plan& m_plan;
         mesh m_mesh;
         std::vector<std::string> m_names;
-        std::filesystem::path m_outFile;
+        std::vector<request_record> m_requests;
         std::chrono::system_clock::time_point m_loadStart;
     };
 
@@ -279,8 +222,9 @@
             mesh.setStoreDown(isSurge[phase]);
         }
     });
-    run.requests = mesh.readRequests();
-    run.runs = mesh.readRuns();
+    run.requests = mesh.requests();
+    run.started = mesh.loadStart();
+    run.runs = mesh.readAllRuns();
     return run;
 }
 
@@ -289,7 +233,7 @@
     scenario_mesh mesh(what.plan, policy);
     mesh.load({ { nominalCapacity(what.plan) * calmLoad, seconds(2) }, { nominalCapacity(what.plan), capacityTime } }, seed, [](std::size_t) {});
     std::size_t whole = 0;
-    for (const auto& request : mesh.readRequests()) {
+    for (const auto& request : mesh.requests()) {
         whole += request.whole && request.sent >= seconds(2) ? 1 : 0;
     }
     return static_cast<double>(whole) / static_cast<double>(capacityTime.count());
--- a/Tests/Measure/scenario.h
+++ b/Tests/Measure/scenario.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Harness/load_run.h"
 #include "Measure/mesh_plan.h"
 
 #include <json/value.h>
@@ -28,31 +29,6 @@
 
 std::vector<std::string> scenarioNames();
 
-// One request of the load, as its client saw it.
-struct request_record {
-    std::string nonce;
-    const request_plan* plan = nullptr;
-    // When it was first sent, after the start of the load.
-    std::chrono::milliseconds sent { 0 };
-    std::chrono::milliseconds latency { 0 };
-    std::size_t attempts = 0;
-    std::vector<std::string> verdicts;
-    std::vector<std::string> reasons;
-    bool whole = false;
-    bool wrong = false;
-};
-
-// One run at a backend server, from its own log.
-struct run_record {
-    std::string service;
-    std::string nonce;
-    std::string attempt;
-    // After the start of the load.
-    std::chrono::milliseconds start { 0 };
-    std::chrono::milliseconds length { 0 };
-    std::string outcome;
-};
-
 // A time of the load, after its start.
 struct time_window {
     std::chrono::milliseconds begin { 0 };
@@ -64,6 +40,8 @@
     double offered = 0;
     std::vector<time_window> surges;
     std::chrono::milliseconds length { 0 };
+    // When the load began, on the clock of the run logs.
+    std::chrono::system_clock::time_point started;
     std::vector<request_record> requests;
     std::vector<run_record> runs;
 };
--- a/Tests/Measure/scenario_report.cpp
+++ b/Tests/Measure/scenario_report.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
-#include <set>
+#include <stdexcept>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -44,12 +44,6 @@
         return total;
     }
 
-    // Whether a run did work, and was not dropped from the server's own queue.
-    bool didWork(const run_record& run)
-    {
-        return run.outcome != "shed" && run.outcome != "dropped";
-    }
-
     double percentile(std::vector<double> values, double part)
     {
         if (values.empty()) {
@@ -59,44 +53,46 @@
         return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
     }
 
-    // Runs at the service where the request enters, by nonce.
-    std::unordered_map<std::string, std::size_t> entryRuns(const scenario_run& run)
+    const request_plan& planOf(const scenario& what, const request_record& request)
     {
-        std::unordered_map<std::string, const request_plan*> plans;
-        for (const auto& request : run.requests) {
-            plans[request.nonce] = request.plan;
-        }
-        std::unordered_map<std::string, std::size_t> counts;
-        for (const auto& each : run.runs) {
-            auto plan = plans.find(each.nonce);
-            if (plan != plans.end() && plan->second->service == each.service && didWork(each)) {
-                ++counts[each.nonce];
+        for (const auto& plan : what.plan.requests) {
+            if (plan.name == request.name) {
+                return plan;
             }
         }
-        return counts;
+        throw std::runtime_error("the plan has no request " + request.name);
+    }
+
+    std::vector<request_promise> promises(const mesh_plan& plan)
+    {
+        std::vector<request_promise> result;
+        for (const auto& request : plan.requests) {
+            result.push_back({ request.name, request.service, request.idempotent });
+        }
+        return result;
     }
 
     // Confirmed requests that were shed while something lesser began to run within
     // the window; without the time of each refusal the whole life of the request
     // counts, which can only count too many.
-    std::size_t orderViolations(const scenario_run& run)
+    std::size_t orderViolations(const scenario& what, const scenario_run& run)
     {
         std::unordered_map<std::string, bool> isLesser;
         for (const auto& request : run.requests) {
-            isLesser[request.nonce] = request.plan->importance != "confirmed";
+            isLesser[request.nonce] = planOf(what, request).importance != "confirmed";
         }
         std::vector<milliseconds> lesserStarts;
         for (const auto& each : run.runs) {
             auto lesser = isLesser.find(each.nonce);
-            if (lesser != isLesser.end() && lesser->second && didWork(each)) {
-                lesserStarts.push_back(each.start);
+            if (lesser != isLesser.end() && lesser->second && each.didWork()) {
+                lesserStarts.push_back(std::chrono::duration_cast<milliseconds>(each.start - run.started));
             }
         }
         std::sort(lesserStarts.begin(), lesserStarts.end());
         std::size_t count = 0;
         for (const auto& request : run.requests) {
             bool shed = std::any_of(request.reasons.begin(), request.reasons.end(), isShed);
-            if (request.plan->importance != "confirmed" || !shed) {
+            if (planOf(what, request).importance != "confirmed" || !shed) {
                 continue;
             }
             auto begin = std::lower_bound(lesserStarts.begin(), lesserStarts.end(), request.sent - orderWindow);
@@ -165,34 +161,25 @@
     std::map<std::string, tally> byImportance;
     std::map<std::string, std::size_t> verdicts;
     std::vector<double> latencies;
-    std::size_t wrong = 0;
-    std::size_t falseNotRun = 0;
-    std::size_t doubleRuns = 0;
-    auto runs = entryRuns(run);
+    auto audit = auditRuns(promises(what.plan), run.requests, run.runs);
     for (const auto& request : run.requests) {
-        auto found = runs.find(request.nonce);
-        auto count = found == runs.end() ? 0 : found->second;
-        doubleRuns += !request.plan->idempotent && count > 1 ? 1 : 0;
-        bool toldNotRun = !request.verdicts.empty() && request.verdicts.back() == "not_run";
-        falseNotRun += toldNotRun && count > 0 ? 1 : 0;
-        wrong += request.wrong ? 1 : 0;
         auto last = request.verdicts.empty() || request.verdicts.back().empty() ? "none" : request.verdicts.back();
         ++verdicts[last];
         if (!inSurge(run, request.sent)) {
             continue;
         }
-        auto& mine = byImportance[request.plan->importance];
+        auto& mine = byImportance[planOf(what, request).importance];
         ++mine.offered;
         mine.whole += request.whole ? 1 : 0;
-        mine.refused += !request.whole && toldNotRun ? 1 : 0;
+        mine.refused += !request.whole && request.toldNotRun() ? 1 : 0;
         if (request.whole) {
             latencies.push_back(static_cast<double>(request.latency.count()));
         }
     }
     // A call's attempts are numbered by the node that makes them.
-    std::size_t retriesMax = 0;
+    unsigned long retriesMax = 0;
     for (const auto& each : run.runs) {
-        retriesMax = std::max(retriesMax, std::stoul("0" + each.attempt));
+        retriesMax = std::max(retriesMax, each.attempt);
     }
 
     Json::Value report;
@@ -215,12 +202,12 @@
     for (const auto& [verdict, count] : verdicts) {
         report["verdicts"][verdict] = Json::UInt64(count);
     }
-    report["order_violations"] = Json::UInt64(orderViolations(run));
+    report["order_violations"] = Json::UInt64(orderViolations(what, run));
     report["retries_max"] = Json::UInt64(retriesMax > 0 ? retriesMax - 1 : 0);
     report["retries_bound"] = what.plan.retries;
-    report["double_runs"] = Json::UInt64(doubleRuns);
-    report["false_not_run"] = Json::UInt64(falseNotRun);
-    report["wrong_answers"] = Json::UInt64(wrong);
+    report["double_runs"] = Json::UInt64(audit.doubleRuns);
+    report["false_not_run"] = Json::UInt64(audit.falseNotRun);
+    report["wrong_answers"] = Json::UInt64(audit.wrongAnswers);
     report["wasted_share"] = wastedShare(run);
     report["recovery_seconds"] = recoverySeconds(run);
     report["latency_ms"]["p50"] = percentile(latencies, 0.5);
