Spread contracts from a few watchers by gossip, and apply them truthfully

Cause: every node polled the store twice a second for every contract, so that the store's calls grew with the fleet, and no command put a contract in force.

Ruled out: a watch from every node (6,700 waiting watches, each counted as a call); pushing whole contracts by gossip datagrams, which have 1,400 bytes. Two nodes a zone watch; a revision travels with each datagram, and whoever lacks it fetches the difference from the one who told it. Reading back after a lost answer: the write may still land later; sending the same compare-and-swap again settles it.

--- a/Source/command/contract_command.cpp
+++ b/Source/command/contract_command.cpp
@@ -1,17 +1,25 @@
 #include "command/contract_command.h"
 
 #include "command/command_line.h"
+#include "command/contract_apply.h"
 #include "command/contract_check.h"
 #include "command/contract_explain.h"
+#include "command/contract_read.h"
+#include "command/contract_status.h"
 
 namespace vanillashunt {
 
 namespace {
 
-    constexpr const char* help = R"(usage: vanillashunt contract check|explain ...
+    constexpr const char* help = R"(usage: vanillashunt contract check|explain|apply|get|list|diff|status ...
 
   check FILE ...     checks contract files
   explain FILE ...   shows how limits follow from contract files
+  apply FILE         puts a contract in force
+  get CUSTOMER       prints the contract that stands
+  list               lists the contracts that stand
+  diff FILE          shows what a file would change
+  status REVISION    shows where a revision is in force
 
 'vanillashunt contract check --help' and so on tell more.
 )";
@@ -21,6 +29,11 @@
         return {
             contractCheck(),
             contractExplain(),
+            contractApply(),
+            contractGet(),
+            contractList(),
+            contractDiff(),
+            contractStatus(),
         };
     }
 
--- a/Source/command/contract_files.cpp
+++ b/Source/command/contract_files.cpp
@@ -9,6 +9,21 @@
 
 namespace vanillashunt {
 
+namespace {
+
+    // Two contracts of one customer can't both be in force.
+    bool isTwice(const command& self, const contract_file& file, const std::vector<contract_file>& others)
+    {
+        auto found = std::find_if(others.begin(), others.end(), [&](const contract_file& other) { return other.terms.customer == file.terms.customer; });
+        if (found == others.end()) {
+            return false;
+        }
+        reportError(self, "'" + found->fileName + "' and '" + file.fileName + "' are both of customer '" + file.terms.customer + "'; name one of them");
+        return true;
+    }
+
+}
+
 std::variant<std::vector<contract_file>, exit_code> readContractFiles(const command& self, const std::vector<std::string>& fileNames)
 {
     if (fileNames.empty()) {
@@ -28,7 +43,12 @@
             code = exit_code::Refused;
             continue;
         }
-        files.push_back({ fileName, std::move(*text), std::move(std::get<contract>(parsed)) });
+        contract_file file { fileName, std::move(*text), std::move(std::get<contract>(parsed)) };
+        if (isTwice(self, file, files)) {
+            code = exit_code::Refused;
+            continue;
+        }
+        files.push_back(std::move(file));
     }
     if (code != exit_code::Ok) {
         return code;
--- a/Source/command/contract_files.h
+++ b/Source/command/contract_files.h
@@ -20,7 +20,7 @@
 // Reads contract files; reports what is wrong with them on standard error.
 std::variant<std::vector<contract_file>, exit_code> readContractFiles(const command&, const std::vector<std::string>& fileNames);
 
-// The contracts of the files together, at revision 0; of two for one customer the later.
+// The contracts of the files together, at revision 0.
 contract_set contractSetOf(const std::vector<contract_file>&);
 
 // Reports problems on standard error, one a line.
--- /dev/null
+++ b/Source/command/contract_store.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "command/command_line.h"
+#include "contract/contract.h"
+#include "platform/store_client.h"
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace vanillashunt {
+
+// How a command reaches the platform's store.
+struct store_options {
+    // "IP:port" each.
+    std::vector<std::string> endpoints;
+    std::chrono::milliseconds timeout { 5000 };
+};
+
+// The options --store and --timeout; they are written into the argument.
+std::vector<command_option> optionsOf(store_options&);
+
+// The contracts in the platform's store, read and written by an operator's
+// command, which waits for each call.
+class contract_store {
+public:
+    explicit contract_store(store_options);
+
+    // All contracts that stand; the error says what to mend.
+    std::variant<contract_set, std::string> readAll();
+
+    // Writes a customer's contract if its last write is the one expected. The
+    // answer may be lost, and the write may have taken effect all the same.
+    store_result<store_swap> swap(const std::string& customer, std::int64_t expectedRevision, const std::string& text);
+
+private:
+    store_options m_options;
+};
+
+}
--- a/Source/command/program.cpp
+++ b/Source/command/program.cpp
@@ -66,13 +66,17 @@
                      "Exit codes: 0 done, 2 wrong usage, 3 refused, 4 not known, 5 unreachable.\n";
     }
 
-    exit_code runHelp(const command&, const command_arguments& arguments)
+    exit_code runHelp(const command& self, const command_arguments& arguments)
     {
-        if (arguments.empty()) {
+        auto read = readCommandLine(self, arguments, {});
+        if (auto* ended = std::get_if<exit_code>(&read)) {
+            return *ended;
+        }
+        auto words = std::get<std::vector<std::string>>(read);
+        if (words.empty()) {
             listCommands();
             return exit_code::Ok;
         }
-        auto words = arguments;
         words.push_back("--help");
         return runAny(programCommand(), words);
     }
--- /dev/null
+++ b/Source/contract/contract_book.cpp
@@ -0,0 +1,52 @@
+#include "contract/contract_book.h"
+
+#include "contract/parse_contract.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+bool contract_book::take(const contract_news& news)
+{
+    auto next = std::make_shared<contract_set>(*m_contracts);
+    bool changed = false;
+    for (const auto& entry : news.entries) {
+        auto parsed = parseContract(entry.text, "contract");
+        const auto* terms = std::get_if<contract>(&parsed);
+        if (!terms) {
+            ++m_unreadable;
+            continue;
+        }
+        auto& known = next->byCustomer[terms->customer];
+        if (entry.revision <= known.revision) {
+            continue;
+        }
+        known = { *terms, entry.text, entry.revision };
+        changed = true;
+    }
+    // News that begin after what is known here may leave a gap, which the
+    // revision must not hide from those who ask for what they lack.
+    if (news.since <= m_contracts->revision && news.revision > m_contracts->revision) {
+        next->revision = news.revision;
+        changed = true;
+    }
+    if (changed) {
+        m_contracts = next;
+    }
+    return changed;
+}
+
+contract_news contract_book::newsSince(std::int64_t revision) const
+{
+    contract_news news;
+    news.since = revision;
+    news.revision = m_contracts->revision;
+    for (const auto& [customer, stored] : m_contracts->byCustomer) {
+        if (stored.revision > revision) {
+            news.entries.push_back({ stored.text, stored.revision });
+        }
+    }
+    return news;
+}
+
+}
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -60,6 +60,8 @@
         void stepStop();
         void printReady() const;
         operator_hooks operatorHooks();
+        membership_hooks membershipHooks();
+        configuration_hooks configurationHooks();
         void collectState(state_receiver);
         void collectMetrics(const std::function<void(std::string)>& receiver);
         void setGauges(const Json::Value& calls);
@@ -86,6 +88,8 @@
         std::unique_ptr<store_client> m_store;
         std::unique_ptr<claim_store> m_claims;
         std::unique_ptr<membership_service> m_membership;
+        std::unique_ptr<http_client> m_controlClient;
+        std::unique_ptr<peer_rpc> m_peerRpc;
         std::unique_ptr<configuration_service> m_configuration;
         std::unique_ptr<http_server> m_callerServer;
         std::unique_ptr<backend_port> m_backendPort;
@@ -142,15 +146,12 @@
         m_calls = m_system->spawn<call_actor, caf::lazy_init>(parts);
 
         m_membership = std::make_unique<membership_service>(*m_host, m_context, *m_store, settings.joinAddresses,
-            membership_hooks { [this](member_list members) {
-                m_members = members;
-                m_host->send(m_calls, members_changed { std::move(members) });
-            } });
-        m_configuration = std::make_unique<configuration_service>(m_context, *m_store,
-            configuration_hooks { [this](contract_snapshot contracts) {
-                logEvent(events::contractsChanged, { { "revision", std::to_string(contracts->revision) } });
-                m_host->send(m_calls, contracts_changed { std::move(contracts) });
-            } });
+            membershipHooks());
+        m_controlClient = std::make_unique<http_client>(m_context, clientSettings);
+        m_peerRpc = std::make_unique<peer_rpc>(*m_controlClient);
+        m_configuration = std::make_unique<configuration_service>(m_context, *m_store, *m_peerRpc,
+            configuration_settings { settings.platformEndpoints, settings.outgoingAddress, settings.availabilityZone, m_incarnation },
+            configurationHooks());
 
         http_server_limits callerLimits;
         callerLimits.maxBodyBytes = settings.maxBodyBytes;
@@ -174,6 +175,31 @@
         m_self.operatorAddress = advertised(settings.operators, m_operatorPort->address());
     }
 
+    membership_hooks node_process::membershipHooks()
+    {
+        membership_hooks hooks;
+        hooks.membersChanged = [this](const member_list& members) {
+            m_members = members;
+            m_configuration->setMembers(members);
+            m_host->send(m_calls, members_changed { members });
+        };
+        hooks.ownRevision = [this] { return m_configuration->revision(); };
+        hooks.peerRevision = [this](const member& peer, std::int64_t revision) { m_configuration->peerRevision(peer, revision); };
+        return hooks;
+    }
+
+    configuration_hooks node_process::configurationHooks()
+    {
+        configuration_hooks hooks;
+        hooks.contractsChanged = [this](const contract_snapshot& contracts) {
+            logEvent(events::contractsChanged, { { "revision", std::to_string(contracts->revision) } });
+            m_host->send(m_calls, contracts_changed { contracts });
+            m_membership->spreadSoon();
+        };
+        hooks.chance = [this](std::uint64_t bound) { return m_random() % bound; };
+        return hooks;
+    }
+
     // Where any free port will do, it has to be free for gossip over UDP too.
     void node_process::bindPeerPort()
     {
@@ -318,6 +344,7 @@
         operator_hooks hooks;
         hooks.collectState = [this](state_receiver receiver) { collectState(std::move(receiver)); };
         hooks.collectMetrics = [this](const std::function<void(std::string)>& receiver) { collectMetrics(receiver); };
+        hooks.contractsSince = [this](std::int64_t revision) { return m_configuration->newsSince(revision); };
         hooks.announceStop = [this](const Json::Value&) { return announceStop(); };
         hooks.withdrawStop = [this](const Json::Value&) { return withdrawStop(); };
         hooks.explain = [this](const std::string& requestId) { return explain(requestId); };
@@ -330,6 +357,7 @@
             auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
             auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, m_configuration->contracts() }, calls);
             state["peers"] = dumpPeers();
+            state["configuration"] = m_configuration->dump();
             m_membership->dump([state, receiver](const Json::Value& membership) {
                 auto whole = state;
                 whole["membership"] = membership;
--- a/Tests/Harness/child_process.cpp
+++ b/Tests/Harness/child_process.cpp
@@ -50,6 +50,7 @@
         throw std::runtime_error("cannot start " + command.at(0) + ": no pipe: " + std::strerror(errno));
     }
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto& word : command) {
         arguments.push_back(const_cast<char*>(word.c_str()));
     }
--- a/Tests/Harness/http_client.cpp
+++ b/Tests/Harness/http_client.cpp
@@ -11,7 +11,7 @@
 
     namespace http = boost::beast::http;
 
-    constexpr std::uint64_t largestBody = 64 * 1024 * 1024;
+    constexpr std::uint64_t largestBody = 64ULL * 1024 * 1024;
 
     // One request under way.
     class exchange {
--- a/Tests/StandIn/announcement.cpp
+++ b/Tests/StandIn/announcement.cpp
@@ -10,7 +10,7 @@
 
 }
 
-announcement::announcement(boost::asio::io_context& io, std::shared_ptr<http_caller> caller, const std::string& node, Json::Value body)
+announcement::announcement(boost::asio::io_context& io, std::shared_ptr<http_caller> caller, const std::string& node, const Json::Value& body)
     : m_io(io)
     , m_caller(std::move(caller))
     , m_body(toLine(body))
--- a/Tests/StandIn/announcement.h
+++ b/Tests/StandIn/announcement.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace vanillashunt {
 
@@ -13,7 +15,7 @@
 class announcement {
 public:
     // An empty node address announces nothing.
-    announcement(boost::asio::io_context&, std::shared_ptr<http_caller>, const std::string& node, Json::Value body);
+    announcement(boost::asio::io_context&, std::shared_ptr<http_caller>, const std::string& node, const Json::Value& body);
 
     // Announces until it is told to drain or withdraw.
     void start();
--- a/Tests/StandIn/command_line.cpp
+++ b/Tests/StandIn/command_line.cpp
@@ -35,6 +35,7 @@
 void parseOptions(int argc, char** argv, const std::vector<command_option>& options)
 {
     std::vector<::option> table;
+    table.reserve(options.size() + 1);
     for (const auto& each : options) {
         table.push_back({ each.name.c_str(), each.isFlag ? no_argument : required_argument, nullptr, 0 });
     }
--- a/Tests/StandIn/http_types.h
+++ b/Tests/StandIn/http_types.h
@@ -9,6 +9,6 @@
 using http_response = http::response<http::string_body>;
 
 // Largest body that a stand-in reads, in bytes.
-constexpr std::uint64_t largestBody = 64 * 1024 * 1024;
+constexpr std::uint64_t largestBody = 64ULL * 1024 * 1024;
 
 }
--- a/Tests/StandIn/relay_pipe.cpp
+++ b/Tests/StandIn/relay_pipe.cpp
@@ -10,13 +10,12 @@
 namespace {
 
     // Bytes that wait in a pipe before it stops reading.
-    constexpr std::size_t mostWaitingBytes = 1024 * 1024;
+    constexpr std::size_t mostWaitingBytes = 1024UL * 1024;
 
 }
 
 relay_pipe::relay_pipe(boost::asio::io_context& io, socket& source, socket& sink, pipe_hooks hooks)
-    : m_io(io)
-    , m_source(source)
+    : m_source(source)
     , m_sink(sink)
     , m_hooks(std::move(hooks))
     , m_timer(io)
--- a/Tests/StandIn/relay_pipe.h
+++ b/Tests/StandIn/relay_pipe.h
@@ -80,7 +80,6 @@
     void pump();
     void write();
 
-    boost::asio::io_context& m_io;
     socket& m_source;
     socket& m_sink;
     pipe_hooks m_hooks;
