Know the members by gossip, and keep the store's calls flat

Cause: every node read every member from the store twice a second; at 6,700 nodes the store would have carried 26,800 calls a second.

Ruled out: one SWIM over the whole fleet, because a cut between regions makes each side suspect thousands one by one; heartbeats to the store, because its rates do not grow with the fleet. Each zone probes its own members, reachability of a zone is kept apart from its members' death, three seeds a zone hold addresses only.

That 6,700 nodes stay at these rates is worked out, not run.

--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -12,7 +12,7 @@
 
     // A snapshot of many members takes longer, and is made less often.
     constexpr std::chrono::milliseconds publishPeriod { 20 };
-    constexpr std::size_t membersPerMillisecond = 50;
+    constexpr std::size_t membersPerMillisecond = 15;
 
     std::chrono::steady_clock::time_point currentTime()
     {
@@ -52,6 +52,7 @@
         m_parts.host->send(caf::actor_cast<caf::actor>(this), seeds_read { std::move(addresses) });
     };
     hooks.random = [this](std::uint64_t bound) { return m_random() % bound; };
+    hooks.now = currentTime;
     return hooks;
 }
 
--- a/Source/node/seed_keeper.cpp
+++ b/Source/node/seed_keeper.cpp
@@ -47,16 +47,16 @@
     if (m_calling || now < m_nextRead || !(first || duty.alone || duty.number)) {
         return;
     }
-    read(now);
+    read();
 }
 
-void seed_keeper::read(time_point)
+void seed_keeper::read()
 {
     m_calling = true;
     ++m_counts.reads;
     m_store.rangePrefix(seedPrefix, callTimeout, [this](const store_result<store_range>& result) {
         m_calling = false;
-        auto now = std::chrono::steady_clock::now();
+        auto now = m_hooks.now();
         if (const auto* range = std::get_if<store_range>(&result)) {
             seedsArrived(*range, now);
         } else {
@@ -106,7 +106,7 @@
         m_calling = false;
         const auto* swap = std::get_if<store_swap>(&result);
         if (!swap) {
-            callFailed(std::chrono::steady_clock::now());
+            callFailed(m_hooks.now());
             return;
         }
         if (!swap->succeeded && !swap->standing.empty()) {
--- a/Source/node/seed_keeper.h
+++ b/Source/node/seed_keeper.h
@@ -22,6 +22,8 @@
 struct seed_keeper_hooks {
     std::function<void(std::vector<std::string> addresses)> seedsRead;
     std::function<std::uint64_t(std::uint64_t bound)> random;
+    // When an answer of the store arrives.
+    std::function<std::chrono::steady_clock::time_point()> now;
 };
 
 struct seed_keeper_counts {
@@ -42,10 +44,13 @@
 
     void tick(const seed_duty&, time_point now);
 
+    // Whether a call to the store is under way.
+    bool calling() const { return m_calling; }
+
     const seed_keeper_counts& counts() const { return m_counts; }
 
 private:
-    void read(time_point now);
+    void read();
     void seedsArrived(const store_range&, time_point now);
     void keepOwn(const store_range&);
     void write(const std::string& key, std::int64_t expectedRevision);
--- a/Source/peer/gossip_codec.cpp
+++ b/Source/peer/gossip_codec.cpp
@@ -92,7 +92,7 @@
         auto zoneCount = static_cast<std::uint16_t>(message.zones.size());
         auto updateCount = static_cast<std::uint16_t>(message.updates.size());
         bool written = !sink(zoneCount, updateCount);
-        for (auto zone : message.zones) {
+        for (const auto& zone : message.zones) {
             written = written && !sink(zone.availabilityZone, zone.hash);
         }
         for (const auto& update : message.updates) {
--- /dev/null
+++ b/Tests/SeedKeeping/seed_keeping_test.cpp
@@ -0,0 +1,111 @@
+#include "Harness/stand_in.h"
+#include "node/seed_keeper.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+
+    constexpr int fleetSize = 20;
+    constexpr milliseconds tickPeriod { 250 };
+
+    // A zone's seed keepers in one process, on a clock of the test's own.
+    class keeper_fleet {
+    public:
+        explicit keeper_fleet(const std::string& storeAddress)
+            : m_store(m_context, { storeAddress }, {})
+        {
+            for (int number = 0; number < fleetSize; ++number) {
+                seed_keeper_hooks hooks;
+                hooks.seedsRead = [this](const std::vector<std::string>& addresses) { seen = addresses; };
+                hooks.random = [this](std::uint64_t bound) { return m_random() % bound; };
+                hooks.now = [this] { return m_now; };
+                keepers.push_back(std::make_unique<seed_keeper>(m_store, "bangsar", "192.0.2." + std::to_string(number) + ":7002", hooks));
+            }
+        }
+
+        void run(milliseconds time, std::size_t nodesWithDuty, bool alone)
+        {
+            for (auto end = m_now + time; m_now < end; m_now += tickPeriod) {
+                for (std::size_t number = 0; number < keepers.size(); ++number) {
+                    seed_duty duty;
+                    duty.number = number < nodesWithDuty ? std::optional<std::size_t>(number) : std::nullopt;
+                    duty.alone = alone;
+                    keepers[number]->tick(duty, m_now);
+                }
+                // All answers arrive before the clock goes on.
+                while (std::any_of(keepers.begin(), keepers.end(), [](const auto& keeper) { return keeper->calling(); })) {
+                    m_context.run_one();
+                }
+            }
+        }
+
+        seed_keeper_counts total() const
+        {
+            seed_keeper_counts sum;
+            for (const auto& keeper : keepers) {
+                sum.reads += keeper->counts().reads;
+                sum.writes += keeper->counts().writes;
+                sum.failures += keeper->counts().failures;
+            }
+            return sum;
+        }
+
+        std::vector<std::unique_ptr<seed_keeper>> keepers;
+        std::vector<std::string> seen;
+
+    private:
+        boost::asio::io_context m_context;
+        store_client m_store;
+        std::mt19937_64 m_random { 1 };
+        std::chrono::steady_clock::time_point m_now { std::chrono::hours(1) };
+    };
+
+}
+
+TEST(SeedKeeping, OnlyAFewNodesCallTheStoreAfterTheirStart)
+{
+    stand_in platform({ "platform" });
+    keeper_fleet fleet(platform.address());
+    fleet.run(minutes(1), 3, false);
+    EXPECT_EQ(fleet.total().writes, 3U);
+    auto before = fleet.total().reads;
+    fleet.run(minutes(10), 3, false);
+    EXPECT_EQ(fleet.seen.size(), 3U);
+    EXPECT_EQ(fleet.total().writes, 3U);
+    // Three nodes, about once a minute.
+    EXPECT_GE(fleet.total().reads - before, 3U * 6);
+    EXPECT_LE(fleet.total().reads - before, 3U * 20);
+    EXPECT_EQ(fleet.keepers.back()->counts().reads, 1U);
+    // Were it everyone's duty, the same time would show it.
+    before = fleet.total().reads;
+    fleet.run(minutes(10), fleetSize, false);
+    EXPECT_GT(fleet.total().reads - before, 3U * 20);
+}
+
+TEST(SeedKeeping, NodesCallAStoreThatIsDownEverMoreRarely)
+{
+    stand_in platform({ "platform" });
+    platform.control(R"({"down":true})");
+    keeper_fleet fleet(platform.address());
+    fleet.run(minutes(10), 1, true);
+    auto calls = fleet.total();
+    EXPECT_EQ(calls.failures, calls.reads);
+    EXPECT_EQ(calls.writes, 0U);
+    // Seven reads until the pause is a minute, then about ten more.
+    EXPECT_LE(calls.reads, fleetSize * 30U);
+    platform.control(R"({"down":false})");
+    fleet.run(minutes(3), 1, true);
+    EXPECT_EQ(fleet.total().writes, 1U);
+    EXPECT_EQ(fleet.seen.size(), 1U);
+}
+
+}
