--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -23,7 +23,7 @@
     constexpr double fullPart = 0.25;
 
     constexpr std::chrono::milliseconds leastRetryAfter { 100 };
-    constexpr std::chrono::milliseconds mostRetryAfter { 3000 };
+    constexpr std::chrono::milliseconds mostRetryAfter { 1000 };
     // Time over which refusals are counted.
     constexpr std::chrono::duration<double> refusalMemory { 1 };
 
@@ -176,11 +176,12 @@
 verdict_reason admission_gate::overloadReason(const waiting_call& call) const
 {
     auto level = static_cast<importance>(call.position / positionsPerImportance);
-    auto own = m_waiting.load(level, call.customer, 1);
-    bool overShare = m_waiting.othersWait(level, call.customer) && own * m_shares.share(call.customer) > 1
-        && m_waiting.worst(level, call.customer) != nullptr;
-    bool cutHigher = m_cut.get(call.customer) > m_cut.get() && m_waiting.othersWait(level, call.customer);
-    return overShare || cutHigher ? verdict_reason::OverShare : verdict_reason::Overload;
+    if (!m_waiting.othersWait(level, call.customer)) {
+        return verdict_reason::Overload;
+    }
+    bool waitsForMore = m_waiting.load(level, call.customer, 0) > m_waiting.meanLoad(level);
+    bool cutHigher = m_cut.get(call.customer) > m_cut.get();
+    return waitsForMore || cutHigher ? verdict_reason::OverShare : verdict_reason::Overload;
 }
 
 bool admission_gate::mayRefuse(const waiting_call& call, std::chrono::steady_clock::time_point now) const
--- a/Source/decision/concurrency_limit.cpp
+++ b/Source/decision/concurrency_limit.cpp
@@ -9,13 +9,17 @@
     constexpr std::chrono::milliseconds windowLength { 100 };
     // A window is closed when it holds this many calls for each call of the limit, at least.
     constexpr double callsPerLimit = 4;
+    // More of them, where the decision is whether a trial helped.
+    constexpr double callsPerTrial = 10;
     constexpr std::uint32_t leastCalls = 30;
 
     // A mean above this multiple of the baseline is slow.
     constexpr double slowRatio = 1.6;
+    // The first slow window may be a mixture of before and after a change.
+    constexpr int slowWindowsBeforeTrial = 2;
     constexpr double trialFactor = 0.75;
     // Lowering the limit helped if the mean fell below this part of what it was.
-    constexpr double helpedRatio = 0.9;
+    constexpr double helpedRatio = 0.92;
     constexpr double refusalFactor = 0.8;
     // Part of a window's calls above which refusals by the backend server count.
     constexpr double refusalShare = 0.02;
@@ -23,8 +27,8 @@
     constexpr double latencyFloor = 0.25;
     constexpr double raisePart = 1.0 / 16;
     constexpr double busyPart = 0.75;
+    // Weight of a faster window; the baseline rises only by a trial that did not help.
     constexpr double baselineFall = 0.5;
-    constexpr double baselineRise = 0.02;
 
     // Part of the slots that a server takes at the beginning of its cold start.
     constexpr double coldPart = 0.1;
@@ -41,6 +45,7 @@
         m_announced = now;
         m_baseline = 0;
         m_beforeTrial = 0;
+        m_slowWindows = 0;
         m_settling = 0;
         m_limit = slots;
         m_window = {};
@@ -93,7 +98,7 @@
         ++m_window.calls;
         m_window.total += duration;
     }
-    auto wanted = std::max<double>(leastCalls, callsPerLimit * m_limit);
+    auto wanted = std::max<double>(leastCalls, (m_beforeTrial > 0 ? callsPerTrial : callsPerLimit) * m_limit);
     if (now >= m_window.end && m_window.calls + m_window.refusals >= wanted) {
         closeWindow(now);
     }
@@ -136,12 +141,18 @@
         m_baseline = mean;
     }
     if (mean > slowRatio * m_baseline) {
+        ++m_slowWindows;
+        if (m_slowWindows < slowWindowsBeforeTrial) {
+            return;
+        }
+        m_slowWindows = 0;
         m_beforeTrial = mean;
         m_limitBeforeTrial = m_limit;
         lower(trialFactor, latencyFloor);
         return;
     }
-    m_baseline += (mean - m_baseline) * (mean < m_baseline ? baselineFall : baselineRise);
+    m_slowWindows = 0;
+    m_baseline += baselineFall * std::min(0.0, mean - m_baseline);
     raise();
 }
 
--- a/Source/decision/concurrency_limit.h
+++ b/Source/decision/concurrency_limit.h
@@ -50,6 +50,7 @@
     // The mean duration before the limit was lowered to see whether it helps; 0 for no trial.
     double m_beforeTrial = 0;
     double m_limitBeforeTrial = 0;
+    int m_slowWindows = 0;
     // Calls still to end that began before the limit was lowered; they tell nothing of it.
     std::uint32_t m_settling = 0;
     window m_window;
--- a/Source/decision/cut_memory.cpp
+++ b/Source/decision/cut_memory.cpp
@@ -6,15 +6,12 @@
 
 namespace {
 
-    // Weight of one answer's cut.
-    constexpr double newsWeight = 0.25;
-
     // News counts in full for this long, and for half as much after each half-life.
     constexpr std::chrono::milliseconds fresh { 200 };
     constexpr std::chrono::duration<double> halfLife { 0.1 };
     constexpr std::chrono::milliseconds forgotten { 2000 };
 
-    // A mean below this is taken for no cut.
+    // A faded cut below this is taken for none.
     constexpr double leastCut = 32;
 
     constexpr std::size_t kindBound = 4096;
@@ -29,9 +26,8 @@
             return;
         }
     }
-    auto faded = get(kind, now);
     auto& entry = m_entries[kind];
-    entry.cut = faded.cut + newsWeight * (static_cast<double>(news.cut) - faded.cut);
+    entry.cut = news.cut;
     entry.retryAfter = news.retryAfter.count() > 0 ? news.retryAfter : entry.retryAfter;
     entry.learned = now;
 }
--- a/Source/decision/cut_memory.h
+++ b/Source/decision/cut_memory.h
@@ -16,9 +16,9 @@
     std::chrono::milliseconds retryAfter { 0 };
 };
 
-// What an entrance remembers of the cuts that came back with answers. Servers of
-// one service differ, so a cut is a moving mean over the answers; without news
-// it fades.
+// What an entrance remembers of the cuts that came back with answers. The last
+// answer counts: where the servers of a service differ, requests are refused in
+// the proportion in which the servers would. Without news a cut fades.
 class cut_memory {
 public:
     void learn(const std::string& kind, const remembered_cut&, std::chrono::steady_clock::time_point now);
--- a/Source/decision/shedding_cut.cpp
+++ b/Source/decision/shedding_cut.cpp
@@ -11,9 +11,6 @@
     // Rates below this many calls in a second are taken for none.
     constexpr float leastRate = 0.05F;
 
-    // Part of what a node carries that it is given under overload, so that what
-    // waits can drain meanwhile.
-    constexpr double headroom = 0.97;
     // The budget's growth in a window without overload.
     constexpr double budgetGrowth = 1.1;
     // What no node ends in a second.
@@ -114,9 +111,8 @@
 
 void shedding_cut::moveCut(const gate_window& seen)
 {
-    auto carried = seen.drainRate * headroom;
     if (seen.overloaded) {
-        m_budget = carried;
+        m_budget = seen.drainRate;
         m_step = firstStep;
         auto target = positionFor(m_total, m_budget, 0, bucketCount, positionsPerBucket);
         m_cut = std::min(highestCut, std::max(m_cut, target));
@@ -125,7 +121,7 @@
     if (!m_opens) {
         return;
     }
-    m_budget = std::min(highestBudget, std::max(carried, m_budget * budgetGrowth));
+    m_budget = std::min(highestBudget, std::max(seen.drainRate, m_budget * budgetGrowth));
     fall(m_cut, positionFor(m_total, m_budget, 0, bucketCount, positionsPerBucket));
     m_step = std::clamp(2 * m_step, firstStep, longestStep);
 }
--- a/Source/decision/waiting_calls.cpp
+++ b/Source/decision/waiting_calls.cpp
@@ -72,6 +72,12 @@
 }
 
 std::optional<waiting_call> waiting_calls::remove(std::uint64_t callId)
+{
+    return remove(callId, 0);
+}
+
+// Charges the customer for so many turns.
+std::optional<waiting_call> waiting_calls::remove(std::uint64_t callId, double turns)
 {
     auto node = m_byId.extract(callId);
     if (!node) {
@@ -79,8 +85,10 @@
     }
     const auto& call = node.mapped();
     auto& level = levelOf(call.position);
+    auto& queue = level.customers.at(call.customer);
     unrank(level, call.customer);
-    level.customers.at(call.customer).calls.erase(call);
+    queue.calls.erase(call);
+    queue.turn += turns / m_shares.share(call.customer);
     rank(level, call.customer);
     --level.size;
     m_byDeadline.erase({ call.deadline, callId });
@@ -102,12 +110,8 @@
 {
     auto call = *next();
     auto& level = levelOf(call.position);
-    auto& queue = level.customers.at(call.customer);
-    unrank(level, call.customer);
-    level.virtualTime = queue.turn;
-    queue.turn += 1 / m_shares.share(call.customer);
-    rank(level, call.customer);
-    remove(call.callId);
+    level.virtualTime = level.customers.at(call.customer).turn;
+    remove(call.callId, 1);
     return call;
 }
 
@@ -140,6 +144,12 @@
     return static_cast<double>(count) / m_shares.share(customer);
 }
 
+double waiting_calls::meanLoad(importance level) const
+{
+    const auto& queue = m_levels[static_cast<std::size_t>(level)];
+    return queue.size == 0 ? 0 : static_cast<double>(queue.size) / queue.waitingShares;
+}
+
 bool waiting_calls::othersWait(importance level, customer_index customer) const
 {
     const auto& waiting = m_levels[static_cast<std::size_t>(level)].byLoad;
--- a/Source/decision/waiting_calls.h
+++ b/Source/decision/waiting_calls.h
@@ -58,6 +58,9 @@
     // How often the customer's calls of this importance, and one more, fill its share.
     double load(importance, customer_index, std::size_t more) const;
 
+    // The same for all customers that have calls of this importance waiting.
+    double meanLoad(importance) const;
+
     // Whether calls of another customer wait at the same importance.
     bool othersWait(importance, customer_index) const;
 
@@ -112,6 +115,7 @@
     };
 
     level_queue& levelOf(shedding_position);
+    std::optional<waiting_call> remove(std::uint64_t callId, double turns);
     void rank(level_queue&, customer_index);
     void unrank(level_queue&, customer_index);
 
--- /dev/null
+++ b/Tests/AdmissionHolds/gate_run.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "decision/admission_gate.h"
+
+#include <chrono>
+#include <cstdint>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillashunt {
+
+using test_time = std::chrono::steady_clock::time_point;
+
+// A stretch of random arrivals.
+struct load_phase {
+    std::chrono::milliseconds length { 0 };
+    // Arrivals in multiples of what the slots can carry.
+    double load = 1;
+    // Parts of the arrivals that are confirmed and interactive.
+    double confirmed = 0.2;
+    double interactive = 0.3;
+    // Part of the arrivals that is customer "big"'s; the others are "small"'s.
+    double big = 0.5;
+};
+
+// What became of one call.
+struct call_record {
+    shedding_position position = 0;
+    std::string customer;
+    test_time arrived;
+    // Each outcome that the gate gave: when it ran, or why it did not.
+    std::vector<test_time> runs;
+    std::vector<verdict_reason> refusals;
+    test_time ended;
+};
+
+// Drives one gate with random arrivals and a backend server that does what it
+// is given in the time that was drawn for each call, on a clock of its own.
+class gate_run {
+public:
+    static constexpr std::uint32_t slots = 8;
+    static constexpr std::chrono::microseconds meanService { 5000 };
+
+    gate_run(const admission_settings&, std::uint32_t seed);
+
+    void run(const load_phase&);
+
+    // Lets everything that is in progress come to its end.
+    void settle();
+
+    test_time now() const { return m_now; }
+    admission_gate& gate() { return m_gate; }
+    const std::vector<call_record>& calls() const { return m_calls; }
+    // Moments at which more calls ran than there are slots.
+    int overSlots() const { return m_overSlots; }
+    // Moments at which a slot was free while a call waited that might have had it.
+    int idleWhileWaiting() const { return m_idleWhileWaiting; }
+
+private:
+    struct running_end {
+        test_time end;
+        std::uint64_t callId;
+        bool operator<(const running_end& other) const { return end > other.end; }
+    };
+
+    void advanceTo(test_time);
+    void arrive(const load_phase&);
+    void decided(std::uint64_t callId, const admission_decision&);
+    void release();
+    double uniform() { return std::uniform_real_distribution<double>()(m_random); }
+
+    std::mt19937 m_random;
+    admission_gate m_gate;
+    test_time m_now { std::chrono::hours(1) };
+    test_time m_nextTick { std::chrono::hours(1) };
+    std::priority_queue<running_end> m_running;
+    std::vector<call_record> m_calls;
+    test_time m_confirmedRefused;
+    int m_overSlots = 0;
+    int m_idleWhileWaiting = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/ConcurrencyLimitWeighed/concurrency_limit_test.cpp
@@ -0,0 +1,134 @@
+#include "ConcurrencyLimitWeighed/backend_model.h"
+#include "ConcurrencyLimitWeighed/gradient_limit.h"
+
+#include "decision/concurrency_limit.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <memory>
+#include <vector>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr std::uint32_t announced = 40;
+    constexpr std::uint32_t seed = 20261202;
+    constexpr model_time start { std::chrono::hours(1) };
+
+    // A stretch of time in which one thing is true of the server.
+    struct truth_phase {
+        const char* name;
+        backend_truth truth;
+        int seconds;
+    };
+
+    struct phase_result {
+        double goodput = 0;
+        std::chrono::microseconds p99 { 0 };
+        std::uint32_t limit = 0;
+        std::uint32_t refused = 0;
+    };
+
+    limit_under_test fixedLimit()
+    {
+        return { [](model_time) { return announced; }, [](auto, bool, auto, auto) {} };
+    }
+
+    limit_under_test gradientLimit()
+    {
+        auto limit = std::make_shared<gradient_limit>(announced);
+        return { [limit](model_time) { return limit->get(); },
+            [limit](auto duration, bool refused, auto inFlight, auto now) { limit->finished(duration, refused, inFlight, now); } };
+    }
+
+    limit_under_test trialLimit()
+    {
+        auto limit = std::make_shared<concurrency_limit>();
+        limit->setSlots(announced, std::chrono::milliseconds(0), start);
+        return { [limit](model_time now) { return limit->get(now); },
+            [limit](auto duration, bool refused, auto inFlight, auto now) { limit->finished(duration, refused, inFlight, now); } };
+    }
+
+    std::vector<phase_result> runPhases(const char* name, limit_under_test limit, const std::vector<truth_phase>& phases)
+    {
+        backend_model model(phases.front().truth, std::move(limit), seed);
+        std::vector<phase_result> results;
+        for (const auto& phase : phases) {
+            model.setTruth(phase.truth);
+            phase_result result;
+            for (int second = 0; second < phase.seconds; ++second) {
+                auto seen = model.runSecond();
+                result.goodput += seen.goodput / phase.seconds;
+                // The last second shows where it settles.
+                result.p99 = seen.p99;
+                result.limit = seen.limit;
+                result.refused += seen.refused;
+            }
+            std::printf("%-9s %-28s goodput %6.0f/s  p99 %4lld ms  limit %2u  refused inside %u\n", name, phase.name, result.goodput,
+                static_cast<long long>(result.p99.count() / 1000), result.limit, result.refused);
+            results.push_back(result);
+        }
+        return results;
+    }
+
+    backend_truth truth(std::uint32_t slots, int serviceMillis, std::uint32_t insideQueue = 1000000)
+    {
+        return { slots, insideQueue, std::chrono::milliseconds(serviceMillis), 0.5 };
+    }
+
+    // Every way through the same phases; the last one is the product's.
+    std::vector<phase_result> weigh(const std::vector<truth_phase>& phases)
+    {
+        runPhases("fixed", fixedLimit(), phases);
+        runPhases("gradient", gradientLimit(), phases);
+        return runPhases("trial", trialLimit(), phases);
+    }
+
+}
+
+TEST(ConcurrencyLimitWeighed, ASlowServerKeepsItsSlots)
+{
+    auto results = weigh({ { "honest", truth(40, 20), 10 }, { "three times slower", truth(40, 60), 30 }, { "well again", truth(40, 20), 10 } });
+    // 40 slots of 20 ms are 2000 calls in a second.
+    EXPECT_GT(results[0].goodput, 1900);
+    EXPECT_GT(results[1].goodput, 600);
+    EXPECT_GT(results[2].goodput, 1900);
+    EXPECT_EQ(results[2].limit, announced);
+}
+
+TEST(ConcurrencyLimitWeighed, SlotsThatAreLostAreNoticed)
+{
+    auto results = weigh({ { "honest", truth(40, 20), 10 }, { "works on 15, queues the rest", truth(15, 20), 30 }, { "well again", truth(40, 20), 10 } });
+    // 15 slots of 20 ms are 750 calls in a second; 40 in flight would take 53 ms on average.
+    EXPECT_GT(results[1].goodput, 700);
+    EXPECT_LT(results[1].limit, 30);
+    EXPECT_GT(results[2].goodput, 1800);
+    EXPECT_EQ(results[2].limit, announced);
+}
+
+TEST(ConcurrencyLimitWeighed, RefusalsByTheServerLowerTheLimit)
+{
+    auto results = weigh({ { "works on 20, refuses the rest", truth(20, 20, 0), 20 }, { "well again", truth(40, 20, 0), 10 } });
+    EXPECT_GT(results[0].goodput, 850);
+    EXPECT_LT(results[0].limit, 30);
+    EXPECT_EQ(results[1].limit, announced);
+}
+
+TEST(ConcurrencyLimitWeighed, AColdServerIsLoadedSlowly)
+{
+    concurrency_limit limit;
+    constexpr std::chrono::milliseconds coldStart { 2000 };
+    limit.setSlots(announced, coldStart, start);
+    EXPECT_EQ(limit.get(start), announced / 10);
+    limit.setSlots(announced, coldStart, start + coldStart / 2);
+    EXPECT_NEAR(limit.get(start + coldStart / 2), announced * 0.55, 1);
+    EXPECT_EQ(limit.get(start + coldStart), announced);
+    limit.setSlots(0, coldStart, start + coldStart);
+    EXPECT_EQ(limit.get(start + coldStart), 0);
+    limit.setSlots(announced, coldStart, start + 2 * coldStart);
+    EXPECT_EQ(limit.get(start + 2 * coldStart), announced / 10);
+}
+
+}
