Use a small server's slots, and spare confirmed requests from a noisy cut

Three slots end 3.75 calls in a window of 50 ms: the queue of three ran dry between calls, and the drain measured over a window put the cut of one server into the confirmed band for a moment.

Ruled out: the limit (3 throughout) and deadlines (1.9 s were left at each refusal). Retrying a full server's refusal elsewhere was not the cause, and stays, since a refusal above the cut says nothing of other servers; it has a test.

Conclusion: the queue has a floor of few calls, and the cut needs 16 windows to enter the confirmed band. The price is latency under overload.

--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -9,12 +9,21 @@
 
     // Waiting calls for each call of the limit, at most; more would wait longer
     // than they are worth.
-    constexpr std::size_t queueFactor = 2;
+    constexpr std::size_t queueFactor = 6;
+    // The same for the baseline with plain limits for each hop.
+    constexpr std::size_t hopQueueFactor = 2;
     // What the backend server ends in this time may wait.
     constexpr std::chrono::duration<double> queueTime { 0.05 };
-    // Work that waits this long during a whole window is a sign of overload.
+    // A server that ends few calls needs some in its queue all the same, or it
+    // idles between them: this many may wait, for as long as this at most.
+    constexpr double fewCalls = 12;
+    constexpr std::chrono::duration<double> longestQueueTime { 0.2 };
+    // Work that waits this long during a whole window is a sign of overload, if
+    // it is more than chance leaves behind.
     constexpr std::chrono::duration<double> standingTime { 0.005 };
 
+    constexpr double leastStanding = 2;
+
     constexpr std::chrono::milliseconds windowLength { 50 };
     constexpr double durationFade = 0.85;
     constexpr double serviceQuantile = 0.5;
@@ -78,7 +87,7 @@
     if (m_running.size() < m_limit.slots() && m_line.empty()) {
         return run(call, {});
     }
-    if (m_line.size() >= queueFactor * m_limit.slots()) {
+    if (m_line.size() >= hopQueueFactor * m_limit.slots()) {
         return refuse(verdict_reason::Overload);
     }
     m_line.push_back(call);
@@ -225,7 +234,8 @@
     if (m_drainRate <= 0) {
         return most;
     }
-    auto drained = static_cast<std::size_t>(m_drainRate * queueTime.count());
+    auto few = std::min(fewCalls, m_drainRate * longestQueueTime.count());
+    auto drained = static_cast<std::size_t>(std::max(few, m_drainRate * queueTime.count()));
     return std::clamp<std::size_t>(drained, std::max<std::size_t>(1, m_limitNow / 4), most);
 }
 
@@ -419,7 +429,7 @@
     if (m_settings.policy != admission_policy::Full) {
         return;
     }
-    bool standing = static_cast<double>(seen.leastWaiting) > m_drainRate * standingTime.count();
+    bool standing = static_cast<double>(seen.leastWaiting) > std::max(leastStanding, m_drainRate * standingTime.count());
     m_cut.closeWindow({ length, m_drainRate, seen.refusedForRoom || standing });
 }
 
--- a/Source/decision/call_progress.cpp
+++ b/Source/decision/call_progress.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-    // Whether trying again cannot help: what is shed at one server is shed at
-    // all, and time that is over does not come back.
-    bool isFinal(verdict_reason reason)
+    // Whether trying again cannot help: what is shed by its position at one server
+    // is shed at all, and time that is over does not come back. A server that had
+    // no room for a call above its cut says nothing of the others.
+    bool isFinal(verdict_reason reason, bool belowCut)
     {
         switch (reason) {
         case verdict_reason::Overload:
+            return belowCut;
         case verdict_reason::OverShare:
         case verdict_reason::DeadlinePassed:
         case verdict_reason::DeadlineTooShort:
@@ -55,6 +57,7 @@
 void call_progress::finished(const attempt_result& result)
 {
     m_last = result.outcome;
+    m_belowCut = result.belowCut;
     bool neverSent = result.outcome.reason == verdict_reason::PeerUnreachable;
     m_tokens += neverSent ? m_tokensSent : std::min(result.tokens, m_tokensSent);
     m_tokensSent = 0;
@@ -106,7 +109,7 @@
     if (m_repeatsUse) {
         return true;
     }
-    return m_tokens > 0 && !isFinal(m_last.reason);
+    return m_tokens > 0 && !isFinal(m_last.reason, m_belowCut);
 }
 
 void call_progress::retry()
--- a/Source/decision/call_progress.h
+++ b/Source/decision/call_progress.h
@@ -31,6 +31,9 @@
     std::uint32_t tokens = 0;
     // The use of the ticket that its home would run next.
     std::uint32_t nextUse = 0;
+    // Whether the call's shedding position is below the cut that came back: then
+    // every other server sheds it too.
+    bool belowCut = false;
 };
 
 // How a call's attempts may follow each other, and what may be said of the
@@ -90,6 +93,7 @@
     permit_origin m_origin = permit_origin::Minted;
     bool m_useRepeated = false;
     bool m_repeatsUse = false;
+    bool m_belowCut = false;
     verdict m_last;
     std::vector<std::uint64_t> m_tried;
 };
--- a/Source/decision/shedding_cut.cpp
+++ b/Source/decision/shedding_cut.cpp
@@ -23,6 +23,11 @@
     constexpr shedding_position firstStep = positionsPerImportance / 64;
     constexpr shedding_position longestStep = positionsPerImportance / 2;
 
+    constexpr shedding_position firstConfirmed = positionsPerImportance * static_cast<shedding_position>(importance::Confirmed);
+    constexpr int windowsBeforeConfirmed = 16;
+    // How long the cut may come back into them after they were too many.
+    constexpr int mostConfirmedWindows = 40;
+
     // The highest positions are admitted whatever happens, or nobody would learn
     // that a backend server is well again.
     constexpr shedding_position highestCut = sheddingPositionCount - positionsPerImportance / 32;
@@ -115,9 +120,10 @@
         m_budget = seen.drainRate;
         m_step = firstStep;
         auto target = positionFor(m_total, m_budget, 0, bucketCount, positionsPerBucket);
-        m_cut = std::min(highestCut, std::max(m_cut, target));
+        m_cut = std::min(highestCut, std::max(m_cut, sparingConfirmed(target)));
         return;
     }
+    m_confirmedWindows = std::max(0, m_confirmedWindows - 1);
     if (!m_opens) {
         return;
     }
@@ -126,6 +132,19 @@
     m_step = std::clamp(2 * m_step, firstStep, longestStep);
 }
 
+// Few calls end or arrive in one window, so that a rate may be far off; the
+// queue bears that, and the cut goes into the confirmed requests only if they
+// are too many for a while.
+shedding_position shedding_cut::sparingConfirmed(shedding_position target)
+{
+    if (target <= firstConfirmed) {
+        m_confirmedWindows = std::max(0, m_confirmedWindows - 1);
+        return target;
+    }
+    m_confirmedWindows = std::min(m_confirmedWindows + 1, mostConfirmedWindows);
+    return m_confirmedWindows < windowsBeforeConfirmed ? firstConfirmed : target;
+}
+
 // What is not seen below the cut may have been held back by the nodes above,
 // so the cut falls by no more than a step.
 void shedding_cut::fall(shedding_position& cut, shedding_position target) const
--- a/Source/decision/shedding_cut.h
+++ b/Source/decision/shedding_cut.h
@@ -60,6 +60,7 @@
 
     void smooth(std::chrono::duration<double> length);
     void moveCut(const gate_window&);
+    shedding_position sparingConfirmed(shedding_position target);
     void moveCustomerCuts();
     void fall(shedding_position& cut, shedding_position target) const;
 
@@ -68,6 +69,8 @@
     rates m_total {};
     shedding_position m_cut = 0;
     shedding_position m_step = 0;
+    // Windows whose target was among confirmed requests, less those whose was not.
+    int m_confirmedWindows = 0;
     // Calls in a second that the node is taken to be able to carry.
     double m_budget = 0;
     bool m_opens = true;
--- a/Tests/AtMostOnce/at_most_once_test.cpp
+++ b/Tests/AtMostOnce/at_most_once_test.cpp
@@ -125,16 +125,16 @@
         attempt_result send(const ticket& permit, std::size_t home)
         {
             if (chance(0.1)) {
-                return { verdict::notRun(verdict_reason::PeerUnreachable), 0, 0 };
+                return { verdict::notRun(verdict_reason::PeerUnreachable), 0, 0, false };
             }
             if (chance(0.3)) {
                 m_delayed.push_back({ permit, home });
                 maybeRestart();
-                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0 };
+                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0, false };
             }
             auto result = arrive(permit, home);
             if (chance(0.3)) {
-                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0 };
+                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0, false };
             }
             return result;
         }
@@ -153,19 +153,19 @@
             case ledger_finding::Run:
                 break;
             case ledger_finding::Ran:
-                return { verdict::answered(), 1, 0 };
+                return { verdict::answered(), 1, 0, false };
             case ledger_finding::Superseded:
-                return { verdict::notRun(verdict_reason::TicketNeeded), 1, ledger.nextUse(permit.nonce) };
+                return { verdict::notRun(verdict_reason::TicketNeeded), 1, ledger.nextUse(permit.nonce), false };
             default:
-                return { verdict::mayHaveRun(verdict_reason::TicketUnknown), 1, 0 };
+                return { verdict::mayHaveRun(verdict_reason::TicketUnknown), 1, 0, false };
             }
             if (chance(0.4)) {
                 ledger.refused(permit.nonce);
-                return { verdict::notRun(verdict_reason::Draining), 1, ledger.nextUse(permit.nonce) };
+                return { verdict::notRun(verdict_reason::Draining), 1, ledger.nextUse(permit.nonce), false };
             }
             ++m_runs;
             ledger.ran(permit.nonce);
-            return { verdict::answered(), 1, 0 };
+            return { verdict::answered(), 1, 0, false };
         }
 
         void deliverSome(bool toldNotRun)
--- a/Tests/Measure/scenario_report.cpp
+++ b/Tests/Measure/scenario_report.cpp
@@ -161,6 +161,8 @@
     std::map<std::string, tally> byImportance;
     std::map<std::string, std::size_t> verdicts;
     std::vector<double> latencies;
+    // The last reason of those that were not answered, by importance.
+    std::map<std::string, std::map<std::string, std::size_t>> reasons;
     auto audit = auditRuns(promises(what.plan), run.requests, run.runs);
     for (const auto& request : run.requests) {
         auto last = request.verdicts.empty() || request.verdicts.back().empty() ? "none" : request.verdicts.back();
@@ -172,6 +174,9 @@
         ++mine.offered;
         mine.whole += request.whole ? 1 : 0;
         mine.refused += !request.whole && request.toldNotRun() ? 1 : 0;
+        if (!request.whole) {
+            ++reasons[planOf(what, request).importance][request.reasons.empty() ? "none" : request.reasons.back()];
+        }
         if (request.whole) {
             latencies.push_back(static_cast<double>(request.latency.count()));
         }
@@ -202,6 +207,11 @@
     for (const auto& [verdict, count] : verdicts) {
         report["verdicts"][verdict] = Json::UInt64(count);
     }
+    for (const auto& [importance, counts] : reasons) {
+        for (const auto& [reason, count] : counts) {
+            report["unanswered_reasons"][importance][reason.empty() ? "none" : reason] = Json::UInt64(count);
+        }
+    }
     report["order_violations"] = Json::UInt64(orderViolations(what, run));
     report["retries_max"] = Json::UInt64(retriesMax > 0 ? retriesMax - 1 : 0);
     report["retries_bound"] = what.plan.retries;
--- a/Tests/RetryTokens/retry_tokens_test.cpp
+++ b/Tests/RetryTokens/retry_tokens_test.cpp
@@ -49,11 +49,11 @@
             }
             switch (m_random() % 4) {
             case 0:
-                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0 };
+                return { verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0, false };
             case 1:
-                return { verdict::notRun(verdict_reason::BackendUnreachable), tokens, 0 };
+                return { verdict::notRun(verdict_reason::BackendUnreachable), tokens, 0, false };
             default:
-                return { verdict::answered(), tokens, 0 };
+                return { verdict::answered(), tokens, 0, false };
             }
         }
 
@@ -92,7 +92,7 @@
 {
     call_progress progress(true, 2, false);
     auto start = progress.begin(1);
-    progress.finished({ verdict::notRun(verdict_reason::BackendUnreachable), start.tokens + 100, 0 });
+    progress.finished({ verdict::notRun(verdict_reason::BackendUnreachable), start.tokens + 100, 0, false });
     EXPECT_EQ(progress.tokens(), 2U);
 }
 
@@ -100,22 +100,32 @@
 {
     call_progress lost(true, 2, false);
     lost.begin(1);
-    lost.finished({ verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0 });
+    lost.finished({ verdict::mayHaveRun(verdict_reason::AnswerLost), 0, 0, false });
     EXPECT_EQ(lost.tokens(), 1U);
     call_progress unsent(true, 2, false);
     unsent.begin(1);
-    unsent.finished({ verdict::notRun(verdict_reason::PeerUnreachable), 0, 0 });
+    unsent.finished({ verdict::notRun(verdict_reason::PeerUnreachable), 0, 0, false });
     EXPECT_EQ(unsent.tokens(), 2U);
 }
 
-TEST(RetryTokens, WhatIsShedIsNotTriedAgain)
+TEST(RetryTokens, WhatIsShedByItsPositionIsNotTriedAgain)
 {
     call_progress progress(true, 2, false);
     progress.begin(1);
-    progress.finished({ verdict::notRun(verdict_reason::Overload), 2, 0 });
+    progress.finished({ verdict::notRun(verdict_reason::Overload), 2, 0, true });
     EXPECT_FALSE(progress.mayRetry(std::chrono::steady_clock::time_point::max(), {}));
 }
 
+// Found by the measure tool: one full server of three failed confirmed replies
+// whose position was far above every cut.
+TEST(RetryTokens, WhatOneServerHadNoRoomForIsTriedAtAnother)
+{
+    call_progress progress(true, 2, false);
+    progress.begin(1);
+    progress.finished({ verdict::notRun(verdict_reason::Overload), 2, 0, false });
+    EXPECT_TRUE(progress.mayRetry(std::chrono::steady_clock::time_point::max(), {}));
+}
+
 TEST(RetryTokens, ANodeRetriesASmallPartOfItsCalls)
 {
     retry_budget budget;
