Prove contracts, cut zones and planned stops with real processes

Cause: the configuration was new and unproved, and the first proofs found faults: apply never ended (it waited for its idle connection); a node hung at its exit at random (the actor system waited for an actor whose mail stood in a stopped loop); a stopping node closed its caller port while its own server's runs still called onward; a watch began at a revision that a compacted store refuses for ever; apply said 'nothing was applied' where it could not know; an entry with revision 0 made an empty contract.

Ruled out: ending the process without the actor system, because logs and sockets end with it; longer waits in the tests, because each waits on a condition.

--- a/Source/command/contract_apply.cpp
+++ b/Source/command/contract_apply.cpp
@@ -63,18 +63,25 @@
         return exit_code::Ok;
     }
 
-    // What stands in the way after a refused swap.
-    exit_code lostRace(const command& self, const contract_file& file, const stored_contract& seen, const std::vector<store_entry>& standing)
+    // Why a contract cannot be put in force that was made from the revision seen.
+    std::string describeStanding(const contract_file& file, const stored_contract& seen, const std::vector<store_entry>& standing)
     {
         if (standing.empty()) {
-            return refuse(self, "not accepted: the contract of customer '" + file.terms.customer + "' does not stand any more; apply with --base 0");
+            return "the contract of customer '" + file.terms.customer + "' does not stand any more; apply with --base 0";
         }
-        auto parsed = parseContract(standing.front().value, "store");
-        const auto* terms = std::get_if<contract>(&parsed);
-        if (!terms) {
-            return refuse(self, "not accepted: the store holds a text that is no contract at revision " + std::to_string(standing.front().modRevision));
+        return describeLostRace(seen, readStored(standing.front()));
+    }
+
+    // What came of it if the first swap may have taken effect, and a later one did not.
+    exit_code endAfterLostAnswer(const command& self, const contract_file& file, const std::vector<store_entry>& standing, const std::string& why)
+    {
+        if (!standing.empty() && standing.front().value == file.text) {
+            return accepted(file, standing.front().modRevision);
         }
-        return refuse(self, "not accepted: " + describeLostRace(seen, { *terms, standing.front().value, standing.front().modRevision }));
+        // Somebody else wrote last, before this contract was in force or after it.
+        auto revision = standing.empty() ? "none" : std::to_string(standing.front().modRevision);
+        reportError(self, "not known: the contract was sent and no answer came (" + why + "), and another stands since: revision " + revision + "; look at 'vanillashunt contract diff', then apply again with --base");
+        return exit_code::Unknown;
     }
 
     // Swaps until an answer says what holds. After a lost answer the same swap is
@@ -98,18 +105,45 @@
             if (swap.succeeded) {
                 return accepted(file, swap.revision);
             }
-            if (mayHaveWritten && !swap.standing.empty() && swap.standing.front().value == file.text) {
-                return accepted(file, swap.standing.front().modRevision);
+            if (mayHaveWritten) {
+                return endAfterLostAnswer(self, file, swap.standing, why);
             }
-            return lostRace(self, file, seen, swap.standing);
+            return refuse(self, "not accepted: " + describeStanding(file, seen, swap.standing));
         }
         if (!mayHaveWritten) {
             return refuse(self, "not accepted: " + why + "; nothing was sent");
         }
-        reportError(self, "not known: the store took the contract and did not answer (" + why + "); ask with 'vanillashunt contract get " + file.terms.customer + "', then apply again");
+        reportError(self, "not known: the contract was sent and no answer came (" + why + "); ask with 'vanillashunt contract get " + file.terms.customer + "', then apply again");
         return exit_code::Unknown;
     }
 
+    // What applying the file would change in what stands.
+    std::string listChanges(const stored_contract& standing, const contract& wanted)
+    {
+        std::string listed;
+        for (const auto& difference : diffContracts(standing.terms, wanted)) {
+            listed += (listed.empty() ? "" : "; ") + toString(difference);
+        }
+        return listed.empty() ? "nothing" : listed;
+    }
+
+    // Whether the file was made from another revision than the one that stands.
+    std::optional<std::string> findWrongBase(std::optional<std::int64_t> base, const contract_file& file, const stored_contract& standing)
+    {
+        if (base.value_or(0) == standing.revision) {
+            return std::nullopt;
+        }
+        auto customer = "customer '" + file.terms.customer + "'";
+        auto revision = std::to_string(standing.revision);
+        if (standing.revision == 0) {
+            return "the file was made from revision " + std::to_string(*base) + ", and no contract of " + customer + " stands; apply with --base 0";
+        }
+        if (!base) {
+            return "a contract of " + customer + " stands at revision " + revision + ", and the file does not say that it was made from it; look at 'vanillashunt contract diff', then apply with --base " + revision;
+        }
+        return "the contract of " + customer + " was changed by somebody else from revision " + std::to_string(*base) + " to " + revision + ", and the file, made from the former, would change: " + listChanges(standing, file.terms) + ". Nothing of yours was applied; make your change to revision " + revision + " and apply it again";
+    }
+
     exit_code apply(const command& self, const apply_options& options, const contract_file& file)
     {
         contract_store store(options.store);
@@ -125,12 +159,11 @@
         }
         auto found = standing.byCustomer.find(file.terms.customer);
         stored_contract seen = found == standing.byCustomer.end() ? stored_contract {} : found->second;
-        auto base = options.base ? options.base : revisionLineOf(file.text);
-        if (!base && seen.revision != 0) {
-            return refuse(self, "not accepted: a contract of customer '" + file.terms.customer + "' stands at revision " + std::to_string(seen.revision) + ", and the file does not say that it was made from it; look at 'vanillashunt contract diff', then apply with --base " + std::to_string(seen.revision));
+        if (seen.revision != 0 && seen.text == file.text) {
+            return accepted(file, seen.revision);
         }
-        if (base && *base != seen.revision) {
-            return refuse(self, "not accepted: the file was made from revision " + std::to_string(*base) + ", and revision " + std::to_string(seen.revision) + " stands; get it, make the change again, and apply that");
+        if (auto problem = findWrongBase(options.base ? options.base : revisionLineOf(file.text), file, seen)) {
+            return refuse(self, "not accepted: " + *problem);
         }
         return swapUntilKnown(self, store, file, seen);
     }
--- a/Source/command/contract_store.cpp
+++ b/Source/command/contract_store.cpp
@@ -32,6 +32,19 @@
     };
 }
 
+stored_contract readStored(const store_entry& entry)
+{
+    auto parsed = parseContract(entry.value, entry.key);
+    if (const auto* terms = std::get_if<contract>(&parsed)) {
+        return { *terms, entry.value, entry.modRevision };
+    }
+    stored_contract unreadable;
+    unreadable.terms.customer = entry.key.substr(std::min(entry.key.size(), std::string(contractPrefix).size()));
+    unreadable.text = entry.value;
+    unreadable.revision = entry.modRevision;
+    return unreadable;
+}
+
 contract_store::contract_store(store_options options)
     : m_options(std::move(options))
 {
@@ -42,18 +55,20 @@
     boost::asio::io_context context;
     store_client client(context, m_options.endpoints, {});
     store_result<store_range> result = store_failure {};
-    client.rangePrefix(contractPrefix, m_options.timeout, [&](store_result<store_range> answer) { result = std::move(answer); });
+    client.rangePrefix(contractPrefix, m_options.timeout, [&](store_result<store_range> answer) {
+        result = std::move(answer);
+        // The connection stays open for a next call, which does not come.
+        context.stop();
+    });
     context.run();
     if (const auto* failure = std::get_if<store_failure>(&result)) {
         return "the store cannot be read: " + failure->message;
     }
     contract_set contracts;
     for (const auto& entry : std::get<store_range>(result).entries) {
-        auto parsed = parseContract(entry.value, entry.key);
-        if (const auto* terms = std::get_if<contract>(&parsed)) {
-            contracts.byCustomer[terms->customer] = { *terms, entry.value, entry.modRevision };
-            contracts.revision = std::max(contracts.revision, entry.modRevision);
-        }
+        auto stored = readStored(entry);
+        contracts.byCustomer[stored.terms.customer] = stored;
+        contracts.revision = std::max(contracts.revision, stored.revision);
     }
     return contracts;
 }
@@ -63,7 +78,10 @@
     boost::asio::io_context context;
     store_client client(context, m_options.endpoints, {});
     store_result<store_swap> result = store_failure {};
-    client.swap(contractPrefix + customer, expectedRevision, text, m_options.timeout, [&](store_result<store_swap> answer) { result = std::move(answer); });
+    client.swap(contractPrefix + customer, expectedRevision, text, m_options.timeout, [&](store_result<store_swap> answer) {
+        result = std::move(answer);
+        context.stop();
+    });
     context.run();
     return result;
 }
--- a/Source/command/contract_store.h
+++ b/Source/command/contract_store.h
@@ -21,6 +21,10 @@
 // The options --store and --timeout; they are written into the argument.
 std::vector<command_option> optionsOf(store_options&);
 
+// An entry as a contract; one whose text is none has no classes, and can so be
+// replaced like any other.
+stored_contract readStored(const store_entry&);
+
 // The contracts in the platform's store, read and written by an operator's
 // command, which waits for each call.
 class contract_store {
--- a/Source/contract/contract_book.cpp
+++ b/Source/contract/contract_book.cpp
@@ -6,23 +6,32 @@
 
 namespace vanillashunt {
 
+bool contract_book::takeEntry(const contract_entry& entry, contract_set& next)
+{
+    auto parsed = parseContract(entry.text, "contract");
+    const auto* terms = std::get_if<contract>(&parsed);
+    if (!terms) {
+        ++m_unreadable;
+        return false;
+    }
+    auto& known = next.byCustomer[terms->customer];
+    if (entry.revision <= known.revision) {
+        return false;
+    }
+    known = { *terms, entry.text, entry.revision };
+    return true;
+}
+
 bool contract_book::take(const contract_news& news)
 {
     auto next = std::make_shared<contract_set>(*m_contracts);
     bool changed = false;
     for (const auto& entry : news.entries) {
-        auto parsed = parseContract(entry.text, "contract");
-        const auto* terms = std::get_if<contract>(&parsed);
-        if (!terms) {
-            ++m_unreadable;
-            continue;
-        }
-        auto& known = next->byCustomer[terms->customer];
-        if (entry.revision <= known.revision) {
+        // All up to the own revision is known, and need not be read again.
+        if (entry.revision <= m_contracts->revision) {
             continue;
         }
-        known = { *terms, entry.text, entry.revision };
-        changed = true;
+        changed = takeEntry(entry, *next) || changed;
     }
     // News that begin after what is known here may leave a gap, which the
     // revision must not hide from those who ask for what they lack.
--- a/Source/contract/contract_book.h
+++ b/Source/contract/contract_book.h
@@ -36,10 +36,12 @@
     contract_snapshot contracts() const { return m_contracts; }
     std::int64_t revision() const { return m_contracts->revision; }
 
-    // Entries that could not be read as contracts, since the start.
+    // How often an entry could not be read as a contract, since the start.
     std::uint64_t unreadable() const { return m_unreadable; }
 
 private:
+    bool takeEntry(const contract_entry&, contract_set& next);
+
     contract_snapshot m_contracts = std::make_shared<contract_set>();
     std::uint64_t m_unreadable = 0;
 };
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -173,10 +173,11 @@
     }
     // The first byte may take the idle time; the rest of the request may not.
     m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self, readWhole](error_code error, std::size_t count) {
-        if (error || self->m_server->stopping) {
+        if (error) {
             self->close();
             return;
         }
+        // Also while the server stops: what has arrived is answered.
         self->m_buffer.commit(count);
         readWhole();
     });
@@ -269,7 +270,8 @@
 
 void http_session::closeIfIdle()
 {
-    if (m_idle) {
+    error_code error;
+    if (m_idle && m_stream.socket().available(error) == 0) {
         close();
     }
 }
--- a/Source/node/actor_host.cpp
+++ b/Source/node/actor_host.cpp
@@ -1,7 +1,9 @@
 #include "node/actor_host.h"
 
 #include <boost/asio/post.hpp>
+#include <caf/exit_reason.hpp>
 #include <caf/resumable.hpp>
+#include <caf/system_messages.hpp>
 
 namespace vanillashunt {
 
@@ -18,6 +20,11 @@
 {
 }
 
+void actor_host::end(const caf::actor& actor)
+{
+    send(actor, caf::exit_msg { actor.address(), caf::exit_reason::kill });
+}
+
 void actor_host::exec_later(caf::resumable* actor)
 {
     boost::asio::post(m_context, [this, actor] {
--- a/Source/node/actor_host.h
+++ b/Source/node/actor_host.h
@@ -27,6 +27,10 @@
         caf::actor_cast<caf::strong_actor_ptr>(receiver)->enqueue(std::move(element), this);
     }
 
+    // Ends an actor that may still have mail. Its turn has to come before the
+    // actor system is destroyed, which waits for every actor.
+    void end(const caf::actor&);
+
 private:
     boost::asio::io_context& m_context;
 };
--- a/Source/node/call_messages.h
+++ b/Source/node/call_messages.h
@@ -75,7 +75,7 @@
 
 // Asks how many calls are in progress, in both directions.
 struct progress_requested {
-    std::function<void(std::size_t inProgress)> receiver;
+    std::function<void(std::size_t inbound, std::size_t outbound)> receiver;
 };
 
 struct clock_tick {
--- a/Source/node/configuration_service.cpp
+++ b/Source/node/configuration_service.cpp
@@ -157,16 +157,23 @@
         }
         m_failuresInRow = 0;
         m_readOnce = true;
-        take(newsOf(std::get<store_range>(result), 0));
+        const auto& range = std::get<store_range>(result);
+        // A watch that has kept silent about news may hang.
+        if (take(newsOf(range, 0))) {
+            m_watch.reset();
+        }
         if (!m_watch && isDutyWatcher()) {
-            startWatch();
+            startWatch(range.revision + 1);
         }
     });
 }
 
-void configuration_service::startWatch()
+// Begins where the store has just been read: the contracts' own revision may lie
+// so far back that the store has compacted what came after it.
+void configuration_service::startWatch(std::int64_t fromRevision)
 {
     ++m_counts.watches;
+    m_watchEnded = false;
     store_watch_hooks hooks;
     hooks.changed = [this](const store_range& range) { take(newsOf(range, m_book.revision())); };
     hooks.ended = [this](const std::string& why) {
@@ -175,7 +182,7 @@
         storeFailed(why);
     };
     const auto& endpoint = m_settings.endpoints[m_nextEndpoint % m_settings.endpoints.size()];
-    m_watch = std::make_unique<store_watch>(m_context, endpoint, m_settings.outgoingAddress, contractPrefix, m_book.revision() + 1, hooks);
+    m_watch = std::make_unique<store_watch>(m_context, endpoint, m_settings.outgoingAddress, contractPrefix, fromRevision, hooks);
 }
 
 void configuration_service::storeFailed(const std::string& why)
@@ -187,11 +194,13 @@
     m_nextRead = std::chrono::steady_clock::now() + spread(backoff);
 }
 
-void configuration_service::take(const contract_news& news)
+bool configuration_service::take(const contract_news& news)
 {
-    if (m_book.take(news)) {
-        m_hooks.contractsChanged(m_book.contracts());
+    if (!m_book.take(news)) {
+        return false;
     }
+    m_hooks.contractsChanged(m_book.contracts());
+    return true;
 }
 
 void configuration_service::peerRevision(const member& peer, std::int64_t revision)
--- a/Source/node/configuration_service.h
+++ b/Source/node/configuration_service.h
@@ -66,12 +66,12 @@
     Json::Value dump() const;
 
 private:
-    void take(const contract_news&);
+    bool take(const contract_news&);
     void scheduleStep(std::chrono::milliseconds);
     void step();
     bool isDutyWatcher() const;
     void readStore();
-    void startWatch();
+    void startWatch(std::int64_t fromRevision);
     void storeFailed(const std::string& why);
     void fetchFrom(const std::string& operatorAddress);
     void catchUpFromPeer();
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -54,6 +54,14 @@
     sendActor(member_call_ended { memberId, answered });
 }
 
+void membership_service::stop()
+{
+    m_timer.cancel();
+    if (m_actor) {
+        m_host.end(m_actor);
+    }
+}
+
 void membership_service::dump(std::function<void(const Json::Value&)> receiver) const
 {
     sendActor(state_requested { std::move(receiver) });
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -53,6 +53,9 @@
     // whether its availability zone can be reached.
     void callEnded(std::uint64_t memberId, bool answered);
 
+    // Ends the actor; nothing comes from it any more.
+    void stop();
+
     // Calls the receiver with the members, their states and the counts.
     void dump(std::function<void(const Json::Value&)> receiver) const;
 
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -58,6 +58,7 @@
         void requestStop(stop_reason);
         void applyStop();
         void stepStop();
+        void endActors();
         void printReady() const;
         operator_hooks operatorHooks();
         membership_hooks membershipHooks();
@@ -324,12 +325,13 @@
     // One step towards the exit; called with each tick.
     void node_process::stepStop()
     {
-        m_host->send(m_calls, progress_requested { [this](std::size_t inProgress) {
+        m_host->send(m_calls, progress_requested { [this](std::size_t inbound, std::size_t outbound) {
             auto now = std::chrono::steady_clock::now();
-            if (m_stop.mayClosePorts(now)) {
+            // What runs at the own backend server may still call onward.
+            if (inbound == 0 && m_stop.mayClosePorts(now)) {
                 m_callerServer->stopAccepting();
             }
-            bool idle = inProgress == 0 && m_callerServer->inProgress() == 0 && m_peerServer->inProgress() == 0;
+            bool idle = inbound == 0 && outbound == 0 && m_callerServer->inProgress() == 0 && m_peerServer->inProgress() == 0;
             if (m_stop.mayExit(idle, now) && m_self.state != member_state::Left) {
                 m_self.state = member_state::Left;
                 m_membership->setSelf(m_self);
@@ -454,6 +456,16 @@
         std::cout << writeJson(ready) << std::endl;
     }
 
+    // What the loop left undone may be mail that keeps an actor, and so the process, for ever.
+    void node_process::endActors()
+    {
+        m_host->end(m_calls);
+        m_membership->stop();
+        m_context.restart();
+        m_context.poll();
+        m_calls = nullptr;
+    }
+
     int node_process::run()
     {
         m_signals.async_wait([this](error_code error, int) {
@@ -467,7 +479,7 @@
         m_membership->start(m_self, m_peerServer->address());
         m_configuration->start();
         m_context.run();
-        m_calls = nullptr;
+        endActors();
         logEvent(events::nodeStopped, { { "name", m_settings.name } });
         return 0;
     }
--- a/Source/platform/store_watch.cpp
+++ b/Source/platform/store_watch.cpp
@@ -13,7 +13,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
@@ -21,7 +20,7 @@
     constexpr std::size_t readBytes = 16384;
     // A line of the stream that is longer than this is not the gateway's: a
     // value has a megabyte at most.
-    constexpr std::size_t longestLine = 4 * 1024 * 1024;
+    constexpr std::size_t longestLine = 4UL * 1024 * 1024;
     constexpr std::chrono::seconds connectTimeout { 2 };
 
     std::string watchBody(const std::string& prefix, std::int64_t fromRevision)
--- a/Tests/Harness/load_run.h
+++ b/Tests/Harness/load_run.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <csignal>
+
 namespace vanillashunt {
 
 // One request of a load, as its client saw it.
@@ -63,6 +65,9 @@
 
     std::chrono::system_clock::time_point started() const { return m_started; }
 
+    // Ends the arrivals before their time.
+    void stopArrivals() { m_process.signal(SIGTERM); }
+
     // Waits for the end of the load and reads its requests; throws std::runtime_error.
     std::vector<request_record> finish();
 
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Harness/child_process.h"
+#include "Harness/fault_proxy.h"
 #include "Harness/http_client.h"
 #include "Harness/stand_in.h"
 
@@ -16,6 +17,7 @@
 struct server_spec {
     // Names the server and its node; unique in the mesh.
     std::string name;
+    // Empty for a node without a backend server.
     std::string service;
     std::string availabilityZone;
     // Further options of the backend stand-in, for example "--slots=4".
@@ -23,6 +25,16 @@
     // Further lines of the node's settings file: sections, and keys of its section "node".
     std::string settings;
     std::string nodeSettings = {};
+    // Further lines of the file's section "peer".
+    std::string peerSettings = {};
+};
+
+// How the processes of a mesh reach each other.
+enum class mesh_network {
+    Direct,
+    // Between zones, and to the platform, through one proxy stand-in; the processes of
+    // each zone have source addresses of their own.
+    ThroughProxy,
 };
 
 // A node and the backend stand-in beside it.
@@ -34,25 +46,43 @@
 
     // Where the node takes callers: "IP:port".
     std::string caller() const { return nodeReady["caller"].asString(); }
+
+    // The node's operator port.
+    std::string operators() const { return nodeReady["operator"].asString(); }
 };
 
 // A platform stand-in and the nodes and backend servers of a test, as real
 // processes on loopback addresses; all end with the object.
 class mesh {
 public:
-    mesh();
+    explicit mesh(mesh_network = mesh_network::Direct);
     ~mesh();
 
     mesh(const mesh&) = delete;
     mesh& operator=(const mesh&) = delete;
 
     // Writes a contract into the platform's store.
-    void putContract(const std::string& customer, const std::string& text);
+    void putContract(const std::string& customer, const std::string& text) { putContractAt(m_platform, customer, text); }
+    static void putContractAt(const stand_in& platform, const std::string& customer, const std::string& text);
+
+    // Names a further endpoint of the platform to nodes that are added later.
+    void addEndpoint(const std::string& address);
 
     mesh_server& add(const server_spec&);
     mesh_server& server(const std::string& name) { return *m_servers.at(name); }
     stand_in& platform() { return m_platform; }
 
+    // Cuts what a zone sends to the others and gets in answer; "platform" names the platform.
+    void cutFrom(const std::string& zone, const std::vector<std::string>& otherZones);
+
+    // Ends every cut.
+    void heal() { m_proxy->heal(); }
+
+    // Kills the node and the backend server of that name and forgets both.
+    void kill(const std::string& name);
+
+    std::vector<std::string> names() const;
+
     // Waits until a request of that kind is answered through every node.
     bool waitUntilServing(const std::string& path, const http_fields&);
 
@@ -66,10 +96,17 @@
     std::string callers() const;
 
 private:
-    std::string settingsFile(const server_spec&) const;
+    std::string settingsFile(const server_spec&);
+    std::string peerSections(const server_spec&);
+    std::string hostOf(const std::string& zone);
+    void startBackend(mesh_server&);
 
     std::filesystem::path m_folder;
     stand_in m_platform;
+    std::unique_ptr<fault_proxy> m_proxy;
+    std::string m_endpoints;
+    // In the order of their first server; the order gives the zone's addresses.
+    std::vector<std::string> m_zones;
     std::map<std::string, std::unique_ptr<mesh_server>> m_servers;
 };
 
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -1,3 +1,4 @@
+#include "Measure/membership_figures.h"
 #include "Measure/path_cost.h"
 #include "Measure/scenario_report.h"
 
@@ -14,20 +15,35 @@
 
     constexpr int exitUsage = 2;
 
+    // More nodes do not run beside each other on one machine without being slow by that alone.
+    constexpr std::size_t mostNodes = 150;
+
     struct measure_options {
         std::string scenarioName;
         // Empty for all.
         std::string policy;
         std::optional<double> load;
         std::uint64_t seed = 1;
+        // Of the scenarios "membership" and "configuration".
+        std::size_t nodes = 12;
     };
 
+    std::size_t readNodes(const std::string& text)
+    {
+        auto nodes = std::stoull(text);
+        if (nodes < 1 || nodes > mostNodes) {
+            throw std::invalid_argument("--nodes: " + text + " is not in 1 to " + std::to_string(mostNodes));
+        }
+        return nodes;
+    }
+
     measure_options parseOptions(int argc, char** argv)
     {
         const option known[] = {
             { "policy", required_argument, nullptr, 'p' },
             { "load", required_argument, nullptr, 'l' },
             { "seed", required_argument, nullptr, 's' },
+            { "nodes", required_argument, nullptr, 'n' },
             { nullptr, 0, nullptr, 0 },
         };
         measure_options options;
@@ -42,12 +58,15 @@
             case 's':
                 options.seed = std::stoull(optarg);
                 break;
+            case 'n':
+                options.nodes = readNodes(optarg);
+                break;
             default:
-                throw std::invalid_argument("usage: measure SCENARIO [--policy none|hop|full] [--load X] [--seed N]");
+                throw std::invalid_argument("usage: measure SCENARIO [--policy none|hop|full] [--load X] [--seed N] [--nodes N]");
             }
         }
         if (optind + 1 != argc) {
-            std::string names = " path";
+            std::string names = " path membership configuration";
             for (const auto& name : scenarioNames()) {
                 names += " " + name;
             }
@@ -71,6 +90,14 @@
             std::cout << oneLine(measurePathCost(options.seed)) << std::endl;
             return;
         }
+        if (options.scenarioName == "membership") {
+            std::cout << oneLine(measureMembership(options.nodes)) << std::endl;
+            return;
+        }
+        if (options.scenarioName == "configuration") {
+            std::cout << oneLine(measureConfiguration(options.nodes)) << std::endl;
+            return;
+        }
         auto what = findScenario(options.scenarioName);
         if (!what) {
             throw std::invalid_argument("no scenario is named '" + options.scenarioName + "'");
--- a/Tests/Measure/path_cost.cpp
+++ b/Tests/Measure/path_cost.cpp
@@ -1,14 +1,12 @@
 #include "Measure/path_cost.h"
 
 #include "Harness/load_run.h"
+#include "Measure/process_usage.h"
 
 #include <algorithm>
-#include <fstream>
 #include <stdexcept>
 #include <thread>
 
-#include <unistd.h>
-
 namespace vanillashunt {
 
 namespace {
@@ -35,31 +33,6 @@
     constexpr const char* loadPhase = "190:8";
     constexpr std::chrono::seconds idleTime { 5 };
 
-    // What a process has used so far, as the system counts it.
-    struct process_usage {
-        double cpuSeconds = 0;
-        double residentMegabytes = 0;
-    };
-
-    process_usage usageOf(pid_t id)
-    {
-        process_usage usage;
-        std::ifstream stat("/proc/" + std::to_string(id) + "/stat");
-        std::string word;
-        // Fields 14 and 15 are user and system time; the name, field 2, has no space here.
-        long ticks = 0;
-        for (int field = 1; field <= 15 && stat >> word; ++field) {
-            ticks += field >= 14 ? std::stol(word) : 0;
-        }
-        usage.cpuSeconds = static_cast<double>(ticks) / static_cast<double>(sysconf(_SC_CLK_TCK));
-        std::ifstream statm("/proc/" + std::to_string(id) + "/statm");
-        long size = 0;
-        long resident = 0;
-        statm >> size >> resident;
-        usage.residentMegabytes = static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-        return usage;
-    }
-
     // Two services in three zones; callers enter at the nodes of the one and call the other.
     class path_mesh {
     public:
