Route around zones that do not answer, and name a port that is taken

Cause: the router never read whether a member's zone can be reached, and call outcomes never told the membership; a taken port ended the process with 'terminate called'. The listening code stood twice.

Ruled out: leaving unreachable members out altogether, because a wrong judgement would refuse what could be served; they are the last choice.

--- a/Source/decision/router.cpp
+++ b/Source/decision/router.cpp
@@ -68,7 +68,7 @@
             continue;
         }
         auto view = m_views.find(target->id);
-        bool isAvoided = target->state == member_state::Suspect || (view != m_views.end() && view->second.avoided(now));
+        bool isAvoided = target->state == member_state::Suspect || !target->reachable || (view != m_views.end() && view->second.avoided(now));
         if (isAvoided != avoided) {
             continue;
         }
@@ -112,7 +112,7 @@
 {
     auto chosen = chooseNearest(false, request, now);
     if (!chosen) {
-        // A member that failed a moment ago is better than none.
+        // A member that failed a moment ago, or whose zone did not answer, is better than none.
         chosen = chooseNearest(true, request, now);
     }
     if (!chosen) {
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -11,6 +11,7 @@
 inline constexpr event nodeStarted { 100, severity::Info, "node started" };
 inline constexpr event drainStarted { 101, severity::Info, "planned stop started" };
 inline constexpr event nodeStopped { 102, severity::Info, "node stopped" };
+inline constexpr event portNotBound { 104, severity::Error, "a port cannot be opened" };
 inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
 inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
@@ -19,6 +20,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, backendServerAnnounced, nameTakenOver, contractsChanged, callShed, requestRefused, requestUnknown };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, nameTakenOver, contractsChanged, callShed, requestRefused, requestUnknown };
 
 }
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -287,15 +287,7 @@
 http_server::http_server(asio::io_context& context, const std::string& listenAddress, const http_server_limits& limits, http_handler handler)
     : m_state(std::make_shared<state>(context, limits, std::move(handler)))
 {
-    auto endpoint = parseEndpoint(listenAddress);
-    if (!endpoint) {
-        throw boost::system::system_error(asio::error::invalid_argument, "cannot listen on '" + listenAddress + "'");
-    }
-    auto& acceptor = m_state->acceptor;
-    acceptor.open(endpoint->protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(*endpoint);
-    acceptor.listen();
+    listenOn(m_state->acceptor, listenAddress);
     m_state->accept();
 }
 
--- a/Source/http/socket_address.cpp
+++ b/Source/http/socket_address.cpp
@@ -36,6 +36,23 @@
     return host + ":" + std::to_string(endpoint.port());
 }
 
+void listenOn(tcp::acceptor& acceptor, const std::string& address)
+{
+    auto endpoint = parseEndpoint(address);
+    boost::system::error_code error = boost::asio::error::invalid_argument;
+    if (endpoint) {
+        acceptor.open(endpoint->protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+        throw boost::system::system_error(error, "cannot listen on " + address);
+    }
+}
+
 void openOutgoing(tcp::socket& socket, const tcp::endpoint& target, const std::string& outgoingAddress, boost::system::error_code& error)
 {
     socket.open(target.protocol(), error);
--- a/Source/http/socket_address.h
+++ b/Source/http/socket_address.h
@@ -12,6 +12,10 @@
 
 std::string toString(const boost::asio::ip::tcp::endpoint&);
 
+// Binds an acceptor to "IP:port" and listens. Throws boost::system::system_error
+// that names the address.
+void listenOn(boost::asio::ip::tcp::acceptor&, const std::string& address);
+
 // Opens a socket for an outgoing connection, bound to the address of the own
 // instance where one is set, so that the other side can tell who calls.
 void openOutgoing(boost::asio::ip::tcp::socket&, const boost::asio::ip::tcp::endpoint& target,
--- a/Source/node/call_actor.h
+++ b/Source/node/call_actor.h
@@ -20,6 +20,8 @@
     backend_client* backend = nullptr;
     claim_store* claims = nullptr;
     std::function<std::uint64_t()> random;
+    // Told of each attempt at another member, and whether anything came back.
+    std::function<void(std::uint64_t memberId, bool answered)> callEnded;
     // Told of each call that the backend server answered.
     std::function<void()> backendAnswered;
     // Told of each step of each call.
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -31,6 +31,9 @@
 
 namespace {
 
+    // As documented with the command's exit codes: usage.
+    constexpr int exitCannotListen = 2;
+
     // How often deadlines and queues are looked at, with and without calls in progress.
     constexpr std::chrono::milliseconds busyTickPeriod { 5 };
     constexpr std::chrono::milliseconds idleTickPeriod { 100 };
@@ -138,6 +141,7 @@
         parts.backend = m_backend.get();
         parts.claims = m_claims.get();
         parts.random = [this] { return m_random(); };
+        parts.callEnded = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
         parts.backendAnswered = [this] { m_backendWatch->callAnswered(); };
         parts.observed = [this](const call_observation& seen) { observe(seen); };
         parts.policy = parseAdmissionPolicy(settings.policy).value_or(admission_policy::Full);
@@ -488,8 +492,13 @@
 
 int runNode(const node_settings& settings)
 {
-    node_process process(settings);
-    return process.run();
+    try {
+        node_process process(settings);
+        return process.run();
+    } catch (const boost::system::system_error& error) {
+        logEvent(events::portNotBound, { { "error", error.what() } });
+        return exitCannotListen;
+    }
 }
 
 }
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -281,6 +281,9 @@
     auto& call = m_calls.at(callId);
     route_outcome outcome { answer.outcome, std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted), answer.cut, answer.inFlight, answer.limit };
     m_router.finished(call.target, outcome, now);
+    // A node that answers tells its limit, also where its backend server lost the answer.
+    bool nothingCameBack = answer.limit == 0 && (answer.outcome.reason == verdict_reason::PeerUnreachable || answer.outcome.reason == verdict_reason::AnswerLost);
+    m_hooks.ended(call.target, !nothingCameBack);
     call.attemptId = 0;
     call.cut = std::max(call.cut, answer.cut);
     learnAtEntrance(call, answer, now);
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -33,6 +33,8 @@
     // Sends an attempt to a member's node; its answer comes back by attemptAnswered().
     std::function<void(std::uint64_t attemptId, const member&, const call_request&)> send;
     std::function<void(std::uint64_t attemptId)> cancelAttempt;
+    // Told of each attempt that ended, and whether anything came back from the member.
+    std::function<void(std::uint64_t memberId, bool answered)> ended;
     // Writes a claim to the platform's store; what came of it comes back by claimAnswered().
     std::function<void(std::uint64_t callId, const std::string& customer, const std::string& idempotencyKey, const ticket&)> claim;
     std::function<std::uint64_t()> random;
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -209,15 +209,7 @@
 peer_server::peer_server(asio::io_context& context, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler handler)
     : m_state(std::make_shared<state>(context, maxBodyBytes, std::move(handler)))
 {
-    auto endpoint = parseEndpoint(listenAddress);
-    if (!endpoint) {
-        throw boost::system::system_error(asio::error::invalid_argument, "cannot listen on '" + listenAddress + "'");
-    }
-    auto& acceptor = m_state->acceptor;
-    acceptor.open(endpoint->protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(*endpoint);
-    acceptor.listen();
+    listenOn(m_state->acceptor, listenAddress);
     m_state->accept();
 }
 
--- /dev/null
+++ b/Tests/Routing/routing_test.cpp
@@ -0,0 +1,103 @@
+#include "decision/router.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <set>
+
+namespace vanillashunt {
+
+namespace {
+
+    using time_point = std::chrono::steady_clock::time_point;
+    using std::chrono::milliseconds;
+
+    member serverIn(std::uint64_t id, const std::string& zone, const std::string& region = "klang")
+    {
+        member entry;
+        entry.id = id;
+        entry.availabilityZone = zone;
+        entry.region = region;
+        entry.service = "threads";
+        entry.slots = 10;
+        return entry;
+    }
+
+    // A router in zone "a" that knows these members.
+    router routerWith(const std::vector<member>& members)
+    {
+        auto random = std::make_shared<std::mt19937_64>(1);
+        router result({ "a", "klang" }, [random](std::uint64_t bound) { return (*random)() % bound; });
+        result.setMembers(std::make_shared<std::vector<member>>(members), {});
+        return result;
+    }
+
+    // The members that many calls would go to now.
+    std::set<std::uint64_t> choices(router& from, const std::vector<std::uint64_t>& tried = {}, time_point now = {})
+    {
+        std::set<std::uint64_t> chosen;
+        for (int i = 0; i < 200; ++i) {
+            if (auto target = from.choose({ "threads", tried }, now)) {
+                chosen.insert(target->id);
+            }
+        }
+        return chosen;
+    }
+
+    using ids = std::set<std::uint64_t>;
+
+}
+
+TEST(Routing, StaysInTheOwnZoneThenTheOwnRegion)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b"), serverIn(3, "c", "midlands") });
+    EXPECT_EQ(choices(both), ids { 1 });
+    auto other = routerWith({ serverIn(2, "b"), serverIn(3, "c", "midlands") });
+    EXPECT_EQ(choices(other), ids { 2 });
+}
+
+TEST(Routing, SpillsWhenTheOwnZoneIsFull)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b") });
+    for (int i = 0; i < 12; ++i) {
+        both.started(1, {});
+    }
+    EXPECT_EQ(choices(both), ids { 2 });
+}
+
+TEST(Routing, TriesAnotherServerThanBefore)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "a") });
+    EXPECT_EQ(choices(both, { 1 }), ids { 2 });
+    EXPECT_EQ(choices(both, { 1, 2 }), ids {});
+}
+
+TEST(Routing, AvoidsWhatFailedAndComesBackToIt)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "a") });
+    both.started(1, {});
+    both.finished(1, { verdict::notRun(verdict_reason::PeerUnreachable), {}, 0, 0, 0 }, {});
+    EXPECT_EQ(choices(both), ids { 2 });
+    EXPECT_EQ(choices(both, {}, time_point() + milliseconds(101)), (ids { 1, 2 }));
+}
+
+// Found by reading: the router did not look at whether a zone can be reached.
+TEST(Routing, PrefersAnyReachableServerAndUsesAnotherOnlyIfThereIsNone)
+{
+    auto cut = serverIn(1, "a");
+    cut.reachable = false;
+    auto both = routerWith({ cut, serverIn(2, "b") });
+    EXPECT_EQ(choices(both), ids { 2 });
+    auto alone = routerWith({ cut });
+    EXPECT_EQ(choices(alone), ids { 1 });
+}
+
+TEST(Routing, LeavingServersGetNothing)
+{
+    auto leaving = serverIn(1, "a");
+    leaving.state = member_state::Draining;
+    auto both = routerWith({ leaving, serverIn(2, "b") });
+    EXPECT_EQ(choices(both), ids { 2 });
+}
+
+}
