Keep the clients' connections in one pool, and the tests' contracts in one place

Ruled out: one client for both protocols, because their frames have nothing in common. OperatorPort keeps its own contract: with the shared one its check of the dump's classes failed, and the check is right.

Conclusion: behaviour as before; connection_pool is the one place.

--- a/Source/caller/caller_request.cpp
+++ b/Source/caller/caller_request.cpp
@@ -11,7 +11,7 @@
 
     constexpr std::size_t longestKey = 256;
     constexpr std::size_t longestName = 63;
-    constexpr std::int64_t longestTimeoutMilliseconds = 3600 * 1000;
+    constexpr std::int64_t longestTimeoutMilliseconds = 3600LL * 1000;
 
     bool isName(const std::string& text)
     {
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "http/connection_pool.h"
 #include "http/socket_address.h"
 
 #include <boost/asio.hpp>
@@ -20,7 +21,6 @@
 namespace {
 
     class client_connection;
-    using connection_ptr = std::shared_ptr<client_connection>;
 
 }
 
@@ -31,16 +31,9 @@
     {
     }
 
-    connection_ptr takeIdle(const std::string& address);
-    void finish(const connection_ptr&, http_result, bool reusable);
-    void dropIdle(const connection_ptr&);
-
     asio::io_context& context;
     http_client_settings settings;
-    std::uint64_t lastId = 0;
-    std::unordered_map<std::uint64_t, connection_ptr> active;
-    std::unordered_map<std::uint64_t, http_result_handler> handlers;
-    std::map<std::string, std::vector<connection_ptr>> idle;
+    connection_pool<client_connection, http_result> pool;
 };
 
 namespace {
@@ -48,24 +41,21 @@
     // One connection to one server, with at most one request in progress.
     class client_connection : public std::enable_shared_from_this<client_connection> {
     public:
-        using finished_hook = std::function<void(const connection_ptr&, http_result, bool reusable)>;
-        using idle_closed_hook = std::function<void(const connection_ptr&)>;
-
-        client_connection(asio::io_context& context, std::string address, finished_hook finished, idle_closed_hook idleClosed)
-            : m_stream(context)
+        client_connection(const std::shared_ptr<http_client::state>& client, std::string address)
+            : m_client(client)
+            , m_settings(client->settings)
+            , m_stream(client->context)
             , m_address(std::move(address))
-            , m_finished(std::move(finished))
-            , m_idleClosed(std::move(idleClosed))
         {
         }
 
         const std::string& address() const { return m_address; }
 
-        std::uint64_t requestId = 0;
+        std::uint64_t startedId = 0;
 
-        void start(const http_request& request, std::uint64_t maxBodyBytes, std::chrono::milliseconds timeout, const std::string& outgoingAddress)
+        void start(const http_request& request, std::chrono::milliseconds timeout)
         {
-            prepare(request, maxBodyBytes);
+            prepare(request);
             m_sent = false;
             m_idle = false;
             m_stream.expires_after(timeout);
@@ -73,11 +63,11 @@
                 write();
                 return;
             }
-            connect(outgoingAddress);
+            connect();
         }
 
         // Notices a server that closes an idle connection before a request is lost on it.
-        void watchIdle()
+        void becomeIdle()
         {
             m_idle = true;
             m_stream.expires_never();
@@ -86,7 +76,9 @@
                     return;
                 }
                 self->close();
-                self->m_idleClosed(self);
+                if (auto client = self->m_client.lock()) {
+                    client->pool.dropIdle(self);
+                }
             });
         }
 
@@ -97,7 +89,7 @@
         }
 
     private:
-        void prepare(const http_request& request, std::uint64_t maxBodyBytes)
+        void prepare(const http_request& request)
         {
             m_request = {};
             m_request.version(11);
@@ -112,20 +104,20 @@
             m_request.body() = request.body;
             m_request.prepare_payload();
             m_parser.emplace();
-            m_parser->body_limit(maxBodyBytes);
+            m_parser->body_limit(m_settings.maxBodyBytes);
             if (request.method == "HEAD") {
                 m_parser->skip(true);
             }
         }
 
-        void connect(const std::string& outgoingAddress)
+        void connect()
         {
             auto endpoint = parseEndpoint(m_address);
             error_code error;
             if (!endpoint) {
                 error = asio::error::invalid_argument;
             } else {
-                openOutgoing(m_stream.socket(), *endpoint, outgoingAddress, error);
+                openOutgoing(m_stream.socket(), *endpoint, m_settings.outgoingAddress, error);
             }
             if (error) {
                 asio::post(m_stream.get_executor(), [self = shared_from_this(), error] { self->fail(error); });
@@ -177,7 +169,7 @@
             }
             response.body = std::move(message.body());
             bool reusable = message.keep_alive() && m_buffer.size() == 0;
-            m_finished(shared_from_this(), std::move(response), reusable);
+            end(std::move(response), reusable);
         }
 
         void fail(const error_code& error)
@@ -189,13 +181,20 @@
             failure.sent = m_sent;
             failure.timedOut = error == beast::error::timeout;
             failure.message = error.message();
-            m_finished(shared_from_this(), std::move(failure), false);
+            end(std::move(failure), false);
+        }
+
+        void end(http_result result, bool reusable)
+        {
+            if (auto client = m_client.lock()) {
+                client->pool.end(shared_from_this(), std::move(result), reusable, m_settings.maxIdle);
+            }
         }
 
+        std::weak_ptr<http_client::state> m_client;
+        http_client_settings m_settings;
         beast::tcp_stream m_stream;
         std::string m_address;
-        finished_hook m_finished;
-        idle_closed_hook m_idleClosed;
         beast::flat_buffer m_buffer;
         http::request<http::string_body> m_request;
         std::optional<http::response_parser<http::string_body>> m_parser;
@@ -206,98 +205,32 @@
 
 }
 
-connection_ptr http_client::state::takeIdle(const std::string& address)
-{
-    auto found = idle.find(address);
-    if (found == idle.end() || found->second.empty()) {
-        return nullptr;
-    }
-    auto connection = found->second.back();
-    found->second.pop_back();
-    return connection;
-}
-
-void http_client::state::finish(const connection_ptr& connection, http_result result, bool reusable)
-{
-    auto handler = handlers.extract(connection->requestId);
-    active.erase(connection->requestId);
-    auto& kept = idle[connection->address()];
-    if (reusable && kept.size() < settings.maxIdle) {
-        kept.push_back(connection);
-        connection->watchIdle();
-    } else {
-        connection->close();
-    }
-    if (handler) {
-        handler.mapped()(std::move(result));
-    }
-}
-
-void http_client::state::dropIdle(const connection_ptr& connection)
-{
-    auto& kept = idle[connection->address()];
-    kept.erase(std::remove(kept.begin(), kept.end(), connection), kept.end());
-}
-
 http_client::http_client(asio::io_context& context, const http_client_settings& settings)
     : m_state(std::make_shared<state>(context, settings))
 {
 }
 
-http_client::~http_client()
-{
-    for (auto& [id, connection] : m_state->active) {
-        connection->close();
-    }
-    for (auto& [address, connections] : m_state->idle) {
-        for (auto& connection : connections) {
-            connection->close();
-        }
-    }
-    m_state->active.clear();
-    m_state->idle.clear();
-}
+http_client::~http_client() = default;
 
 std::uint64_t http_client::send(const std::string& address, const http_request& request, std::chrono::milliseconds timeout, http_result_handler handler)
 {
-    auto id = ++m_state->lastId;
-    auto connection = m_state->takeIdle(address);
+    auto connection = m_state->pool.takeIdle(address);
     if (!connection) {
-        std::weak_ptr<state> weak = m_state;
-        auto finished = [weak](const connection_ptr& done, http_result result, bool reusable) {
-            if (auto self = weak.lock()) {
-                self->finish(done, std::move(result), reusable);
-            }
-        };
-        auto idleClosed = [weak](const connection_ptr& closed) {
-            if (auto self = weak.lock()) {
-                self->dropIdle(closed);
-            }
-        };
-        connection = std::make_shared<client_connection>(m_state->context, address, finished, idleClosed);
+        connection = std::make_shared<client_connection>(m_state, address);
     }
-    connection->requestId = id;
-    m_state->active[id] = connection;
-    m_state->handlers[id] = std::move(handler);
-    connection->start(request, m_state->settings.maxBodyBytes, timeout, m_state->settings.outgoingAddress);
+    auto id = m_state->pool.begin(connection, std::move(handler));
+    connection->start(request, timeout);
     return id;
 }
 
 void http_client::cancel(std::uint64_t id)
 {
-    auto found = m_state->active.find(id);
-    if (found == m_state->active.end()) {
-        return;
-    }
-    auto connection = found->second;
-    m_state->active.erase(found);
-    m_state->handlers.erase(id);
-    connection->close();
+    m_state->pool.cancel(id);
 }
 
 std::size_t http_client::inProgress() const
 {
-    return m_state->active.size();
+    return m_state->pool.inProgress();
 }
 
 }
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -1,5 +1,6 @@
 #include "peer/peer_client.h"
 
+#include "http/connection_pool.h"
 #include "http/socket_address.h"
 #include "peer/call_codec.h"
 
@@ -20,7 +21,6 @@
 namespace {
 
     class peer_connection;
-    using connection_ptr = std::shared_ptr<peer_connection>;
 
 }
 
@@ -31,17 +31,10 @@
     {
     }
 
-    connection_ptr takeIdle(const std::string& address);
-    void finish(const connection_ptr&, call_answer, bool reusable);
-    void dropIdle(const connection_ptr&);
-
     asio::io_context& context;
     peer_client_settings settings;
     peer_client_counts counts;
-    std::uint64_t lastId = 0;
-    std::unordered_map<std::uint64_t, connection_ptr> active;
-    std::unordered_map<std::uint64_t, answer_handler> handlers;
-    std::map<std::string, std::vector<connection_ptr>> idle;
+    connection_pool<peer_connection, call_answer> pool;
 };
 
 namespace {
@@ -54,6 +47,7 @@
             , m_socket(client->context)
             , m_timer(client->context)
             , m_address(std::move(address))
+            , m_idleTimeout(client->settings.idleTimeout)
         {
         }
 
@@ -77,7 +71,7 @@
         }
 
         // A peer that closes an idle connection is noticed before a call is lost on it.
-        void watchIdle(std::chrono::milliseconds idleTimeout)
+        void becomeIdle()
         {
             m_idle = true;
             auto self = shared_from_this();
@@ -86,7 +80,7 @@
                     self->closeIdle();
                 }
             });
-            m_timer.expires_after(idleTimeout);
+            m_timer.expires_after(m_idleTimeout);
             m_timer.async_wait([self](error_code error) {
                 if (!error) {
                     self->closeIdle();
@@ -110,7 +104,7 @@
             }
             close();
             if (auto client = m_client.lock()) {
-                client->dropIdle(shared_from_this());
+                client->pool.dropIdle(shared_from_this());
             }
         }
 
@@ -218,7 +212,12 @@
                 fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
                 return;
             }
-            client->finish(shared_from_this(), std::move(*answer), true);
+            end(*client, std::move(*answer), true);
+        }
+
+        void end(peer_client::state& client, call_answer answer, bool reusable)
+        {
+            client.pool.end(shared_from_this(), std::move(answer), reusable, client.settings.maxIdle);
         }
 
         void failDamaged()
@@ -235,13 +234,14 @@
             if (!client || m_closed) {
                 return;
             }
-            client->finish(shared_from_this(), answerWithout(m_callId, m_attempt, outcome), false);
+            end(*client, answerWithout(m_callId, m_attempt, outcome), false);
         }
 
         std::weak_ptr<peer_client::state> m_client;
         tcp::socket m_socket;
         asio::steady_timer m_timer;
         std::string m_address;
+        std::chrono::milliseconds m_idleTimeout;
         std::uint64_t m_callId = 0;
         std::uint32_t m_attempt = 0;
         byte_vector m_outgoing;
@@ -255,89 +255,27 @@
 
 }
 
-connection_ptr peer_client::state::takeIdle(const std::string& address)
-{
-    auto found = idle.find(address);
-    if (found == idle.end() || found->second.empty()) {
-        return nullptr;
-    }
-    auto connection = found->second.back();
-    found->second.pop_back();
-    return connection;
-}
-
-void peer_client::state::finish(const connection_ptr& connection, call_answer answer, bool reusable)
-{
-    auto handler = handlers.extract(connection->startedId);
-    active.erase(connection->startedId);
-    auto& kept = idle[connection->address()];
-    if (reusable && kept.size() < settings.maxIdle) {
-        kept.push_back(connection);
-        connection->watchIdle(settings.idleTimeout);
-    } else {
-        connection->close();
-    }
-    if (handler) {
-        handler.mapped()(std::move(answer));
-    }
-}
-
-void peer_client::state::dropIdle(const connection_ptr& connection)
-{
-    auto found = idle.find(connection->address());
-    if (found == idle.end()) {
-        return;
-    }
-    auto& kept = found->second;
-    kept.erase(std::remove(kept.begin(), kept.end(), connection), kept.end());
-    if (kept.empty()) {
-        idle.erase(found);
-    }
-}
-
 peer_client::peer_client(asio::io_context& context, const peer_client_settings& settings)
     : m_state(std::make_shared<state>(context, settings))
 {
 }
 
-peer_client::~peer_client()
-{
-    for (auto& [id, connection] : m_state->active) {
-        connection->close();
-    }
-    for (auto& [address, connections] : m_state->idle) {
-        for (auto& connection : connections) {
-            connection->close();
-        }
-    }
-    m_state->active.clear();
-    m_state->idle.clear();
-}
+peer_client::~peer_client() = default;
 
 std::uint64_t peer_client::start(const std::string& address, const call_request& request, answer_handler handler)
 {
-    auto id = ++m_state->lastId;
-    auto connection = m_state->takeIdle(address);
+    auto connection = m_state->pool.takeIdle(address);
     if (!connection) {
         connection = std::make_shared<peer_connection>(m_state, address);
     }
-    connection->startedId = id;
-    m_state->active[id] = connection;
-    m_state->handlers[id] = std::move(handler);
+    auto id = m_state->pool.begin(connection, std::move(handler));
     connection->start(request);
     return id;
 }
 
 void peer_client::cancel(std::uint64_t id)
 {
-    auto found = m_state->active.find(id);
-    if (found == m_state->active.end()) {
-        return;
-    }
-    auto connection = found->second;
-    m_state->active.erase(found);
-    m_state->handlers.erase(id);
-    connection->close();
+    m_state->pool.cancel(id);
 }
 
 const peer_client_counts& peer_client::counts() const
@@ -347,7 +285,7 @@
 
 std::size_t peer_client::inProgress() const
 {
-    return m_state->active.size();
+    return m_state->pool.inProgress();
 }
 
 }
--- a/Source/platform/store_client.cpp
+++ b/Source/platform/store_client.cpp
@@ -99,7 +99,7 @@
     });
 }
 
-void store_client::rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, range_handler handler)
+void store_client::rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, const range_handler& handler)
 {
     Json::Value body;
     body["key"] = encodeBase64(prefix);
@@ -110,7 +110,7 @@
     call(std::move(request));
 }
 
-void store_client::swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value, std::chrono::milliseconds timeout, swap_handler handler)
+void store_client::swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value, std::chrono::milliseconds timeout, const swap_handler& handler)
 {
     auto body = writeJson(swapBody(key, expectedModRevision, value));
     gateway_call request { "/v3/kv/txn", body, true, timeout, m_endpoints.size(), nullptr, nullptr };
@@ -119,7 +119,7 @@
     call(std::move(request));
 }
 
-void store_client::remove(const std::string& key, std::chrono::milliseconds timeout, std::function<void()> done)
+void store_client::remove(const std::string& key, std::chrono::milliseconds timeout, const std::function<void()>& done)
 {
     Json::Value body;
     body["key"] = encodeBase64(key);
--- a/Source/platform/store_client.h
+++ b/Source/platform/store_client.h
@@ -54,14 +54,14 @@
     using swap_handler = std::function<void(store_result<store_swap>)>;
 
     // Reads every key that begins with the prefix.
-    void rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, range_handler);
+    void rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, const range_handler&);
 
     // Writes the value only if the key's last write is the one expected; 0 expects no key.
     void swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value,
-        std::chrono::milliseconds timeout, swap_handler);
+        std::chrono::milliseconds timeout, const swap_handler&);
 
     // Removes the key, whatever it holds.
-    void remove(const std::string& key, std::chrono::milliseconds timeout, std::function<void()> done);
+    void remove(const std::string& key, std::chrono::milliseconds timeout, const std::function<void()>& done);
 
 private:
     struct gateway_call;
--- a/Tests/Demo/main.cpp
+++ b/Tests/Demo/main.cpp
@@ -87,16 +87,13 @@
     {
         say("\nPlanned stop of every node:");
         bool clean = true;
-        for (const std::string service : { "threads", "desk-replies", "stay-details", "notices" }) {
-            for (const auto& zone : zones) {
-                hotel.server(service + "-" + zone).node->signal(SIGTERM);
-            }
+        auto& servers = hotel.servers();
+        for (auto& [name, server] : servers) {
+            server->node->signal(SIGTERM);
         }
-        for (const std::string service : { "threads", "desk-replies", "stay-details", "notices" }) {
-            for (const auto& zone : zones) {
-                auto end = hotel.server(service + "-" + zone).node->wait();
-                clean = clean && end && end->exitCode == 0;
-            }
+        for (auto& [name, server] : servers) {
+            auto end = server->node->wait();
+            clean = clean && end && end->exitCode == 0;
         }
         say(clean ? "  all exited with 0" : "  some did not exit cleanly");
         return clean;
--- a/Tests/Failures/failing_hotel.cpp
+++ b/Tests/Failures/failing_hotel.cpp
@@ -1,5 +1,7 @@
 #include "Failures/failing_hotel.h"
 
+#include "Harness/contract_texts.h"
+
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
@@ -9,33 +11,6 @@
 
 namespace {
 
-    constexpr const char* contractText = R"(
-customer = "hotel-seri"
-share = 1.0
-
-[[class]]
-name = "stay-details"
-service = "stay"
-method = "GET"
-path = "/details"
-idempotent = true
-importance = "deferrable"
-deadline = "1500ms"
-target = 0.99
-retries = 2
-
-[[class]]
-name = "desk-reply"
-service = "desk"
-method = "POST"
-path = "/reply"
-idempotent = false
-importance = "confirmed"
-deadline = "1500ms"
-target = 0.999
-retries = 2
-)";
-
     constexpr const char* mix = "name=stay-details,method=GET,path=/stay/details,customer=hotel-seri,weight=0.5,timeout_ms=2000,tree=1;"
                                 "name=desk-reply,method=POST,path=/desk/reply,customer=hotel-seri,weight=0.5,keyed=1,timeout_ms=2000,tree=2";
 
@@ -57,7 +32,7 @@
     : m_random(seed)
     , m_mesh(mesh_network::ThroughProxy)
 {
-    m_mesh.putContract("hotel-seri", contractText);
+    m_mesh.putContract("hotel-seri", stayAndDeskContract);
     for (const auto& zone : zones) {
         start("stay", zone);
         start("desk", zone);
--- /dev/null
+++ b/Tests/Harness/contract_texts.cpp
@@ -0,0 +1,59 @@
+#include "Harness/contract_texts.h"
+
+namespace vanillashunt {
+
+const char* const threadsAndDeskContract = R"(
+customer = "hotel-seri"
+share = 0.5
+
+[[class]]
+name = "thread-history"
+service = "threads"
+method = "GET"
+path = "/history"
+idempotent = true
+importance = "deferrable"
+deadline = "5s"
+target = 0.99
+retries = 2
+
+[[class]]
+name = "desk-reply"
+service = "desk"
+method = "POST"
+path = "/reply"
+idempotent = false
+importance = "confirmed"
+deadline = "5s"
+target = 0.999
+retries = 2
+)";
+
+const char* const stayAndDeskContract = R"(
+customer = "hotel-seri"
+share = 1.0
+
+[[class]]
+name = "stay-details"
+service = "stay"
+method = "GET"
+path = "/details"
+idempotent = true
+importance = "deferrable"
+deadline = "1500ms"
+target = 0.99
+retries = 2
+
+[[class]]
+name = "desk-reply"
+service = "desk"
+method = "POST"
+path = "/reply"
+idempotent = false
+importance = "confirmed"
+deadline = "1500ms"
+target = 0.999
+retries = 2
+)";
+
+}
--- a/Tests/Harness/load_run.cpp
+++ b/Tests/Harness/load_run.cpp
@@ -147,6 +147,7 @@
         byNumber[value["run"].asUInt64()] = readRun(service, value);
     }
     std::vector<run_record> runs;
+    runs.reserve(byNumber.size());
     for (auto& [number, run] : byNumber) {
         runs.push_back(std::move(run));
     }
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -69,6 +69,7 @@
     void addEndpoint(const std::string& address);
 
     mesh_server& add(const server_spec&);
+    std::map<std::string, std::unique_ptr<mesh_server>>& servers() { return m_servers; }
     mesh_server& server(const std::string& name) { return *m_servers.at(name); }
     stand_in& platform() { return m_platform; }
 
--- a/Tests/HonestUnderFailure/honest_under_failure_test.cpp
+++ b/Tests/HonestUnderFailure/honest_under_failure_test.cpp
@@ -1,3 +1,4 @@
+#include "Harness/contract_texts.h"
 #include "Harness/load_run.h"
 
 #include <gtest/gtest.h>
@@ -8,33 +9,6 @@
 
 namespace {
 
-    constexpr const char* contractText = R"(
-customer = "hotel-seri"
-share = 1.0
-
-[[class]]
-name = "stay-details"
-service = "stay"
-method = "GET"
-path = "/details"
-idempotent = true
-importance = "deferrable"
-deadline = "1500ms"
-target = 0.99
-retries = 2
-
-[[class]]
-name = "desk-reply"
-service = "desk"
-method = "POST"
-path = "/reply"
-idempotent = false
-importance = "confirmed"
-deadline = "1500ms"
-target = 0.999
-retries = 2
-)";
-
     constexpr const char* mix = "name=stay-details,method=GET,path=/stay/details,customer=hotel-seri,weight=0.5,timeout_ms=2000,tree=1;"
                                 "name=desk-reply,method=POST,path=/desk/reply,customer=hotel-seri,weight=0.5,keyed=1,timeout_ms=2000,tree=2";
 
@@ -46,7 +20,7 @@
     public:
         failing_mesh()
         {
-            m_mesh.putContract("hotel-seri", contractText);
+            m_mesh.putContract("hotel-seri", stayAndDeskContract);
             for (const auto& zone : zones) {
                 add("stay", zone, "");
                 add("desk", zone, "stay:/room:GET");
@@ -66,11 +40,9 @@
             waitForRuns(250);
             mendIt();
             m_requests = load.finish();
-            for (const auto& zone : zones) {
-                for (const std::string service : { "stay", "desk" }) {
-                    auto runs = readRunFile(service, logOf(service + "-" + zone));
-                    m_runs.insert(m_runs.end(), runs.begin(), runs.end());
-                }
+            for (const auto& [name, server] : m_mesh.servers()) {
+                auto runs = readRunFile(server->spec.service, logOf(name));
+                m_runs.insert(m_runs.end(), runs.begin(), runs.end());
             }
         }
 
--- a/Tests/MembershipUnderFailure/membership_under_failure_test.cpp
+++ b/Tests/MembershipUnderFailure/membership_under_failure_test.cpp
@@ -1,3 +1,4 @@
+#include "Harness/contract_texts.h"
 #include "Harness/mesh.h"
 
 #include <gtest/gtest.h>
@@ -8,22 +9,6 @@
 
 namespace {
 
-    constexpr const char* contract = R"(
-customer = "hotel-seri"
-share = 0.5
-
-[[class]]
-name = "thread-history"
-service = "threads"
-method = "GET"
-path = "/history"
-idempotent = true
-importance = "deferrable"
-deadline = "5s"
-target = 0.99
-retries = 2
-)";
-
     const http_fields guest { { "Vanillashunt-Customer", "hotel-seri" } };
 
     // What the node's dump says of membership; null where it does not answer.
@@ -99,7 +84,7 @@
 TEST(MembershipUnderFailure, AKilledNodeIsDeadForAllAndOutOfRouting)
 {
     mesh hotel;
-    hotel.putContract("hotel-seri", contract);
+    hotel.putContract("hotel-seri", threadsAndDeskContract);
     auto near = startZone(hotel, "bangsar");
     auto far = startZone(hotel, "cyberjaya");
     server_list observers { near[0], near[1], far[0], far[1], far[2] };
@@ -143,7 +128,7 @@
 TEST(MembershipUnderFailure, AZoneThatIsKilledIsReplaced)
 {
     mesh hotel;
-    hotel.putContract("hotel-seri", contract);
+    hotel.putContract("hotel-seri", threadsAndDeskContract);
     auto near = startZone(hotel, "bangsar");
     auto far = startZone(hotel, "cyberjaya");
     ASSERT_TRUE(allSee(near, far, "alive"));
--- a/Tests/WholePath/whole_path_test.cpp
+++ b/Tests/WholePath/whole_path_test.cpp
@@ -1,3 +1,4 @@
+#include "Harness/contract_texts.h"
 #include "Harness/mesh.h"
 
 #include <gtest/gtest.h>
@@ -8,37 +9,10 @@
 
 namespace {
 
-    constexpr const char* hotelContract = R"(
-customer = "hotel-seri"
-share = 0.5
-
-[[class]]
-name = "thread-history"
-service = "threads"
-method = "GET"
-path = "/history"
-idempotent = true
-importance = "deferrable"
-deadline = "5s"
-target = 0.99
-retries = 2
-
-[[class]]
-name = "desk-reply"
-service = "desk"
-method = "POST"
-path = "/reply"
-idempotent = false
-importance = "confirmed"
-deadline = "5s"
-target = 0.999
-retries = 2
-)";
-
     // Three zones; a desk reply calls stay, which calls templates: three deep.
     void startHotel(mesh& hotel)
     {
-        hotel.putContract("hotel-seri", hotelContract);
+        hotel.putContract("hotel-seri", threadsAndDeskContract);
         for (const std::string zone : { "cyberjaya", "shah-alam", "bangsar" }) {
             hotel.add({ "threads-" + zone, "threads", zone, { "--calls", "profiles:/guest:GET", "--service-ms", "2" }, "" });
             hotel.add({ "desk-" + zone, "desk", zone, { "--calls", "stay:/room:GET,profiles:/guest:GET", "--service-ms", "2" }, "" });
