Name the finder of a fault without the way of working

Cause: a comment told how the work was divided, which is nobody's business here.

Measured: a comment only; nothing was run again.

--- a/Tests/CommandMessages/node_port_test.cpp
+++ b/Tests/CommandMessages/node_port_test.cpp
@@ -7,7 +7,7 @@
 
 namespace vanillashunt {
 
-// Found by a helper test: a port that was taken ended the process with "terminate called".
+// Found by another test: a port that was taken ended the process with "terminate called".
 TEST(NodePort, APortThatIsTakenIsNamed)
 {
     mesh taken;
