Read and write JSON text in one place, and drop what nobody calls

Cause: the last read of the whole change: backend_announcement had its own copy of readJson, caller_response of writeJson, and both stood in the store's package; store_client::remove had no caller left, peer_connection a flag that nobody read.

A JSON text nested deeper than 64 is refused in an announcement too, as it was everywhere else.

--- a/Source/backend/backend_announcement.cpp
+++ b/Source/backend/backend_announcement.cpp
@@ -1,12 +1,8 @@
 #include "backend/backend_announcement.h"
 
+#include "http/json_text.h"
 #include "http/socket_address.h"
 
-#include <json/reader.h>
-#include <json/value.h>
-
-#include <memory>
-
 namespace vanillashunt {
 
 namespace {
@@ -36,26 +32,11 @@
         return { "announcement of a backend server: \"" + key + "\" " + mend };
     }
 
-    Json::Value parseObject(const std::string& text)
-    {
-        Json::CharReaderBuilder builder;
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value value;
-        try {
-            if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
-                return {};
-            }
-        } catch (const Json::Exception&) {
-            return {};
-        }
-        return value;
-    }
-
 }
 
 parse_announcement_result parseAnnouncement(const std::string& text)
 {
-    auto value = parseObject(text);
+    auto value = readJson(text);
     if (!value.isObject()) {
         return announcement_problem { "announcement of a backend server: the body is not a JSON object; send one with \"service\", \"address\" and \"slots\"" };
     }
--- a/Source/caller/caller_response.cpp
+++ b/Source/caller/caller_response.cpp
@@ -1,9 +1,7 @@
 #include "caller/caller_response.h"
 
 #include "call/header_names.h"
-
-#include <json/value.h>
-#include <json/writer.h>
+#include "http/json_text.h"
 
 namespace vanillashunt {
 
@@ -18,9 +16,7 @@
         body["reason"] = toString(final.answer.outcome.reason);
         body["request_id"] = final.requestId;
         body["message"] = final.message;
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        return Json::writeString(builder, body);
+        return writeJson(body);
     }
 
     void addRetryAfter(std::chrono::milliseconds wait, http_fields& fields)
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -60,7 +60,6 @@
             m_callId = request.callId;
             m_attempt = request.attempt;
             m_idle = false;
-            m_sent = false;
             m_outgoing = encodeFrame(request, std::chrono::steady_clock::now());
             m_timer.cancel();
             if (m_socket.is_open()) {
@@ -151,7 +150,6 @@
 
         void write()
         {
-            m_sent = true;
             asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
                 // A peer that refuses early may have answered before it closed.
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
@@ -248,7 +246,6 @@
         std::array<char, frameHeadBytes> m_head {};
         byte_vector m_payload;
         bool m_connected = false;
-        bool m_sent = false;
         bool m_idle = false;
         bool m_closed = false;
     };
--- a/Source/platform/gateway_json.cpp
+++ b/Source/platform/gateway_json.cpp
@@ -1,11 +1,8 @@
 #include "platform/gateway_json.h"
 
 #include <boost/beast/core/detail/base64.hpp>
-#include <json/reader.h>
-#include <json/writer.h>
 
 #include <cstdlib>
-#include <memory>
 
 namespace vanillashunt {
 
@@ -42,29 +39,6 @@
     return prefix;
 }
 
-std::string writeJson(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
-Json::Value readJson(const std::string& text)
-{
-    Json::CharReaderBuilder builder;
-    builder["stackLimit"] = 64;
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
-            return {};
-        }
-    } catch (const Json::Exception&) {
-        return {};
-    }
-    return value;
-}
-
 std::int64_t readInteger(const Json::Value& value)
 {
     if (value.isInt64()) {
--- a/Source/platform/gateway_json.h
+++ b/Source/platform/gateway_json.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/json_text.h"
 #include "platform/store_client.h"
 
 #include <json/value.h>
@@ -20,11 +21,6 @@
 // The first key after all that begin with the prefix.
 std::string prefixEnd(std::string prefix);
 
-std::string writeJson(const Json::Value&);
-
-// Returns a null value for a text that is not JSON.
-Json::Value readJson(const std::string& text);
-
 // Returns 0 for a value that is no integer.
 std::int64_t readInteger(const Json::Value&);
 
--- a/Source/platform/store_client.cpp
+++ b/Source/platform/store_client.cpp
@@ -119,14 +119,4 @@
     call(std::move(request));
 }
 
-void store_client::remove(const std::string& key, std::chrono::milliseconds timeout, const std::function<void()>& done)
-{
-    Json::Value body;
-    body["key"] = encodeBase64(key);
-    gateway_call request { "/v3/kv/deleterange", writeJson(body), true, timeout, m_endpoints.size(), nullptr, nullptr };
-    request.answered = [done](const Json::Value&) { done(); };
-    request.failed = [done](const store_failure&) { done(); };
-    call(std::move(request));
-}
-
 }
--- a/Source/platform/store_client.h
+++ b/Source/platform/store_client.h
@@ -60,9 +60,6 @@
     void swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value,
         std::chrono::milliseconds timeout, const swap_handler&);
 
-    // Removes the key, whatever it holds.
-    void remove(const std::string& key, std::chrono::milliseconds timeout, const std::function<void()>& done);
-
 private:
     struct gateway_call;
     void call(gateway_call);
