--- a/Source/call/call_request.h
+++ b/Source/call/call_request.h
@@ -20,6 +20,8 @@
     // Present if and only if the call is not idempotent.
     std::optional<ticket> permit;
     std::string service;
+    // The service beside which the call began; empty where nobody asks.
+    std::string callerService;
     std::string method;
     // Path and query, as the backend server is to see them.
     std::string path;
--- /dev/null
+++ b/Source/call/request_terms.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "call/http_field.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace vanillashunt {
+
+// What the headers of a platform say of requests and answers, whatever it calls them.
+
+// What a client says of a request beside its target and body.
+struct request_terms {
+    // Names one attempt of the client.
+    std::string requestId;
+    // How long the client goes on waiting; nothing if it does not say.
+    std::optional<std::chrono::milliseconds> remaining;
+};
+
+// What the node tells its server of a request.
+struct server_terms {
+    std::chrono::milliseconds remaining { 0 };
+    // The only start of the server that may run it.
+    std::string instanceId;
+    // The service beside which the request began.
+    std::string callerService;
+};
+
+// What a server says of its answer.
+struct answer_marks {
+    // Empty if the answer names none.
+    std::string requestId;
+    // Whether the server signed the answer.
+    bool isSealed = false;
+    // Whether it says that it did not run the request.
+    bool isNotExecuted = false;
+    // Whether the body is another than the server's own bytes.
+    bool isEncoded = false;
+};
+
+}
--- /dev/null
+++ b/Source/caller/pipeline_session.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "caller/pipeline_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <deque>
+#include <optional>
+#include <unordered_set>
+
+namespace vanillashunt {
+
+class pipeline_session;
+
+struct pipeline_server::state : std::enable_shared_from_this<pipeline_server::state> {
+    state(boost::asio::io_context&, pipeline_server_hooks);
+
+    void accept();
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    pipeline_server_hooks hooks;
+    std::unordered_set<pipeline_session*> sessions;
+    pipeline_server_counts counts;
+    bool closingAfterAnswers = false;
+    bool stopping = false;
+};
+
+// One connection of a client.
+class pipeline_session : public std::enable_shared_from_this<pipeline_session> {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    pipeline_session(boost::asio::ip::tcp::socket, std::shared_ptr<pipeline_server::state>);
+    ~pipeline_session();
+
+    void start();
+    void endLate(time_point now);
+    void closeIfIdle();
+    // Sends the answers whose turn has come.
+    void flush();
+    std::size_t inProgress() const { return m_exchanges.size() + (m_writing ? 1 : 0); }
+
+private:
+    class exchange;
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    // What the client is to do next, within a bound of time.
+    enum class stage {
+        Idle, // Send a request.
+        Header, // Send the rest of a header.
+        Body, // Send the rest of a body.
+        Answering, // Wait for answers; it is not late.
+        Reading, // Take an answer.
+        Leaving, // Close, after the last answer.
+    };
+
+    void read();
+    void bytesArrived(const boost::system::error_code&, std::size_t count);
+    void parse();
+    bool parseOne();
+    void beginParser();
+    void requestArrived();
+    void refuse(unsigned status, const std::string& reason);
+    void refuseUnreadable(const boost::system::error_code&);
+    void answerWith(http_response, bool closes);
+    std::string answerText(const exchange&, bool closes) const;
+    void written(const boost::system::error_code&);
+    void leave();
+    void clientGone();
+    void close();
+    void enter(stage);
+    void enterNextStage();
+    std::chrono::milliseconds longest(stage) const;
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<pipeline_server::state> m_server;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    std::deque<std::shared_ptr<exchange>> m_exchanges;
+    std::string m_outgoing;
+    stage m_stage = stage::Idle;
+    time_point m_stageEntered;
+    bool m_reading = false;
+    bool m_writing = false;
+    // No further request is taken from this connection.
+    bool m_closing = false;
+    bool m_closed = false;
+};
+
+}
--- a/Source/command/contract_store.cpp
+++ b/Source/command/contract_store.cpp
@@ -3,7 +3,7 @@
 #include "caller/caller_request.h"
 #include "contract/parse_contract.h"
 #include "http/socket_address.h"
-#include "platform/seed_directory.h"
+#include "store/seed_directory.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/command/contract_store.h
+++ b/Source/command/contract_store.h
@@ -2,7 +2,7 @@
 
 #include "command/command_line.h"
 #include "contract/contract.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <chrono>
 #include <string>
--- a/Source/command/node_answers.cpp
+++ b/Source/command/node_answers.cpp
@@ -1,7 +1,7 @@
 #include "command/node_answers.h"
 
 #include "operator/operator_client.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <algorithm>
 #include <iostream>
--- a/Source/command/program.cpp
+++ b/Source/command/program.cpp
@@ -6,6 +6,7 @@
 #include "command/dump_command.h"
 #include "command/explain_command.h"
 #include "command/node_command.h"
+#include "command/routed_node_command.h"
 #include "command/status_command.h"
 #include "command/stop_command.h"
 #include "command/version_command.h"
@@ -39,6 +40,7 @@
     {
         return {
             nodeCommand(),
+            routedNodeCommand(),
             contractCommand(),
             stopCommand(),
             statusCommand(),
--- /dev/null
+++ b/Source/decision/retry_allowance.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace vanillashunt {
+
+// What all nodes together may spend on sending requests to a second server.
+struct retry_allowance_settings {
+    // Repeats for each request to a service, within the window.
+    double ratio = 0.2;
+    // Repeats of a service within the window beside that, for the whole fleet.
+    double slack = 0;
+    std::chrono::milliseconds window { 10000 };
+};
+
+// This node's part of the fleet's allowance, kept without a word to the others:
+// the ratio of the requests that it has sent itself, and an even part of the
+// slack. The sum of such parts is the whole at most.
+class retry_allowance {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit retry_allowance(const retry_allowance_settings&);
+
+    // Nodes that share the slack, this one among them.
+    void setNodes(std::size_t nodes);
+
+    // A request for the service begins here.
+    void requested(const std::string& service, time_point now);
+
+    // Takes one repeat; false where the part is used up.
+    bool take(const std::string& service, time_point now);
+
+private:
+    static constexpr std::size_t bucketCount = 20;
+
+    // Both sums are of the window that ends now.
+    struct service_window {
+        std::array<std::uint32_t, bucketCount> requests {};
+        std::array<std::uint32_t, bucketCount> repeats {};
+        // Number of the newest bucket since the clock began.
+        std::int64_t newest = 0;
+    };
+
+    service_window& windowOf(const std::string& service, time_point now);
+
+    retry_allowance_settings m_settings;
+    std::size_t m_nodes = 1;
+    std::unordered_map<std::string, service_window> m_windows;
+};
+
+}
--- a/Source/events/event.cpp
+++ b/Source/events/event.cpp
@@ -39,11 +39,17 @@
         return result;
     }
 
+    bool& writesToStandardOutput()
+    {
+        static bool value = false;
+        return value;
+    }
+
     void addConsoleOnce()
     {
         static const bool added = [] {
             boost::log::add_common_attributes();
-            boost::log::add_console_log(std::clog, boost::log::keywords::format = "%TimeStamp% %Message%",
+            boost::log::add_console_log(writesToStandardOutput() ? std::cout : std::clog, boost::log::keywords::format = "%TimeStamp% %Message%",
                 boost::log::keywords::auto_flush = true);
             return true;
         }();
@@ -52,6 +58,11 @@
 
 }
 
+void logToStandardOutput()
+{
+    writesToStandardOutput() = true;
+}
+
 void logEvent(const event& what, std::initializer_list<event_field> fields)
 {
     addConsoleOnce();
--- a/Source/events/event.h
+++ b/Source/events/event.h
@@ -24,6 +24,10 @@
     std::string value;
 };
 
+// Has every line go to standard output instead of standard error; to be called
+// before the first one.
+void logToStandardOutput();
+
 // Writes one line to standard error: time, severity, number, text and fields.
 void logEvent(const event&, std::initializer_list<event_field> = {});
 
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -14,12 +14,17 @@
 inline constexpr event portNotBound { 104, severity::Error, "a port cannot be opened" };
 inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
 inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
+inline constexpr event backendServerLeaves { 111, severity::Info, "backend server leaves" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
 inline constexpr event contractsChanged { 130, severity::Info, "contracts changed" };
+inline constexpr event routesChanged { 131, severity::Info, "routes changed" };
+inline constexpr event routesUnreadable { 132, severity::Error, "a version of the routes cannot be read" };
+inline constexpr event storeLost { 133, severity::Warning, "the platform's store does not answer" };
+inline constexpr event settingsReread { 105, severity::Info, "settings file read again" };
 inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, nameTakenOver, contractsChanged, callShed, requestRefused, requestUnknown };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, settingsReread, callShed, requestRefused, requestUnknown };
 
 }
--- a/Source/http/socket_address.cpp
+++ b/Source/http/socket_address.cpp
@@ -1,11 +1,26 @@
 #include "http/socket_address.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <charconv>
 
 namespace vanillashunt {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+    // A connection on which a probe is unanswered for this long is given up. The
+    // longest answer that callers wait for is some seconds away; a round trip takes
+    // milliseconds, so that only a peer that is gone misses these.
+    constexpr int unacknowledgedMilliseconds = 2000;
+    constexpr int secondsBeforeProbe = 1;
+    constexpr int secondsBetweenProbes = 1;
+    constexpr int unansweredProbes = 2;
+
+}
+
 std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
 {
     auto colon = text.rfind(':');
@@ -53,6 +68,21 @@
     }
 }
 
+void watchLiveness(tcp::socket& socket)
+{
+    using unacknowledged_time = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using probe_start = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_period = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probe_count = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    // A socket that was closed meanwhile takes no option; its next use tells.
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(unacknowledged_time(unacknowledgedMilliseconds), ignored);
+    socket.set_option(probe_start(secondsBeforeProbe), ignored);
+    socket.set_option(probe_period(secondsBetweenProbes), ignored);
+    socket.set_option(probe_count(unansweredProbes), ignored);
+}
+
 void openOutgoing(tcp::socket& socket, const tcp::endpoint& target, const std::string& outgoingAddress, boost::system::error_code& error)
 {
     socket.open(target.protocol(), error);
@@ -61,6 +91,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    watchLiveness(socket);
     if (outgoingAddress.empty()) {
         return;
     }
--- a/Source/http/socket_address.h
+++ b/Source/http/socket_address.h
@@ -16,8 +16,13 @@
 // that names the address.
 void listenOn(boost::asio::ip::tcp::acceptor&, const std::string& address);
 
+// Has the system notice, within seconds, a connection that has gone silent: one
+// whose bytes nobody acknowledges, and one on which nothing is under way.
+void watchLiveness(boost::asio::ip::tcp::socket&);
+
 // Opens a socket for an outgoing connection, bound to the address of the own
-// instance where one is set, so that the other side can tell who calls.
+// instance where one is set, so that the other side can tell who calls. Its
+// liveness is watched.
 void openOutgoing(boost::asio::ip::tcp::socket&, const boost::asio::ip::tcp::endpoint& target,
     const std::string& outgoingAddress, boost::system::error_code&);
 
--- a/Source/node/call_messages.h
+++ b/Source/node/call_messages.h
@@ -8,7 +8,7 @@
 #include "decision/member.h"
 #include "http/http_server.h"
 #include "peer/peer_server.h"
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <json/value.h>
--- a/Source/node/configuration_service.cpp
+++ b/Source/node/configuration_service.cpp
@@ -1,7 +1,7 @@
 #include "node/configuration_service.h"
 
 #include "membership/rendezvous.h"
-#include "platform/seed_directory.h"
+#include "store/seed_directory.h"
 
 #include <algorithm>
 
--- a/Source/node/configuration_service.h
+++ b/Source/node/configuration_service.h
@@ -3,8 +3,8 @@
 #include "contract/contract_book.h"
 #include "decision/member.h"
 #include "operator/peer_rpc.h"
-#include "platform/store_client.h"
-#include "platform/store_watch.h"
+#include "store/store_client.h"
+#include "store/store_watch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -4,7 +4,7 @@
 #include "membership/rendezvous.h"
 #include "node/membership_dump.h"
 #include "node/membership_messages.h"
-#include "platform/seed_directory.h"
+#include "store/seed_directory.h"
 
 namespace vanillashunt {
 
--- a/Source/node/membership_actor.h
+++ b/Source/node/membership_actor.h
@@ -17,7 +17,7 @@
 struct membership_actor_parts {
     actor_host* host = nullptr;
     boost::asio::io_context* context = nullptr;
-    store_client* store = nullptr;
+    metadata_store* store = nullptr;
     std::string listenAddress;
     std::vector<std::string> joinAddresses;
     membership_hooks hooks;
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -5,7 +5,7 @@
 
 namespace vanillashunt {
 
-membership_service::membership_service(actor_host& host, boost::asio::io_context& context, store_client& store, std::vector<std::string> joinAddresses, membership_hooks hooks)
+membership_service::membership_service(actor_host& host, boost::asio::io_context& context, metadata_store& store, std::vector<std::string> joinAddresses, membership_hooks hooks)
     : m_host(host)
     , m_context(context)
     , m_store(store)
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -2,7 +2,7 @@
 
 #include "decision/member.h"
 #include "node/actor_host.h"
-#include "platform/store_client.h"
+#include "store/metadata_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,7 +31,7 @@
 public:
     // The host, the context and the store outlive the service. The addresses are
     // of peers to join besides the seeds in the store.
-    membership_service(actor_host&, boost::asio::io_context&, store_client&, std::vector<std::string> joinAddresses, membership_hooks);
+    membership_service(actor_host&, boost::asio::io_context&, metadata_store&, std::vector<std::string> joinAddresses, membership_hooks);
     ~membership_service();
 
     membership_service(const membership_service&) = delete;
@@ -67,7 +67,7 @@
 
     actor_host& m_host;
     boost::asio::io_context& m_context;
-    store_client& m_store;
+    metadata_store& m_store;
     std::vector<std::string> m_joinAddresses;
     membership_hooks m_hooks;
     boost::asio::steady_timer m_timer;
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -14,7 +14,7 @@
 #include "operator/request_journal.h"
 #include "peer/gossip_socket.h"
 #include "peer/peer_server.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -12,7 +12,7 @@
 #include "decision/entrance_gate.h"
 #include "decision/retry_budget.h"
 #include "decision/router.h"
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/node/planned_stop.cpp
+++ b/Source/node/planned_stop.cpp
@@ -2,16 +2,9 @@
 
 namespace vanillashunt {
 
-namespace {
-
-    // The time in which the news of a stop reaches every node that can be reached,
-    // and in which callers learn it by the answers that they get.
-    constexpr std::chrono::milliseconds spreadTime { 1500 };
-
-}
-
-planned_stop::planned_stop(std::chrono::milliseconds drainTimeout)
+planned_stop::planned_stop(std::chrono::milliseconds drainTimeout, std::chrono::milliseconds spreadTime)
     : m_drainTimeout(drainTimeout)
+    , m_spreadTime(spreadTime)
 {
 }
 
@@ -33,7 +26,7 @@
 
 bool planned_stop::mayClosePorts(std::chrono::steady_clock::time_point now) const
 {
-    return exiting() && now - m_exitRequested >= spreadTime;
+    return exiting() && now - m_exitRequested >= m_spreadTime;
 }
 
 bool planned_stop::mayExit(bool idle, std::chrono::steady_clock::time_point now) const
--- a/Source/node/planned_stop.h
+++ b/Source/node/planned_stop.h
@@ -17,7 +17,11 @@
 // progress, and at the latest after the drain timeout.
 class planned_stop {
 public:
-    explicit planned_stop(std::chrono::milliseconds drainTimeout);
+    // The time in which the news of a stop reaches every node that can be reached,
+    // and in which callers learn it by the answers that they get.
+    static constexpr std::chrono::milliseconds usualSpreadTime { 1500 };
+
+    explicit planned_stop(std::chrono::milliseconds drainTimeout, std::chrono::milliseconds spreadTime = usualSpreadTime);
 
     void request(stop_reason, std::chrono::steady_clock::time_point now);
     void withdraw(stop_reason);
@@ -35,6 +39,7 @@
 
 private:
     std::chrono::milliseconds m_drainTimeout;
+    std::chrono::milliseconds m_spreadTime;
     std::set<stop_reason> m_reasons;
     std::chrono::steady_clock::time_point m_exitRequested;
 };
--- /dev/null
+++ b/Source/node/routed_entry.cpp
@@ -0,0 +1,281 @@
+#include "node/routed_entry.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusBadGateway = 502;
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
+    constexpr unsigned leastServerError = 500;
+
+    // Servers' nodes that are asked in turn while each refuses before its server is reached.
+    constexpr std::size_t mostRefusals = 3;
+
+    // Advice where a server is missing: what it takes until another is known, or
+    // until the configuration has come. Spread, so that nobody returns together.
+    constexpr std::chrono::milliseconds shortestReturn { 150 };
+    constexpr std::uint64_t returnSpread = 300;
+
+    // A request is not sent again with less time than this: it would only add load.
+    constexpr std::chrono::milliseconds leastTimeToRetry { 20 };
+
+    constexpr std::uint64_t chanceSteps = 1U << 20U;
+
+    importance importanceOf(std::uint32_t priority)
+    {
+        if (priority == 0) {
+            return importance::Confirmed;
+        }
+        return priority == 1 ? importance::Interactive : importance::Deferrable;
+    }
+
+    // Whether the answer says that the request came as far as a server.
+    bool reachedServer(const verdict& outcome)
+    {
+        return outcome.run != execution::NotRun || outcome.reason == verdict_reason::BackendRefused;
+    }
+
+    unsigned statusOfRefusal(const verdict& outcome)
+    {
+        if (outcome.run == execution::NotRun) {
+            return statusUnavailable;
+        }
+        return outcome.reason == verdict_reason::DeadlinePassed ? statusGatewayTimeout : statusBadGateway;
+    }
+
+}
+
+routed_entry::routed_entry(entry_settings settings, entry_hooks hooks)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_table(std::make_shared<route_configuration>())
+    , m_router(m_settings.place, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; })
+    , m_allowance(m_settings.retries)
+{
+}
+
+void routed_entry::setConfiguration(route_snapshot configuration)
+{
+    if (configuration->version <= version()) {
+        return;
+    }
+    m_table = route_table(std::move(configuration));
+    m_rotation.clear();
+}
+
+void routed_entry::setMembers(const member_list& members, time_point now)
+{
+    m_allowance.setNodes(members->size());
+    m_router.setMembers(members, now);
+}
+
+std::chrono::milliseconds routed_entry::comeBackAfter() const
+{
+    return shortestReturn + std::chrono::milliseconds(m_hooks.random() % returnSpread);
+}
+
+std::uint64_t routed_entry::arrive(entry_request request, entry_handler handler, time_point now)
+{
+    if (version() == 0) {
+        refuseNow(request, handler, statusUnavailable, verdict::notRun(verdict_reason::UnknownService, comeBackAfter()), "no configuration is known here yet", now);
+        return 0;
+    }
+    const auto* found = m_table.find(fieldValue(request.message.fields, "Host"), request.message.target);
+    if (!found) {
+        refuseNow(request, handler, statusNotFound, verdict::notRun(verdict_reason::UnknownService), "no route has this host and path", now);
+        return 0;
+    }
+    auto callId = m_hooks.random() | 1U;
+    entry_call call;
+    call.arrived = now;
+    call.handler = std::move(handler);
+    call.maxAttempts = std::max(1U, found->maxAttempts);
+    auto& sent = call.request;
+    sent.callId = callId;
+    sent.service = m_rotation.next(*found, static_cast<double>(m_hooks.random() % chanceSteps) / chanceSteps);
+    sent.callerService = m_settings.ownService;
+    sent.method = std::move(request.message.method);
+    sent.path = std::move(request.message.target);
+    sent.fields = std::move(request.message.fields);
+    sent.body = std::move(request.message.body);
+    auto& context = sent.context;
+    context.requestId = std::move(request.requestId);
+    context.requestClass = found->name;
+    context.level = importanceOf(found->priority);
+    context.position = sheddingPosition(context.level, context.requestId);
+    context.idempotent = found->idempotent;
+    context.deadline = std::min(request.deadline, now + found->timeout);
+    m_allowance.requested(sent.service, now);
+    m_calls.emplace(callId, std::move(call));
+    attempt(callId, now);
+    return callId;
+}
+
+void routed_entry::refuseNow(const entry_request& request, const entry_handler& handler, unsigned status, const verdict& why, const std::string& message, time_point now) const
+{
+    if (m_hooks.observed) {
+        request_context context;
+        context.requestId = request.requestId;
+        call_observation seen { call_decision::Finished, context, now };
+        seen.outcome = why;
+        seen.detail = message;
+        seen.whole = true;
+        seen.status = status;
+        m_hooks.observed(seen);
+    }
+    handler({ why, {}, status, message });
+}
+
+void routed_entry::attempt(std::uint64_t callId, time_point now)
+{
+    auto& call = m_calls.at(callId);
+    if (call.request.context.deadline <= now) {
+        giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
+        return;
+    }
+    auto chosen = m_router.choose({ call.request.service, call.tried }, now);
+    if (!chosen) {
+        auto refusal = call.refusal.reason == verdict_reason::Answered ? verdict::notRun(verdict_reason::NoBackendServer, comeBackAfter()) : call.refusal;
+        giveUp(callId, refusal, "no further server of the service is known", now);
+        return;
+    }
+    call.tried.push_back(chosen->id);
+    call.request.attempt = static_cast<std::uint32_t>(call.tried.size());
+    call.attemptId = m_hooks.random() | 1U;
+    call.attemptStarted = now;
+    call.target = chosen->id;
+    m_callOfAttempt[call.attemptId] = callId;
+    m_router.started(chosen->id, now);
+    observe(call, call.tried.size() == 1 ? call_decision::Attempt : call_decision::Retry, {}, chosen->name, 0, now);
+    m_hooks.send(call.attemptId, *chosen, call.request);
+}
+
+void routed_entry::attemptAnswered(std::uint64_t attemptId, call_answer answer, time_point now)
+{
+    auto node = m_callOfAttempt.extract(attemptId);
+    if (!node) {
+        return;
+    }
+    auto callId = node.mapped();
+    auto& call = m_calls.at(callId);
+    call.attemptId = 0;
+    auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted);
+    m_router.finished(call.target, { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit }, now);
+    // A node that answers tells its limit, also where its server lost the answer.
+    bool nothingCameBack = answer.limit == 0 && (answer.outcome.reason == verdict_reason::PeerUnreachable || answer.outcome.reason == verdict_reason::AnswerLost);
+    m_hooks.ended(call.target, !nothingCameBack);
+    call.reached += reachedServer(answer.outcome) ? 1 : 0;
+    call.mayHaveRun = call.mayHaveRun || answer.outcome.run != execution::NotRun;
+    if (answer.outcome.run != execution::Ran) {
+        call.refusal = answer.outcome;
+        observe(call, call_decision::AttemptFailed, answer.outcome, "", 0, now);
+    }
+    if (mayTryAgain(call, answer, now)) {
+        attempt(callId, now);
+        return;
+    }
+    auto outcome = answer.outcome;
+    finish(callId, outcome, std::move(answer), "the request was given up", now);
+}
+
+bool routed_entry::mayTryAgain(entry_call& call, const call_answer& answer, time_point now)
+{
+    bool served = answer.outcome.run == execution::Ran && answer.status < leastServerError;
+    if (served || call.request.context.deadline < now + leastTimeToRetry) {
+        return false;
+    }
+    if (call.mayHaveRun && !call.request.context.idempotent) {
+        return false;
+    }
+    if (!reachedServer(answer.outcome)) {
+        return call.tried.size() < mostRefusals + call.reached;
+    }
+    return call.reached < call.maxAttempts && m_allowance.take(call.request.service, now);
+}
+
+// Ends a request for which no server's answer is at hand.
+void routed_entry::giveUp(std::uint64_t callId, const verdict& why, const std::string& message, time_point now)
+{
+    finish(callId, why, {}, message, now);
+}
+
+void routed_entry::finish(std::uint64_t callId, const verdict& why, call_answer answer, const std::string& message, time_point now)
+{
+    auto node = m_calls.extract(callId);
+    auto& call = node.mapped();
+    entry_answer result;
+    result.outcome = why;
+    if (why.run == execution::Ran) {
+        observe(call, call_decision::Finished, why, "", answer.status, now);
+        result.answer = std::move(answer);
+        call.handler(std::move(result));
+        return;
+    }
+    if (call.mayHaveRun) {
+        result.outcome.run = execution::MayHaveRun;
+    }
+    if (result.outcome.run == execution::NotRun && result.outcome.retryAfter.count() == 0) {
+        result.outcome.retryAfter = comeBackAfter();
+    }
+    result.refusalStatus = statusOfRefusal(result.outcome);
+    result.message = message;
+    observe(call, call_decision::Finished, result.outcome, message, result.refusalStatus, now);
+    call.handler(std::move(result));
+}
+
+void routed_entry::abandonAttempt(entry_call& call, time_point now)
+{
+    if (call.attemptId == 0) {
+        return;
+    }
+    m_hooks.cancelAttempt(call.attemptId);
+    m_callOfAttempt.erase(call.attemptId);
+    m_router.cancelled(call.target, now);
+    call.mayHaveRun = true;
+    call.attemptId = 0;
+}
+
+void routed_entry::cancel(std::uint64_t callId, time_point now)
+{
+    auto node = m_calls.extract(callId);
+    if (!node) {
+        return;
+    }
+    auto& call = node.mapped();
+    abandonAttempt(call, now);
+    observe(call, call_decision::Finished, verdict::mayHaveRun(verdict_reason::CallerGone), "the sender left", 0, now);
+}
+
+void routed_entry::tick(time_point now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto& [callId, call] : m_calls) {
+        if (call.request.context.deadline <= now) {
+            late.push_back(callId);
+        }
+    }
+    for (auto callId : late) {
+        abandonAttempt(m_calls.at(callId), now);
+        giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
+    }
+}
+
+void routed_entry::observe(const entry_call& call, call_decision decision, const verdict& outcome, const std::string& detail, std::uint32_t status, time_point now) const
+{
+    if (!m_hooks.observed) {
+        return;
+    }
+    call_observation seen { decision, call.request.context, now };
+    seen.outcome = outcome;
+    seen.detail = detail;
+    seen.whole = true;
+    seen.status = status;
+    seen.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived);
+    m_hooks.observed(seen);
+}
+
+}
--- /dev/null
+++ b/Source/node/routed_entry.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "call/call_answer.h"
+#include "call/call_observation.h"
+#include "call/call_request.h"
+#include "decision/retry_allowance.h"
+#include "decision/router.h"
+#include "http/http_message.h"
+#include "routes/destination_rotation.h"
+#include "routes/route_table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillashunt {
+
+// One request as it came to this node's port.
+struct entry_request {
+    std::string requestId;
+    http_request message;
+    // When its sender stops waiting.
+    std::chrono::steady_clock::time_point deadline;
+};
+
+// What the sender of a request is told: the server's answer, or a refusal.
+struct entry_answer {
+    // Ran: answer holds the server's answer. Otherwise it holds nothing.
+    verdict outcome;
+    call_answer answer;
+    // The HTTP status of a refusal.
+    unsigned refusalStatus = 0;
+    std::string message;
+};
+
+using entry_handler = std::function<void(entry_answer)>;
+
+struct entry_hooks {
+    std::function<void(std::uint64_t attemptId, const member&, const call_request&)> send;
+    std::function<void(std::uint64_t attemptId)> cancelAttempt;
+    // Whether anything came back from a member.
+    std::function<void(std::uint64_t memberId, bool answered)> ended;
+    std::function<std::uint64_t()> random;
+    call_observer observed;
+};
+
+struct entry_settings {
+    node_place place;
+    // The service of the server beside this node: where these requests begin.
+    std::string ownService;
+    retry_allowance_settings retries;
+};
+
+// The requests that enter at this node, those of its clients and those of its own
+// server: finds their route, sends each to a server's node, and is the only one
+// that sends it again.
+class routed_entry {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    routed_entry(entry_settings, entry_hooks);
+
+    // A version older than the one in force is not taken.
+    void setConfiguration(route_snapshot);
+    void setMembers(const member_list&, time_point now);
+
+    // The handler is called exactly once, unless the request is cancelled.
+    std::uint64_t arrive(entry_request, entry_handler, time_point now);
+
+    // The sender of the request has left.
+    void cancel(std::uint64_t callId, time_point now);
+
+    void attemptAnswered(std::uint64_t attemptId, call_answer, time_point now);
+
+    // Ends requests whose time is over.
+    void tick(time_point now);
+
+    std::size_t inProgress() const { return m_calls.size(); }
+    std::int64_t version() const { return m_table.configuration().version; }
+    const client_limits& limits() const { return m_table.configuration().limits; }
+
+private:
+    struct entry_call {
+        call_request request;
+        entry_handler handler;
+        time_point arrived;
+        std::uint32_t maxAttempts = 1;
+        std::vector<std::uint64_t> tried;
+        // Servers that the request has reached, as far as can be known.
+        std::uint32_t reached = 0;
+        bool mayHaveRun = false;
+        // The last refusal, and its advice.
+        verdict refusal;
+        std::uint64_t attemptId = 0;
+        std::uint64_t target = 0;
+        time_point attemptStarted;
+    };
+
+    void attempt(std::uint64_t callId, time_point now);
+    bool mayTryAgain(entry_call&, const call_answer&, time_point now);
+    void finish(std::uint64_t callId, const verdict&, call_answer, const std::string& message, time_point now);
+    void giveUp(std::uint64_t callId, const verdict&, const std::string& message, time_point now);
+    void refuseNow(const entry_request&, const entry_handler&, unsigned status, const verdict&, const std::string& message, time_point now) const;
+    void abandonAttempt(entry_call&, time_point now);
+    void observe(const entry_call&, call_decision, const verdict&, const std::string& detail, std::uint32_t status, time_point now) const;
+    std::chrono::milliseconds comeBackAfter() const;
+
+    entry_settings m_settings;
+    entry_hooks m_hooks;
+    route_table m_table;
+    destination_rotation m_rotation;
+    router m_router;
+    retry_allowance m_allowance;
+    std::unordered_map<std::uint64_t, entry_call> m_calls;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
+};
+
+}
--- /dev/null
+++ b/Source/node/routed_process.cpp
@@ -0,0 +1,610 @@
+#include "node/routed_process.h"
+
+#include "backend/instance_answer.h"
+#include "backend/instance_client.h"
+#include "backend/server_tracker.h"
+#include "caller/pipeline_server.h"
+#include "events/event_catalogue.h"
+#include "node/membership_service.h"
+#include "node/planned_stop.h"
+#include "node/route_watch.h"
+#include "node/routed_entry.h"
+#include "node/routed_target.h"
+#include "operator/call_log.h"
+#include "operator/node_metrics.h"
+#include "operator/operator_port.h"
+#include "operator/operator_state.h"
+#include "operator/request_journal.h"
+#include "peer/peer_client.h"
+#include "peer/peer_server.h"
+#include "platform/request_headers.h"
+#include "platform/server_report.h"
+#include "platform/wire_names.h"
+
+#include <boost/asio.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace vanillashunt {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr int exitCannotListen = 2;
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusUnavailable = 503;
+
+    // How often deadlines and queues are looked at, with and without calls in
+    // progress. Each wake-up costs processor time, and a deadline that is passed
+    // by a hundredth of a second harms nobody.
+    constexpr std::chrono::milliseconds busyTickPeriod { 10 };
+    constexpr std::chrono::milliseconds idleTickPeriod { 100 };
+    constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
+
+    // Decisions that are remembered for the command explain: some megabytes.
+    constexpr std::size_t journalCapacity = 8192;
+
+    // After SIGTERM the platform asks twice, a second apart, before it takes the
+    // clients away.
+    constexpr std::chrono::milliseconds clientsLeaveTime { 2600 };
+    // Before the platform kills the process: the last answers and the farewell.
+    constexpr std::chrono::milliseconds killMargin { 600 };
+    constexpr std::chrono::milliseconds farewellTime { 100 };
+
+    // A node that knows nobody may be the only one, and serves alone after this.
+    constexpr std::chrono::milliseconds longestJoin { 2000 };
+
+    // A client that does not say how long it waits.
+    constexpr std::chrono::milliseconds defaultWait { 10000 };
+
+    class routed_process {
+    public:
+        routed_process(const node_settings&, settings_source);
+
+        int run();
+
+    private:
+        void requestArrived(http_request, const std::shared_ptr<http_exchange>&);
+        static http_response responseTo(const std::string& requestId, entry_answer);
+        void sendAttempt(std::uint64_t attemptId, const member&, const call_request&);
+        void cancelAttempt(std::uint64_t attemptId);
+        void attemptAnswered(std::uint64_t attemptId, call_answer);
+        void peerCallArrived(call_request, const std::shared_ptr<peer_exchange>&);
+        void runAtServer(std::uint64_t runId, const server_report&, const call_request&);
+        void serverAnswered(std::uint64_t runId, const std::string& instanceId, instance_result);
+        void reportArrived(const http_request&, http_exchange&);
+        void serverChanged();
+        bool isReady() const;
+        void tick();
+        void scheduleTick();
+        void workBegins();
+        void awaitSignals();
+        void stop();
+        void stepStop(std::chrono::steady_clock::time_point now);
+        void endActors();
+        entry_settings entrySettings() const;
+        entry_hooks entryHooks();
+        target_hooks targetHooks();
+        instance_client_settings instanceSettings() const;
+        pipeline_server_hooks serverHooks();
+        membership_hooks membershipHooks();
+        operator_hooks operatorHooks();
+        void collectState(state_receiver);
+        void collectMetrics(const std::function<void(std::string)>&);
+        operator_reply explain(const std::string& requestId) const;
+        void observe(const call_observation&);
+
+        // An attempt on its way: to the server beside this node, or to a peer.
+        struct attempt_path {
+            bool local = false;
+            std::uint64_t id = 0;
+        };
+
+        node_settings m_settings;
+        settings_source m_source;
+        std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
+        std::mt19937_64 m_random { std::random_device {}() };
+        asio::io_context m_context { 1 };
+        caf::actor_system_config m_config;
+        std::unique_ptr<caf::actor_system> m_system;
+        std::unique_ptr<actor_host> m_host;
+        peer_client m_peers;
+        key_value_store m_store;
+        http_client m_controlClient;
+        peer_rpc m_peerRpc { m_controlClient };
+        instance_client m_instances;
+        server_tracker m_tracker;
+        routed_target m_target;
+        routed_entry m_entry;
+        std::unique_ptr<membership_service> m_membership;
+        member m_self;
+        route_watch m_routes;
+        std::unique_ptr<pipeline_server> m_clients;
+        std::unique_ptr<http_server> m_reports;
+        std::unique_ptr<http_server> m_readiness;
+        std::unique_ptr<peer_server> m_peerServer;
+        std::unique_ptr<operator_port> m_operatorPort;
+        asio::steady_timer m_tickTimer { m_context };
+        asio::steady_timer m_exitTimer { m_context };
+        asio::signal_set m_signals { m_context, SIGTERM, SIGINT, SIGHUP };
+        planned_stop m_stop;
+        member_list m_members = std::make_shared<std::vector<member>>();
+        std::unordered_map<std::uint64_t, attempt_path> m_paths;
+        std::unordered_map<std::uint64_t, std::uint64_t> m_sentOfRun;
+        bool m_busyTicks = false;
+        std::chrono::steady_clock::time_point m_nextSessionCheck;
+        node_metrics m_metrics { std::chrono::system_clock::now() };
+        request_journal m_journal { journalCapacity };
+        call_log m_callLog;
+    };
+
+    peer_client_settings peerSettings(const node_settings& settings)
+    {
+        peer_client_settings result;
+        result.outgoingAddress = settings.outgoingAddress;
+        result.maxBodyBytes = settings.maxBodyBytes;
+        return result;
+    }
+
+    http_client_settings clientSettings(const node_settings& settings)
+    {
+        http_client_settings result;
+        result.outgoingAddress = settings.outgoingAddress;
+        result.maxBodyBytes = settings.maxBodyBytes;
+        return result;
+    }
+
+    std::string firstEndpoint(const node_settings& settings)
+    {
+        return settings.platformEndpoints.empty() ? "" : settings.platformEndpoints.front();
+    }
+
+    route_watch_hooks watchHooks(std::function<void(route_snapshot)> changed, std::mt19937_64& random)
+    {
+        return { std::move(changed), [&random](std::uint64_t bound) { return random() % bound; } };
+    }
+
+    routed_process::routed_process(const node_settings& settings, settings_source source)
+        : m_settings(settings)
+        , m_source(std::move(source))
+        , m_peers(m_context, peerSettings(settings))
+        , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
+        , m_controlClient(m_context, clientSettings(settings))
+        , m_instances(m_context, instanceSettings())
+        , m_target(targetHooks())
+        , m_entry(entrySettings(), entryHooks())
+        , m_routes(m_context, m_store, m_peerRpc, m_self.id = m_random(), settings.availabilityZone,
+              watchHooks(
+                  [this](route_snapshot configuration) {
+                      logEvent(events::routesChanged, { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) } });
+                      m_entry.setConfiguration(std::move(configuration));
+                      m_membership->spreadSoon();
+                  },
+                  m_random))
+        , m_stop(settings.routes->grace - killMargin, clientsLeaveTime)
+    {
+        setLogLevel(settings.logLevel);
+        // Every actor runs on the thread of the sockets; the library's own scheduler stays idle.
+        m_config.set("scheduler.policy", caf::atom("sharing"));
+        m_config.set("scheduler.max-threads", 1);
+        m_system = std::make_unique<caf::actor_system>(m_config);
+        m_host = std::make_unique<actor_host>(*m_system, m_context);
+        m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.joinAddresses, membershipHooks());
+        m_clients = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
+        m_reports = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
+            [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { reportArrived(request, *exchange); });
+        m_readiness = std::make_unique<http_server>(m_context, settings.routes->readyListen, http_server_limits {},
+            [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+                exchange->respond({ isReady() ? statusOk : statusUnavailable, {}, {} });
+            });
+        m_peerServer = std::make_unique<peer_server>(m_context, settings.peer.listen, settings.maxBodyBytes,
+            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { peerCallArrived(std::move(request), exchange); });
+        m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
+        m_self.name = settings.name;
+        m_self.availabilityZone = settings.availabilityZone;
+        m_self.region = settings.region;
+        m_self.address = m_peerServer->address();
+        m_self.operatorAddress = m_operatorPort->address();
+    }
+
+    entry_settings routed_process::entrySettings() const
+    {
+        entry_settings settings;
+        settings.place = { m_settings.availabilityZone, m_settings.region };
+        settings.ownService = m_settings.routes->service;
+        settings.retries = { m_settings.routes->retryRatio, m_settings.routes->retrySlack, m_settings.routes->retryWindow };
+        return settings;
+    }
+
+    entry_hooks routed_process::entryHooks()
+    {
+        entry_hooks hooks;
+        hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
+        hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
+        hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
+        hooks.random = [this] { return m_random(); };
+        hooks.observed = [this](const call_observation& seen) { observe(seen); };
+        return hooks;
+    }
+
+    target_hooks routed_process::targetHooks()
+    {
+        target_hooks hooks;
+        hooks.run = [this](std::uint64_t runId, const server_report& server, const call_request& request) { runAtServer(runId, server, request); };
+        hooks.cancelRun = [this](std::uint64_t runId) {
+            if (auto sent = m_sentOfRun.extract(runId)) {
+                m_instances.cancel(sent.mapped());
+            }
+        };
+        hooks.random = [this] { return m_random(); };
+        hooks.observed = [this](const call_observation& seen) { observe(seen); };
+        return hooks;
+    }
+
+    instance_client_settings routed_process::instanceSettings() const
+    {
+        instance_client_settings settings;
+        settings.outgoingAddress = m_settings.outgoingAddress;
+        settings.maxBodyBytes = m_settings.maxBodyBytes;
+        settings.belongs = [](const http_response& response, const std::string& requestId) {
+            return answersRequest(readAnswerMarks(response.fields), requestId);
+        };
+        return settings;
+    }
+
+    pipeline_server_hooks routed_process::serverHooks()
+    {
+        pipeline_server_hooks hooks;
+        hooks.limits = [this] {
+            auto limits = m_entry.limits();
+            limits.maxBodyBytes = std::min(limits.maxBodyBytes, m_settings.maxBodyBytes);
+            return limits;
+        };
+        hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { requestArrived(std::move(request), exchange); };
+        return hooks;
+    }
+
+    membership_hooks routed_process::membershipHooks()
+    {
+        membership_hooks hooks;
+        hooks.membersChanged = [this](const member_list& members) {
+            m_members = members;
+            m_routes.setMembers(members);
+            m_entry.setMembers(members, std::chrono::steady_clock::now());
+        };
+        hooks.ownRevision = [this] { return m_routes.version(); };
+        hooks.peerRevision = [this](const member& peer, std::int64_t version) { m_routes.peerVersion(peer, version); };
+        return hooks;
+    }
+
+    void routed_process::requestArrived(http_request request, const std::shared_ptr<http_exchange>& exchange)
+    {
+        auto now = std::chrono::steady_clock::now();
+        auto terms = readRequestTerms(request.fields);
+        if (terms.requestId.empty()) {
+            exchange->respond({ statusBadRequest, {}, "the request has no id\n" });
+            return;
+        }
+        workBegins();
+        entry_request entry { terms.requestId, std::move(request), now + terms.remaining.value_or(defaultWait) };
+        auto callId = m_entry.arrive(
+            std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
+                exchange->respond(responseTo(requestId, std::move(answer)));
+            },
+            now);
+        exchange->whenClientGone([this, callId] { m_entry.cancel(callId, std::chrono::steady_clock::now()); });
+    }
+
+    http_response routed_process::responseTo(const std::string& requestId, entry_answer result)
+    {
+        if (result.outcome.run == execution::Ran) {
+            return { result.answer.status, std::move(result.answer.fields), std::move(result.answer.body) };
+        }
+        http_response response { result.refusalStatus, { requestIdField(requestId), { "Content-Type", "text/plain" } }, result.message + "\n" };
+        if (result.outcome.run == execution::NotRun && result.outcome.retryAfter.count() > 0) {
+            response.fields.push_back(retryAfterField(result.outcome.retryAfter));
+        }
+        return response;
+    }
+
+    void routed_process::sendAttempt(std::uint64_t attemptId, const member& target, const call_request& request)
+    {
+        if (target.id != m_self.id) {
+            auto id = m_peers.start(target.address, request, [this, attemptId](call_answer answer) { attemptAnswered(attemptId, std::move(answer)); });
+            m_paths[attemptId] = { false, id };
+            return;
+        }
+        m_paths[attemptId] = { true, 0 };
+        auto id = m_target.arrive(
+            request, [this, attemptId](const call_answer& answer) { attemptAnswered(attemptId, answer); }, std::chrono::steady_clock::now());
+        auto path = m_paths.find(attemptId);
+        if (path != m_paths.end()) {
+            path->second.id = id;
+        }
+    }
+
+    void routed_process::cancelAttempt(std::uint64_t attemptId)
+    {
+        auto node = m_paths.extract(attemptId);
+        if (!node) {
+            return;
+        }
+        if (node.mapped().local) {
+            m_target.cancel(node.mapped().id, std::chrono::steady_clock::now());
+        } else {
+            m_peers.cancel(node.mapped().id);
+        }
+    }
+
+    void routed_process::attemptAnswered(std::uint64_t attemptId, call_answer answer)
+    {
+        m_paths.erase(attemptId);
+        m_entry.attemptAnswered(attemptId, std::move(answer), std::chrono::steady_clock::now());
+    }
+
+    void routed_process::peerCallArrived(call_request request, const std::shared_ptr<peer_exchange>& exchange)
+    {
+        workBegins();
+        auto id = m_target.arrive(
+            std::move(request), [exchange](const call_answer& answer) { exchange->answer(answer); }, std::chrono::steady_clock::now());
+        exchange->whenCancelled([this, id] { m_target.cancel(id, std::chrono::steady_clock::now()); });
+    }
+
+    void routed_process::runAtServer(std::uint64_t runId, const server_report& server, const call_request& request)
+    {
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.context.deadline - std::chrono::steady_clock::now());
+        http_request message { request.method, request.path, request.fields, request.body };
+        writeServerTerms(message.fields, { std::max(left, std::chrono::milliseconds(1)), server.instanceId, request.callerService });
+        auto sent = m_instances.send(m_settings.routes->server, request.context.requestId, message,
+            [this, runId, instanceId = server.instanceId](instance_result result) { serverAnswered(runId, instanceId, std::move(result)); });
+        m_sentOfRun[runId] = sent;
+    }
+
+    void routed_process::serverAnswered(std::uint64_t runId, const std::string& instanceId, instance_result result)
+    {
+        constexpr unsigned statusMisdirected = 421;
+        m_sentOfRun.erase(runId);
+        answer_marks marks;
+        if (const auto* response = std::get_if<http_response>(&result)) {
+            marks = readAnswerMarks(response->fields);
+            if (response->status == statusMisdirected) {
+                m_tracker.misdirected(instanceId);
+                serverChanged();
+            }
+        }
+        m_target.serverAnswered(runId, judgeAnswer(std::move(result), marks), std::chrono::steady_clock::now());
+    }
+
+    void routed_process::reportArrived(const http_request& request, http_exchange& exchange)
+    {
+        auto parsed = parseServerReport(request);
+        if (const auto* problem = std::get_if<server_report_problem>(&parsed)) {
+            exchange.respond({ statusBadRequest, {}, problem->message });
+            return;
+        }
+        const auto& report = std::get<server_report>(parsed);
+        auto effect = m_tracker.report(report);
+        if (effect == report_effect::Replaced) {
+            logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.instanceId } });
+        } else if (effect == report_effect::Leaving) {
+            logEvent(events::backendServerLeaves, { { "instance", report.instanceId } });
+        }
+        // The acknowledgement binds: nothing new goes to a server that leaves from here on.
+        serverChanged();
+        exchange.respond({ statusOk, { { "Content-Type", "application/json" } }, "{}" });
+    }
+
+    // Tells the target what is beside it, and the other nodes what they may send here.
+    void routed_process::serverChanged()
+    {
+        bool takesWork = m_tracker.takesWork();
+        m_target.setServer(m_tracker.current(), takesWork, std::chrono::steady_clock::now());
+        bool offered = takesWork && !m_stop.draining();
+        auto service = offered ? m_tracker.current()->service : "";
+        auto slots = offered ? m_tracker.current()->slots : 0;
+        if (service == m_self.service && slots == m_self.slots) {
+            return;
+        }
+        m_self.service = service;
+        m_self.slots = slots;
+        m_membership->setSelf(m_self);
+    }
+
+    bool routed_process::isReady() const
+    {
+        bool joined = m_members->size() > 1 || std::chrono::steady_clock::now() - m_started > longestJoin;
+        return m_routes.version() > 0 && joined && !m_stop.draining();
+    }
+
+    void routed_process::workBegins()
+    {
+        if (!m_busyTicks) {
+            m_busyTicks = true;
+            scheduleTick();
+        }
+    }
+
+    void routed_process::tick()
+    {
+        auto now = std::chrono::steady_clock::now();
+        m_entry.tick(now);
+        m_target.tick(now);
+        if (now >= m_nextSessionCheck) {
+            m_nextSessionCheck = now + sessionCheckPeriod;
+            m_clients->endLate(now);
+        }
+        if (m_stop.exiting()) {
+            stepStop(now);
+        }
+        m_busyTicks = m_entry.inProgress() != 0 || m_target.inProgress() != 0;
+        scheduleTick();
+    }
+
+    void routed_process::scheduleTick()
+    {
+        m_tickTimer.expires_after(m_busyTicks ? busyTickPeriod : idleTickPeriod);
+        m_tickTimer.async_wait([this](error_code error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void routed_process::awaitSignals()
+    {
+        m_signals.async_wait([this](error_code error, int number) {
+            if (error) {
+                return;
+            }
+            if (number == SIGHUP) {
+                bool right = m_source.reread();
+                logEvent(events::settingsReread, { { "file", m_source.fileName }, { "taken", right ? "yes" : "no" } });
+            } else {
+                stop();
+            }
+            awaitSignals();
+        });
+    }
+
+    void routed_process::stop()
+    {
+        auto now = std::chrono::steady_clock::now();
+        if (m_stop.exiting()) {
+            return;
+        }
+        logEvent(events::drainStarted);
+        m_stop.request(stop_reason::Signal, now);
+        m_clients->closeAfterAnswers();
+        m_target.setStopping(now);
+        m_self.state = member_state::Draining;
+        m_self.service = "";
+        m_self.slots = 0;
+        m_membership->setSelf(m_self);
+    }
+
+    // One step towards the exit; called with each tick.
+    void routed_process::stepStop(std::chrono::steady_clock::time_point now)
+    {
+        if (m_stop.mayClosePorts(now) && m_target.inProgress() == 0) {
+            m_clients->stopAccepting();
+        }
+        bool idle = m_entry.inProgress() == 0 && m_target.inProgress() == 0 && m_clients->inProgress() == 0 && m_peerServer->inProgress() == 0;
+        if (!m_stop.mayExit(idle, now) || m_self.state == member_state::Left) {
+            return;
+        }
+        m_self.state = member_state::Left;
+        m_membership->setSelf(m_self);
+        m_exitTimer.expires_after(farewellTime);
+        m_exitTimer.async_wait([this](error_code) { m_context.stop(); });
+    }
+
+    operator_hooks routed_process::operatorHooks()
+    {
+        operator_hooks hooks;
+        hooks.collectState = [this](state_receiver receiver) { collectState(std::move(receiver)); };
+        hooks.collectMetrics = [this](const std::function<void(std::string)>& receiver) { collectMetrics(receiver); };
+        hooks.contractsSince = [this](std::int64_t version) { return m_routes.newsSince(version); };
+        hooks.explain = [this](const std::string& requestId) { return explain(requestId); };
+        return hooks;
+    }
+
+    void routed_process::collectState(state_receiver receiver)
+    {
+        Json::Value state;
+        state["name"] = m_settings.name;
+        state["self"] = toJson(m_self);
+        state["ready"] = isReady();
+        state["routes"] = m_routes.dump();
+        state["entry"]["in_progress"] = Json::UInt64(m_entry.inProgress());
+        state["target"]["running"] = m_target.gate().inFlight();
+        state["target"]["waiting"] = Json::UInt64(m_target.gate().waiting());
+        state["target"]["limit"] = m_target.gate().limit();
+        state["server"]["connections_opened"] = Json::UInt64(m_instances.counts().connectionsOpened);
+        state["server"]["foreign_answers"] = Json::UInt64(m_instances.counts().foreignAnswers);
+        m_membership->dump([state, receiver = std::move(receiver)](const Json::Value& membership) {
+            auto whole = state;
+            whole["membership"] = membership;
+            receiver(whole);
+        });
+    }
+
+    void routed_process::collectMetrics(const std::function<void(std::string)>& receiver)
+    {
+        node_gauges gauges;
+        gauges.gateLimit = m_target.gate().limit();
+        gauges.gateInFlight = m_target.gate().inFlight();
+        gauges.gateWaiting = m_target.gate().waiting();
+        gauges.gateCut = m_target.gate().cut();
+        gauges.inboundCalls = m_target.inProgress();
+        gauges.outboundCalls = m_entry.inProgress();
+        gauges.draining = m_stop.draining();
+        gauges.contractRevision = m_routes.version();
+        gauges.members = m_members->size();
+        gauges.crossedAnswers = m_peers.counts().crossedAnswers;
+        gauges.damagedAnswers = m_peers.counts().damagedAnswers;
+        gauges.connectsFailed = m_peers.counts().connectsFailed;
+        gauges.damagedFrames = m_peerServer->damagedFrames();
+        m_metrics.set(gauges);
+        receiver(m_metrics.text());
+    }
+
+    operator_reply routed_process::explain(const std::string& requestId) const
+    {
+        Json::Value json;
+        json["name"] = m_settings.name;
+        json["request_id"] = requestId;
+        json["decisions"] = toJson(m_journal.find(requestId), std::chrono::steady_clock::now());
+        return json;
+    }
+
+    void routed_process::observe(const call_observation& seen)
+    {
+        m_metrics.observe(seen);
+        m_journal.record(seen);
+        m_callLog.observe(seen);
+    }
+
+    // What the loop left undone may be mail that keeps an actor, and so the process, for ever.
+    void routed_process::endActors()
+    {
+        m_membership->stop();
+        m_context.restart();
+        m_context.poll();
+    }
+
+    int routed_process::run()
+    {
+        awaitSignals();
+        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone } });
+        m_membership->start(m_self, m_peerServer->address());
+        m_routes.start();
+        tick();
+        m_context.run();
+        endActors();
+        logEvent(events::nodeStopped, { { "name", m_settings.name } });
+        return 0;
+    }
+
+}
+
+int runRoutedNode(const node_settings& settings, const settings_source& source)
+{
+    logToStandardOutput();
+    // A peer that closed is told by the write's error.
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        routed_process process(settings, source);
+        return process.run();
+    } catch (const boost::system::system_error& error) {
+        logEvent(events::portNotBound, { { "error", error.what() } });
+        return exitCannotListen;
+    }
+}
+
+}
--- /dev/null
+++ b/Source/node/routed_target.cpp
@@ -0,0 +1,155 @@
+#include "node/routed_target.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    admission_settings gateSettings(const std::function<std::uint64_t()>& random)
+    {
+        admission_settings settings;
+        settings.chance = [random](std::uint64_t bound) { return random() % bound; };
+        return settings;
+    }
+
+}
+
+routed_target::routed_target(target_hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_gate(gateSettings(m_hooks.random))
+{
+}
+
+void routed_target::setServer(const std::optional<server_report>& server, bool takesWork, time_point now)
+{
+    bool replaced = m_server && server && m_server->instanceId != server->instanceId;
+    if (replaced) {
+        // Another start: what the gate has learnt of the last one does not hold.
+        m_gate.setSlots(0, now);
+    }
+    m_server = server;
+    m_takesWork = takesWork;
+    m_gate.setSlots(takesWork ? server->slots : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
+    startReleased(now);
+}
+
+void routed_target::setStopping(time_point now)
+{
+    m_stopping = true;
+    m_gate.setSlots(0, now);
+    startReleased(now);
+}
+
+std::optional<verdict> routed_target::refusalBeforeGate(const call_request& request) const
+{
+    if (m_stopping) {
+        return verdict::notRun(verdict_reason::Draining);
+    }
+    if (!m_server || m_server->service != request.service) {
+        return verdict::notRun(verdict_reason::NoBackendServer);
+    }
+    if (!m_takesWork) {
+        return verdict::notRun(verdict_reason::Draining);
+    }
+    return std::nullopt;
+}
+
+std::uint64_t routed_target::arrive(call_request request, call_replier replier, time_point now)
+{
+    auto id = m_hooks.random();
+    auto refusal = refusalBeforeGate(request);
+    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass };
+    m_arrivals.emplace(id, arrival { std::move(request), std::move(replier) });
+    if (refusal) {
+        refuse(id, *refusal, now);
+        return id;
+    }
+    auto decision = m_gate.arrive(asking, now);
+    if (decision.outcome == admission_outcome::Refuse) {
+        refuse(id, decision.refusal, now);
+    } else if (decision.outcome == admission_outcome::Run) {
+        start(id, now);
+    }
+    // It may have taken the place of a waiting call, which is to be told.
+    startReleased(now);
+    return id;
+}
+
+void routed_target::start(std::uint64_t arrivalId, time_point now)
+{
+    auto& entry = m_arrivals.at(arrivalId);
+    entry.running = true;
+    entry.started = now;
+    m_hooks.run(arrivalId, *m_server, entry.request);
+}
+
+void routed_target::refuse(std::uint64_t arrivalId, const verdict& why, time_point now)
+{
+    auto node = m_arrivals.extract(arrivalId);
+    const auto& entry = node.mapped();
+    if (m_hooks.observed) {
+        call_observation seen { call_decision::Rejected, entry.request.context, now };
+        seen.outcome = why;
+        m_hooks.observed(seen);
+    }
+    reply(entry, answerWithout(0, 0, why));
+}
+
+void routed_target::cancel(std::uint64_t arrivalId, time_point now)
+{
+    auto node = m_arrivals.extract(arrivalId);
+    if (!node) {
+        return;
+    }
+    if (node.mapped().running) {
+        m_hooks.cancelRun(arrivalId);
+    }
+    m_gate.cancel(arrivalId, now);
+    startReleased(now);
+}
+
+void routed_target::serverAnswered(std::uint64_t runId, const call_answer& answer, time_point now)
+{
+    auto node = m_arrivals.extract(runId);
+    if (!node) {
+        return;
+    }
+    const auto& entry = node.mapped();
+    service_outcome outcome;
+    outcome.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started);
+    outcome.refused = answer.outcome.reason == verdict_reason::BackendRefused;
+    m_gate.finish(runId, outcome, now);
+    reply(entry, answer);
+    startReleased(now);
+}
+
+void routed_target::reply(const arrival& entry, call_answer answer) const
+{
+    answer.callId = entry.request.callId;
+    answer.attempt = entry.request.attempt;
+    answer.cut = m_gate.cut();
+    answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
+    answer.limit = m_gate.limit();
+    entry.replier(answer);
+}
+
+void routed_target::startReleased(time_point now)
+{
+    for (const auto& released : m_gate.release(now)) {
+        if (m_arrivals.count(released.callId) == 0) {
+            m_gate.cancel(released.callId, now);
+            continue;
+        }
+        if (released.decision.outcome == admission_outcome::Refuse) {
+            refuse(released.callId, released.decision.refusal, now);
+            continue;
+        }
+        start(released.callId, now);
+    }
+}
+
+void routed_target::tick(time_point now)
+{
+    startReleased(now);
+}
+
+}
--- /dev/null
+++ b/Source/node/routed_target.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "backend/server_tracker.h"
+#include "call/call_answer.h"
+#include "call/call_observation.h"
+#include "call/call_request.h"
+#include "decision/admission_gate.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
+namespace vanillashunt {
+
+struct target_hooks {
+    // Sends the request to the server, with what is left of its time.
+    std::function<void(std::uint64_t runId, const server_report&, const call_request&)> run;
+    std::function<void(std::uint64_t runId)> cancelRun;
+    std::function<std::uint64_t()> random;
+    call_observer observed;
+};
+
+using call_replier = std::function<void(const call_answer&)>;
+
+// The calls that are to run at the server beside this node. Everything that
+// reaches the server passes here, so that what is said here of a call, that it
+// has not run and never will, is certain.
+class routed_target {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit routed_target(target_hooks);
+
+    // The server that is there now, and whether it takes new work.
+    void setServer(const std::optional<server_report>&, bool takesWork, time_point now);
+
+    // The node itself leaves: nothing new is begun.
+    void setStopping(time_point now);
+
+    // Returns the id by which the call may be cancelled.
+    std::uint64_t arrive(call_request, call_replier, time_point now);
+
+    // Whoever sent the call does not want it any more.
+    void cancel(std::uint64_t arrivalId, time_point now);
+
+    void serverAnswered(std::uint64_t runId, const call_answer&, time_point now);
+
+    void tick(time_point now);
+
+    std::size_t inProgress() const { return m_arrivals.size(); }
+    const admission_gate& gate() const { return m_gate; }
+
+private:
+    struct arrival {
+        call_request request;
+        call_replier replier;
+        bool running = false;
+        time_point started {};
+    };
+
+    std::optional<verdict> refusalBeforeGate(const call_request&) const;
+    void start(std::uint64_t arrivalId, time_point now);
+    void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
+    void reply(const arrival&, call_answer) const;
+    void startReleased(time_point now);
+
+    target_hooks m_hooks;
+    admission_gate m_gate;
+    std::optional<server_report> m_server;
+    bool m_takesWork = false;
+    bool m_stopping = false;
+    std::unordered_map<std::uint64_t, arrival> m_arrivals;
+};
+
+}
--- a/Source/node/seed_keeper.cpp
+++ b/Source/node/seed_keeper.cpp
@@ -1,6 +1,6 @@
 #include "node/seed_keeper.h"
 
-#include "platform/seed_directory.h"
+#include "store/seed_directory.h"
 
 #include <algorithm>
 
@@ -28,7 +28,7 @@
 
 }
 
-seed_keeper::seed_keeper(store_client& store, std::string availabilityZone, std::string address, seed_keeper_hooks hooks)
+seed_keeper::seed_keeper(metadata_store& store, std::string availabilityZone, std::string address, seed_keeper_hooks hooks)
     : m_store(store)
     , m_zone(std::move(availabilityZone))
     , m_address(std::move(address))
--- a/Source/node/seed_keeper.h
+++ b/Source/node/seed_keeper.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store_client.h"
+#include "store/metadata_store.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,7 +40,7 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     // The store outlives the keeper.
-    seed_keeper(store_client&, std::string availabilityZone, std::string address, seed_keeper_hooks);
+    seed_keeper(metadata_store&, std::string availabilityZone, std::string address, seed_keeper_hooks);
 
     void tick(const seed_duty&, time_point now);
 
@@ -57,7 +57,7 @@
     void callFailed(time_point now);
     void readAgainAfter(std::chrono::milliseconds, time_point now);
 
-    store_client& m_store;
+    metadata_store& m_store;
     std::string m_zone;
     std::string m_address;
     seed_keeper_hooks m_hooks;
--- a/Source/operator/operator_port.cpp
+++ b/Source/operator/operator_port.cpp
@@ -1,7 +1,7 @@
 #include "operator/operator_port.h"
 
 #include "operator/operator_rpc.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 namespace vanillashunt {
 
--- a/Source/operator/operator_rpc.cpp
+++ b/Source/operator/operator_rpc.cpp
@@ -1,7 +1,7 @@
 #include "operator/operator_rpc.h"
 
 #include "operator/operator_state.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-    // "VSC1", little-endian; the digit is the version of the format.
-    constexpr std::uint32_t magic = 0x31435356;
+    // "VSC2", little-endian; the digit is the version of the format.
+    constexpr std::uint32_t magic = 0x32435356;
 
     // The wire form of a request: integers and strings only.
     struct request_payload {
@@ -43,6 +43,7 @@
         std::uint32_t use = 0;
         bool claimed = false;
         std::string service;
+        std::string callerService;
         std::string method;
         std::string path;
         http_fields fields;
@@ -70,7 +71,7 @@
     {
         return f(caf::meta::type_name("request_payload"), x.callId, x.attempt, x.requestId, x.customer,
             x.requestClass, x.level, x.position, x.idempotent, x.retryTokens, x.depth, x.remainingMicroseconds,
-            x.hasPermit, x.home, x.validUntilMilliseconds, x.nonce, x.use, x.claimed, x.service, x.method, x.path, x.fields, x.body);
+            x.hasPermit, x.home, x.validUntilMilliseconds, x.nonce, x.use, x.claimed, x.service, x.callerService, x.method, x.path, x.fields, x.body);
     }
 
     template <class Inspector>
@@ -156,6 +157,7 @@
         payload.claimed = request.permit->claimed;
     }
     payload.service = request.service;
+    payload.callerService = request.callerService;
     payload.method = request.method;
     payload.path = request.path;
     payload.fields = request.fields;
@@ -206,6 +208,7 @@
         request.permit = ticket { payload.home, std::chrono::milliseconds(payload.validUntilMilliseconds), payload.nonce, payload.use, payload.claimed };
     }
     request.service = std::move(payload.service);
+    request.callerService = std::move(payload.callerService);
     request.method = std::move(payload.method);
     request.path = std::move(payload.path);
     request.fields = std::move(payload.fields);
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -200,6 +200,7 @@
         if (!error) {
             error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
+            watchLiveness(socket);
             std::make_shared<peer_session>(std::move(socket), self)->readHead();
         }
         self->accept();
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -3,6 +3,8 @@
 #include "contract/quantity.h"
 #include "contract/toml_node.h"
 
+#include <sstream>
+
 namespace vanillashunt {
 
 namespace {
@@ -27,6 +29,29 @@
         return "\n[" + section + "]\n" + formatString("listen", port.listen) + formatString("advertise", port.advertise);
     }
 
+    std::string formatReal(const std::string& key, double value)
+    {
+        std::ostringstream text;
+        text << key << " = " << value << '\n';
+        return text.str();
+    }
+
+    std::string formatSeconds(const std::string& key, std::chrono::milliseconds value)
+    {
+        return formatReal(key, std::chrono::duration<double>(value).count());
+    }
+
+    std::string formatRoutes(const route_settings& routes)
+    {
+        return "\n[routes]\n" + formatString("service", routes.service)
+            + formatString("server", routes.server)
+            + formatString("ready_listen", routes.readyListen)
+            + formatReal("retry_ratio", routes.retryRatio)
+            + formatReal("retry_slack", routes.retrySlack)
+            + formatSeconds("retry_window_seconds", routes.retryWindow)
+            + formatSeconds("grace_seconds", routes.grace);
+    }
+
     std::string formatNode(const node_settings& settings)
     {
         return "[node]\n" + formatString("name", settings.name)
@@ -49,7 +74,8 @@
         + formatPort("operators", settings.operators)
         + "\n[platform]\n" + formatStrings("endpoints", settings.platformEndpoints)
         + "\n[limits]\n" + formatString("max_body", formatSize(settings.maxBodyBytes))
-        + formatString("drain_timeout", formatDuration(settings.drainTimeout));
+        + formatString("drain_timeout", formatDuration(settings.drainTimeout))
+        + (settings.routes ? formatRoutes(*settings.routes) : "");
 }
 
 }
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,22 @@
     std::string advertise;
 };
 
+// What a node that serves an operator's routes needs beside the rest.
+struct route_settings {
+    // The service of the server beside the node, and where it serves: "IP:port".
+    std::string service;
+    std::string server;
+    // Where the platform asks whether the node is ready.
+    std::string readyListen;
+    // Repeats that all nodes together may send for each request to a service, and
+    // beside that, within the window.
+    double retryRatio = 0.2;
+    double retrySlack = 0;
+    std::chrono::milliseconds retryWindow { 10000 };
+    // From SIGTERM until the platform kills the process.
+    std::chrono::milliseconds grace { 6000 };
+};
+
 // What one node reads at its start.
 struct node_settings {
     std::string name;
@@ -46,6 +63,8 @@
     // How much the node decides: "full"; "hop" and "none" are baselines to
     // measure against: plain limits per hop, and none.
     std::string policy = "full";
+    // Only for the command routed-node.
+    std::optional<route_settings> routes;
 };
 
 }
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -6,6 +6,7 @@
 #include "settings/ip_endpoint.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillashunt {
 
@@ -24,6 +25,7 @@
     const toml_key operatorsKey { "operators", "", presence::Optional };
     const toml_key platformKey { "platform", "", presence::Optional };
     const toml_key limitsKey { "limits", "", presence::Optional };
+    const toml_key routesKey { "routes", "", presence::Optional };
 
     const toml_key nameKey { "name", "\"threads-1\"" };
     const toml_key availabilityZoneKey { "availability_zone", "\"cyberjaya\"" };
@@ -38,6 +40,14 @@
     const toml_key maxBodyKey { "max_body", "\"1MiB\"", presence::Optional };
     const toml_key drainTimeoutKey { "drain_timeout", "\"30s\"", presence::Optional };
 
+    const toml_key serviceKey { "service", "\"threads\"" };
+    const toml_key serverKey { "server", "\"192.0.2.10:8080\"" };
+    const toml_key readyListenKey { "ready_listen", "\"192.0.2.10:8302\"" };
+    const toml_key retryRatioKey { "retry_ratio", "0.2", presence::Optional };
+    const toml_key retrySlackKey { "retry_slack", "48", presence::Optional };
+    const toml_key retryWindowKey { "retry_window_seconds", "10", presence::Optional };
+    const toml_key graceKey { "grace_seconds", "6", presence::Optional };
+
     bool isLabelCharacter(char character)
     {
         bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
@@ -92,6 +102,23 @@
     const toml_rule<std::uint64_t> maxBodyRule = sizeRule(leastMaxBody, largestMaxBody);
     const toml_rule<std::chrono::milliseconds> drainTimeoutRule = durationRule(std::chrono::milliseconds(0), longestDrainTimeout);
 
+    constexpr double mostSeconds = 3600;
+    constexpr double mostRetries = 1e6;
+
+    toml_rule<double> realRule(double least, double most, const std::string& words)
+    {
+        return { [least, most](const double& value) { return value >= least && value <= most; }, words };
+    }
+
+    const toml_rule<double> ratioRule = realRule(0, 1, "a number from 0 to 1");
+    const toml_rule<double> slackRule = realRule(0, mostRetries, "a number from 0 to 1000000");
+    const toml_rule<double> secondsRule = realRule(0, mostSeconds, "a number of seconds from 0 to 3600");
+
+    std::chrono::milliseconds fromSeconds(double seconds)
+    {
+        return std::chrono::milliseconds(std::llround(seconds * 1000));
+    }
+
     // Stands for a section that the text leaves out, so that its keys get their defaults.
     const toml_node emptyTable { toml_node::table {}, 0 };
 
@@ -126,6 +153,7 @@
             readOperators();
             readPlatform();
             readLimits();
+            readRoutes();
             m_root.reportUnknownKeys();
             return m_settings;
         }
@@ -198,6 +226,32 @@
             reader.reportUnknownKeys();
         }
 
+        // Only a node that serves routes has the section.
+        void readRoutes()
+        {
+            const auto* table = m_root.readTable(routesKey);
+            if (!table) {
+                return;
+            }
+            toml_reader reader(*table, "[routes]", m_problems);
+            route_settings routes;
+            routes.service = reader.readString(serviceKey, labelRule).value_or("");
+            routes.server = reader.readString(serverKey, endpointRule).value_or("");
+            routes.readyListen = reader.readString(readyListenKey, listenRule).value_or(defaultListen);
+            routes.retryRatio = reader.readReal(retryRatioKey, ratioRule).value_or(routes.retryRatio);
+            routes.retrySlack = reader.readReal(retrySlackKey, slackRule).value_or(routes.retrySlack);
+            routes.retryWindow = readSeconds(reader, retryWindowKey).value_or(routes.retryWindow);
+            routes.grace = readSeconds(reader, graceKey).value_or(routes.grace);
+            reader.reportUnknownKeys();
+            m_settings.routes = routes;
+        }
+
+        static std::optional<std::chrono::milliseconds> readSeconds(toml_reader& reader, const toml_key& key)
+        {
+            auto seconds = reader.readReal(key, secondsRule);
+            return seconds ? std::optional(fromSeconds(*seconds)) : std::nullopt;
+        }
+
         // Two ports of one node can't be bound to the same address.
         void checkListen(const port_settings& port, toml_reader& reader)
         {
--- a/Source/platform/claim_store.cpp
+++ b/Source/store/claim_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 namespace vanillashunt {
 
--- a/Source/platform/claim_store.h
+++ b/Source/store/claim_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/ticket.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <chrono>
 #include <functional>
--- a/Source/platform/gateway_json.cpp
+++ b/Source/store/gateway_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 
--- a/Source/platform/gateway_json.h
+++ b/Source/store/gateway_json.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/json_text.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <json/value.h>
 
--- a/Source/platform/store_client.h
+++ b/Source/store/metadata_store.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "http/http_client.h"
-
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -44,29 +42,21 @@
 template <typename Answer>
 using store_result = std::variant<Answer, store_failure>;
 
-// Calls the platform's key-value service through its v3 JSON gateway. The
-// endpoints are tried in turn, a write only while nothing was sent.
-class store_client {
+// What the nodes ask of the platform's store, whichever interface it speaks.
+class metadata_store {
 public:
-    store_client(boost::asio::io_context&, std::vector<std::string> endpoints, const http_client_settings&);
-
     using range_handler = std::function<void(store_result<store_range>)>;
     using swap_handler = std::function<void(store_result<store_swap>)>;
 
+    virtual ~metadata_store() = default;
+
     // Reads every key that begins with the prefix.
-    void rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, const range_handler&);
+    virtual void rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, const range_handler&) = 0;
 
     // Writes the value only if the key's last write is the one expected; 0 expects no key.
-    void swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value,
-        std::chrono::milliseconds timeout, const swap_handler&);
-
-private:
-    struct gateway_call;
-    void call(gateway_call);
-
-    std::vector<std::string> m_endpoints;
-    std::size_t m_next = 0;
-    http_client m_client;
+    virtual void swap(const std::string& key, std::int64_t expectedModRevision, const std::string& value,
+        std::chrono::milliseconds timeout, const swap_handler&)
+        = 0;
 };
 
 }
--- a/Source/platform/seed_directory.cpp
+++ b/Source/store/seed_directory.cpp
@@ -1,4 +1,4 @@
-#include "platform/seed_directory.h"
+#include "store/seed_directory.h"
 
 namespace vanillashunt {
 
--- a/Source/platform/store_client.cpp
+++ b/Source/store/store_client.cpp
@@ -1,6 +1,6 @@
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 namespace vanillashunt {
 
--- a/Source/platform/store_watch.cpp
+++ b/Source/store/store_watch.cpp
@@ -1,7 +1,7 @@
-#include "platform/store_watch.h"
+#include "store/store_watch.h"
 
 #include "http/socket_address.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
--- a/Source/platform/store_watch.h
+++ b/Source/store/store_watch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -2,7 +2,7 @@
 #include "caller/caller_request.h"
 #include "caller/context_text.h"
 #include "peer/call_codec.h"
-#include "platform/gateway_json.h"
+#include "store/gateway_json.h"
 
 #include <gtest/gtest.h>
 
