Let calls of servers inherit their request's place, and refuse at the entrance

A server's calls carry no mark, but expire when the run does: run_deadlines tells each run a deadline of its own, and finds the run of a call by it. Its place in the shedding order goes on with the call, and the cut that it met goes back to the entrance.

--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -24,6 +24,8 @@
 
     constexpr double leastStanding = 2;
 
+    constexpr auto confirmedBase = static_cast<shedding_position>(importance::Confirmed) * positionsPerImportance;
+
     constexpr std::chrono::milliseconds windowLength { 50 };
     constexpr double durationFade = 0.85;
     constexpr double serviceQuantile = 0.5;
@@ -68,6 +70,7 @@
     waiting_call call;
     call.callId = request.callId;
     call.position = std::min(request.position, sheddingPositionCount - 1);
+    call.begun = request.begun;
     call.customer = m_shares.indexOf(request.customer);
     call.deadline = request.deadline;
     call.requestClass = m_leastTimes.indexOf(request.requestClass);
@@ -100,6 +103,10 @@
         return refuse(verdict_reason::DeadlineTooShort);
     }
     m_cut.arrived(call.customer, call.position);
+    if (call.begun) {
+        // Refusing it would waste what was done; the cut keeps the next ones out.
+        return arriveBegun(call, now);
+    }
     if (call.position < m_cut.get(call.customer) && mayRefuse(call, now)) {
         return refuseForOverload(call, overloadReason(call), now);
     }
@@ -115,6 +122,21 @@
     return placeInQueue(call, now);
 }
 
+admission_decision admission_gate::arriveBegun(waiting_call call, std::chrono::steady_clock::time_point now)
+{
+    // Ordered among themselves as before, and ahead of whatever is not begun.
+    call.position = call.position % positionsPerImportance + confirmedBase;
+    if (slotFree() && (!m_waiting.next() || m_waiting.next()->position < confirmedBase)) {
+        return run(call, now);
+    }
+    if (waitsTooLong(call, now) || m_waiting.sizeOf(importance::Confirmed) >= queueFactor * m_limitNow) {
+        noteNoRoom();
+        return refuseForOverload(call, verdict_reason::Overload, now);
+    }
+    m_waiting.add(call);
+    return { admission_outcome::Wait, {} };
+}
+
 admission_decision admission_gate::placeInQueue(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
     if (m_waiting.size() >= queueBound()) {
--- a/Source/decision/admission_gate.h
+++ b/Source/decision/admission_gate.h
@@ -32,6 +32,9 @@
     std::chrono::steady_clock::time_point deadline;
     // The contract's class; the time that a call needs is measured for each.
     std::string requestClass;
+    // Whether it is part of a request on which work has been done already. Such a
+    // call is not refused by the cut, and waits before all others.
+    bool begun = false;
 };
 
 enum class admission_outcome {
@@ -160,6 +163,7 @@
 
     admission_decision arriveHop(const waiting_call&);
     admission_decision arriveFull(const waiting_call&, std::chrono::steady_clock::time_point now);
+    admission_decision arriveBegun(waiting_call, std::chrono::steady_clock::time_point now);
     admission_decision placeInQueue(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision run(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision refuse(verdict_reason);
--- a/Source/decision/waiting_calls.h
+++ b/Source/decision/waiting_calls.h
@@ -24,6 +24,7 @@
     customer_index customer = 0;
     std::chrono::steady_clock::time_point deadline;
     class_index requestClass = 0;
+    bool begun = false;
     // Set by the queue: the order of arrival.
     std::uint64_t order = 0;
 };
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -55,6 +55,7 @@
     , m_table(std::make_shared<route_configuration>())
     , m_router(m_settings.place, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; })
     , m_allowance(m_settings.retries)
+    , m_entrance({ admission_policy::Full, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; } })
 {
 }
 
@@ -109,8 +110,21 @@
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
     context.deadline = std::min(request.deadline, now + found->timeout);
+    if (request.parent) {
+        // A call is part of the request that it is made for, and matters as much.
+        const auto& parent = request.parent->context;
+        call.parentRun = request.parent->runId;
+        context.level = parent.level;
+        context.position = parent.position;
+        context.depth = parent.depth + 1;
+    }
     m_allowance.requested(sent.service, now);
+    auto refusal = request.parent ? std::nullopt : m_entrance.refusal({ "", context.requestClass, context.position, context.deadline }, now);
     m_calls.emplace(callId, std::move(call));
+    if (refusal) {
+        giveUp(callId, *refusal, "refused here for a service further down", now);
+        return callId;
+    }
     attempt(callId, now);
     return callId;
 }
@@ -168,6 +182,7 @@
     // A node that answers tells its limit, also where its server lost the answer.
     bool nothingCameBack = answer.limit == 0 && (answer.outcome.reason == verdict_reason::PeerUnreachable || answer.outcome.reason == verdict_reason::AnswerLost);
     m_hooks.ended(call.target, !nothingCameBack);
+    learn(call, answer, now);
     call.reached += reachedServer(answer.outcome) ? 1 : 0;
     call.mayHaveRun = call.mayHaveRun || answer.outcome.run != execution::NotRun;
     if (answer.outcome.run != execution::Ran) {
@@ -182,6 +197,21 @@
     finish(callId, outcome, std::move(answer), "the request was given up", now);
 }
 
+// What came back from below is for the entrance to act on: here, or, for a call
+// that the own server makes, wherever the whole request came in.
+void routed_entry::learn(const entry_call& call, const call_answer& answer, time_point now)
+{
+    if (answer.limit == 0) {
+        return;
+    }
+    if (call.parentRun != 0) {
+        m_hooks.onwardCut(call.parentRun, answer.cut);
+        return;
+    }
+    const auto& context = call.request.context;
+    m_entrance.learnCut({ "", context.requestClass, context.position, context.deadline }, { answer.cut, answer.outcome.retryAfter }, now);
+}
+
 bool routed_entry::mayTryAgain(entry_call& call, const call_answer& answer, time_point now)
 {
     bool served = answer.outcome.run == execution::Ran && answer.status < leastServerError;
@@ -272,7 +302,7 @@
     call_observation seen { decision, call.request.context, now };
     seen.outcome = outcome;
     seen.detail = detail;
-    seen.whole = true;
+    seen.whole = call.parentRun == 0;
     seen.status = status;
     seen.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived);
     m_hooks.observed(seen);
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -3,9 +3,11 @@
 #include "call/call_answer.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
+#include "decision/entrance_gate.h"
 #include "decision/retry_allowance.h"
 #include "decision/router.h"
 #include "http/http_message.h"
+#include "node/routed_target.h"
 #include "routes/destination_rotation.h"
 #include "routes/route_table.h"
 
@@ -25,6 +27,8 @@
     http_request message;
     // When its sender stops waiting.
     std::chrono::steady_clock::time_point deadline;
+    // The run of the own server that makes this call; nothing for a whole request.
+    std::optional<parent_run> parent;
 };
 
 // What the sender of a request is told: the server's answer, or a refusal.
@@ -44,6 +48,8 @@
     std::function<void(std::uint64_t attemptId)> cancelAttempt;
     // Whether anything came back from a member.
     std::function<void(std::uint64_t memberId, bool answered)> ended;
+    // A call of the own server ended, and met this cut.
+    std::function<void(std::uint64_t runId, shedding_position cut)> onwardCut;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -88,6 +94,8 @@
         call_request request;
         entry_handler handler;
         time_point arrived;
+        // 0 for a whole request.
+        std::uint64_t parentRun = 0;
         std::uint32_t maxAttempts = 1;
         std::vector<std::uint64_t> tried;
         // Servers that the request has reached, as far as can be known.
@@ -100,6 +108,7 @@
         time_point attemptStarted;
     };
 
+    void learn(const entry_call&, const call_answer&, time_point now);
     void attempt(std::uint64_t callId, time_point now);
     bool mayTryAgain(entry_call&, const call_answer&, time_point now);
     void finish(std::uint64_t callId, const verdict&, call_answer, const std::string& message, time_point now);
@@ -115,6 +124,7 @@
     destination_rotation m_rotation;
     router m_router;
     retry_allowance m_allowance;
+    entrance_gate m_entrance;
     std::unordered_map<std::uint64_t, entry_call> m_calls;
     std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -76,7 +76,7 @@
         void cancelAttempt(std::uint64_t attemptId);
         void attemptAnswered(std::uint64_t attemptId, call_answer);
         void peerCallArrived(call_request, const std::shared_ptr<peer_exchange>&);
-        void runAtServer(std::uint64_t runId, const server_report&, const call_request&);
+        void runAtServer(std::uint64_t runId, const server_report&, const call_request&, std::chrono::steady_clock::time_point deadline);
         void serverAnswered(std::uint64_t runId, const std::string& instanceId, instance_result);
         void reportArrived(const http_request&, http_exchange&);
         void serverChanged();
@@ -228,6 +228,7 @@
         hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
         hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
+        hooks.onwardCut = [this](std::uint64_t runId, shedding_position cut) { m_target.learnCut(runId, cut); };
         hooks.random = [this] { return m_random(); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
@@ -236,7 +237,9 @@
     target_hooks routed_process::targetHooks()
     {
         target_hooks hooks;
-        hooks.run = [this](std::uint64_t runId, const server_report& server, const call_request& request) { runAtServer(runId, server, request); };
+        hooks.run = [this](std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline) {
+            runAtServer(runId, server, request, deadline);
+        };
         hooks.cancelRun = [this](std::uint64_t runId) {
             if (auto sent = m_sentOfRun.extract(runId)) {
                 m_instances.cancel(sent.mapped());
@@ -292,7 +295,8 @@
             return;
         }
         workBegins();
-        entry_request entry { terms.requestId, std::move(request), now + terms.remaining.value_or(defaultWait) };
+        auto deadline = now + terms.remaining.value_or(defaultWait);
+        entry_request entry { terms.requestId, std::move(request), deadline, m_target.findParent(deadline) };
         auto callId = m_entry.arrive(
             std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
                 exchange->respond(responseTo(requestId, std::move(answer)));
@@ -356,9 +360,9 @@
         exchange->whenCancelled([this, id] { m_target.cancel(id, std::chrono::steady_clock::now()); });
     }
 
-    void routed_process::runAtServer(std::uint64_t runId, const server_report& server, const call_request& request)
+    void routed_process::runAtServer(std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline)
     {
-        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.context.deadline - std::chrono::steady_clock::now());
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
         http_request message { request.method, request.path, request.fields, request.body };
         writeServerTerms(message.fields, { std::max(left, std::chrono::milliseconds(1)), server.instanceId, request.callerService });
         auto sent = m_instances.send(m_settings.routes->server, request.context.requestId, message,
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -1,5 +1,7 @@
 #include "node/routed_target.h"
 
+#include <algorithm>
+
 namespace vanillashunt {
 
 namespace {
@@ -57,7 +59,7 @@
 {
     auto id = m_hooks.random();
     auto refusal = refusalBeforeGate(request);
-    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass };
+    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass, request.context.depth > 0 };
     m_arrivals.emplace(id, arrival { std::move(request), std::move(replier) });
     if (refusal) {
         refuse(id, *refusal, now);
@@ -79,7 +81,7 @@
     auto& entry = m_arrivals.at(arrivalId);
     entry.running = true;
     entry.started = now;
-    m_hooks.run(arrivalId, *m_server, entry.request);
+    m_hooks.run(arrivalId, *m_server, entry.request, m_deadlines.begin(arrivalId, entry.request.context.deadline));
 }
 
 void routed_target::refuse(std::uint64_t arrivalId, const verdict& why, time_point now)
@@ -101,6 +103,7 @@
         return;
     }
     if (node.mapped().running) {
+        m_deadlines.end(arrivalId);
         m_hooks.cancelRun(arrivalId);
     }
     m_gate.cancel(arrivalId, now);
@@ -114,6 +117,7 @@
         return;
     }
     const auto& entry = node.mapped();
+    m_deadlines.end(runId);
     service_outcome outcome;
     outcome.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started);
     outcome.refused = answer.outcome.reason == verdict_reason::BackendRefused;
@@ -126,7 +130,7 @@
 {
     answer.callId = entry.request.callId;
     answer.attempt = entry.request.attempt;
-    answer.cut = m_gate.cut();
+    answer.cut = std::max(m_gate.cut(), entry.onwardCut);
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
     entry.replier(answer);
@@ -147,6 +151,23 @@
     }
 }
 
+std::optional<parent_run> routed_target::findParent(time_point deadline) const
+{
+    auto runId = m_deadlines.find(deadline);
+    if (!runId) {
+        return std::nullopt;
+    }
+    return parent_run { *runId, m_arrivals.at(*runId).request.context };
+}
+
+void routed_target::learnCut(std::uint64_t runId, shedding_position cut)
+{
+    auto found = m_arrivals.find(runId);
+    if (found != m_arrivals.end()) {
+        found->second.onwardCut = std::max(found->second.onwardCut, cut);
+    }
+}
+
 void routed_target::tick(time_point now)
 {
     startReleased(now);
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -5,6 +5,7 @@
 #include "call/call_observation.h"
 #include "call/call_request.h"
 #include "decision/admission_gate.h"
+#include "decision/run_deadlines.h"
 
 #include <chrono>
 #include <cstdint>
@@ -15,8 +16,8 @@
 namespace vanillashunt {
 
 struct target_hooks {
-    // Sends the request to the server, with what is left of its time.
-    std::function<void(std::uint64_t runId, const server_report&, const call_request&)> run;
+    // Sends the request to the server, which is to stop at the deadline.
+    std::function<void(std::uint64_t runId, const server_report&, const call_request&, std::chrono::steady_clock::time_point deadline)> run;
     std::function<void(std::uint64_t runId)> cancelRun;
     std::function<std::uint64_t()> random;
     call_observer observed;
@@ -24,6 +25,12 @@
 
 using call_replier = std::function<void(const call_answer&)>;
 
+// A call that the own server makes while it runs another.
+struct parent_run {
+    std::uint64_t runId = 0;
+    request_context context;
+};
+
 // The calls that are to run at the server beside this node. Everything that
 // reaches the server passes here, so that what is said here of a call, that it
 // has not run and never will, is certain.
@@ -49,6 +56,12 @@
 
     void tick(time_point now);
 
+    // The run that made a call which expires then; nothing for a call of anyone else.
+    std::optional<parent_run> findParent(time_point deadline) const;
+
+    // A call that the run made has met a cut further down.
+    void learnCut(std::uint64_t runId, shedding_position cut);
+
     std::size_t inProgress() const { return m_arrivals.size(); }
     const admission_gate& gate() const { return m_gate; }
 
@@ -58,6 +71,8 @@
         call_replier replier;
         bool running = false;
         time_point started {};
+        // The highest cut that the run's own calls have met.
+        shedding_position onwardCut = 0;
     };
 
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
@@ -72,6 +87,7 @@
     bool m_takesWork = false;
     bool m_stopping = false;
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
+    run_deadlines m_deadlines;
 };
 
 }
