Keep the slots of a server that refuses for a reason of its own

The gate never gives a server more than its slots, so that its refusals say nothing of room.

Ruled out: the cut (gone within a second in the log), lost members.

--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -118,10 +118,13 @@
     }
     const auto& entry = node.mapped();
     m_deadlines.end(runId);
-    service_outcome outcome;
-    outcome.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started);
-    outcome.refused = answer.outcome.reason == verdict_reason::BackendRefused;
-    m_gate.finish(runId, outcome, now);
+    if (answer.outcome.run == execution::Ran) {
+        m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
+    } else {
+        // A server that is never given more than its slots, and refuses all the same,
+        // refuses for a reason of its own: fewer calls would not make it refuse less.
+        m_gate.cancel(runId, now);
+    }
     reply(entry, answer);
     startReleased(now);
 }
