Avoid a target that owes answers and is silent; say why an attempt failed

Cause: in a zone that is cut off, calls went on to targets out of reach until three had timed out. A target that owes answers for six of its usual pauses is now second choice. Failed attempts, rejected calls and every unserved call get a log line, 40 of a kind a second.

Conclusion: kept as an avoidance only.

--- a/Source/decision/router.cpp
+++ b/Source/decision/router.cpp
@@ -68,7 +68,7 @@
             continue;
         }
         auto view = m_views.find(target->id);
-        bool isAvoided = target->state == member_state::Suspect || !target->reachable || (view != m_views.end() && view->second.avoided(now));
+        bool isAvoided = target->state == member_state::Suspect || !target->reachable || (view != m_views.end() && (view->second.avoided(now) || view->second.silent(now)));
         if (isAvoided != avoided) {
             continue;
         }
@@ -135,9 +135,9 @@
     return m_byService.count(service) != 0;
 }
 
-void router::started(std::uint64_t memberId, std::chrono::steady_clock::time_point)
+void router::started(std::uint64_t memberId, std::chrono::steady_clock::time_point now)
 {
-    m_views[memberId].started();
+    m_views[memberId].started(now);
 }
 
 void router::finished(std::uint64_t memberId, const route_outcome& outcome, std::chrono::steady_clock::time_point now)
--- a/Source/decision/target_view.cpp
+++ b/Source/decision/target_view.cpp
@@ -16,6 +16,14 @@
     // A report of load loses half of its weight in this time.
     constexpr std::chrono::milliseconds reportHalfLife { 200 };
 
+    // Bounds of a silence that is taken for one: well above what a lost packet or a
+    // busy machine costs, and well below the time that a request has.
+    constexpr std::chrono::duration<double> shortestSilence { 0.25 };
+    constexpr std::chrono::duration<double> longestSilence { 1.5 };
+    // So many times the usual pause between two answers.
+    constexpr double silentPauses = 6;
+    constexpr double latencyWeight = 0.2;
+
     // Whether an outcome says that the member cannot serve, whatever its load.
     bool isFailure(verdict_reason reason)
     {
@@ -39,8 +47,11 @@
 
 }
 
-void target_view::started()
+void target_view::started(std::chrono::steady_clock::time_point now)
 {
+    if (m_outstanding == 0) {
+        m_owesSince = now;
+    }
     ++m_outstanding;
 }
 
@@ -60,9 +71,22 @@
     }
     m_failuresInRow = 0;
     m_avoidedUntil = {};
+    m_owesSince = now;
+    m_usualLatency += latencyWeight * (outcome.latency - m_usualLatency);
     noteLoad(outcome, now);
 }
 
+bool target_view::silent(std::chrono::steady_clock::time_point now) const
+{
+    if (m_outstanding == 0) {
+        return false;
+    }
+    auto usualPause = m_usualLatency / m_outstanding;
+    auto shortest = m_usualLatency.count() > 0 ? std::max(shortestSilence, 2 * m_usualLatency) : longestSilence;
+    auto bound = std::clamp<std::chrono::duration<double>>(silentPauses * usualPause, std::min(shortest, longestSilence), longestSilence);
+    return now - m_owesSince > bound;
+}
+
 void target_view::failed(double chance, std::chrono::steady_clock::time_point now)
 {
     auto doublings = std::min(m_failuresInRow, mostDoublings);
--- a/Source/decision/target_view.h
+++ b/Source/decision/target_view.h
@@ -21,7 +21,7 @@
 // What this node has seen itself of one other member: its load, and whether it answers.
 class target_view {
 public:
-    void started();
+    void started(std::chrono::steady_clock::time_point now);
     // The chance spreads the end of an avoidance over the nodes; it is in [0, 1).
     void finished(const route_outcome&, double chance, std::chrono::steady_clock::time_point now);
     void cancelled();
@@ -29,6 +29,10 @@
     // Whether it failed so recently that another member is to be preferred.
     bool avoided(std::chrono::steady_clock::time_point now) const { return now < m_avoidedUntil; }
 
+    // Whether it owes answers and has sent none for so much longer than usual that
+    // it is out of reach, or stands still.
+    bool silent(std::chrono::steady_clock::time_point now) const;
+
     // Part of its limit that is in use, as far as this node knows; over 1 where
     // calls wait. Slots stand in for a limit that was never reported.
     double load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const;
@@ -41,6 +45,10 @@
 
     std::uint32_t m_outstanding = 0;
     std::uint32_t m_failuresInRow = 0;
+    // Since when at least one answer is owed and none has come.
+    std::chrono::steady_clock::time_point m_owesSince;
+    // Usual time until an answer; zero before the first.
+    std::chrono::duration<double> m_usualLatency { 0 };
     std::chrono::steady_clock::time_point m_avoidedUntil;
     // The last report, less this node's own calls at that time.
     double m_othersInFlight = 0;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -162,6 +162,7 @@
     call.attemptId = m_hooks.random() | 1U;
     call.attemptStarted = now;
     call.target = chosen->id;
+    call.targetName = chosen->name;
     m_callOfAttempt[call.attemptId] = callId;
     m_router.started(chosen->id, now);
     observe(call, call.tried.size() == 1 ? call_decision::Attempt : call_decision::Retry, {}, chosen->name, 0, now);
@@ -187,7 +188,7 @@
     call.mayHaveRun = call.mayHaveRun || answer.outcome.run != execution::NotRun;
     if (answer.outcome.run != execution::Ran) {
         call.refusal = answer.outcome;
-        observe(call, call_decision::AttemptFailed, answer.outcome, "", 0, now);
+        observe(call, call_decision::AttemptFailed, answer.outcome, call.targetName, 0, now);
     }
     if (mayTryAgain(call, answer, now)) {
         attempt(callId, now);
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -105,6 +105,7 @@
         verdict refusal;
         std::uint64_t attemptId = 0;
         std::uint64_t target = 0;
+        std::string targetName;
         time_point attemptStarted;
     };
 
--- a/Source/operator/call_log.cpp
+++ b/Source/operator/call_log.cpp
@@ -6,10 +6,13 @@
 
 void call_log::observe(const call_observation& seen)
 {
-    if (seen.decision == call_decision::Rejected && isShed(seen.outcome.reason)) {
-        write(events::callShed, seen);
+    if (seen.decision == call_decision::Rejected) {
+        write(isShed(seen.outcome.reason) ? events::callShed : events::callRejected, seen);
     }
-    if (seen.decision != call_decision::Finished || !seen.whole) {
+    if (seen.decision == call_decision::AttemptFailed) {
+        write(events::attemptFailed, seen);
+    }
+    if (seen.decision != call_decision::Finished) {
         return;
     }
     if (seen.outcome.run == execution::NotRun) {
@@ -25,7 +28,7 @@
     if (!leftOut) {
         return;
     }
-    logEvent(what, { { "request_id", seen.context.requestId }, { "customer", seen.context.customer }, { "class", seen.context.requestClass }, { "reason", toString(seen.outcome.reason) }, { "left_out", std::to_string(*leftOut) } });
+    logEvent(what, { { "request_id", seen.context.requestId }, { "customer", seen.context.customer }, { "class", seen.context.requestClass }, { "verdict", toString(seen.outcome.run) }, { "reason", toString(seen.outcome.reason) }, { "detail", seen.detail }, { "status", std::to_string(seen.status) }, { "elapsed_us", std::to_string(seen.duration.count()) }, { "left_out", std::to_string(*leftOut) } });
 }
 
 }
--- a/Source/operator/call_log.h
+++ b/Source/operator/call_log.h
@@ -14,7 +14,7 @@
 private:
     void write(const event&, const call_observation&);
 
-    event_limiter m_limiter { 5, std::chrono::seconds(1) };
+    event_limiter m_limiter { 40, std::chrono::seconds(1) };
 };
 
 }
--- a/Source/peer/peer_client.h
+++ b/Source/peer/peer_client.h
@@ -22,7 +22,7 @@
     // How long an idle connection is kept.
     std::chrono::milliseconds idleTimeout { 30000 };
     // A connection that is not open by then counts as unreachable.
-    std::chrono::milliseconds connectTimeout { 500 };
+    std::chrono::milliseconds connectTimeout { 250 };
 };
 
 // Answers that arrived and could not be used, since the start.
