--- /dev/null
+++ b/Tests/PlatformWire/platform_wire_test.cpp
@@ -0,0 +1,119 @@
+#include "platform/request_headers.h"
+#include "platform/route_document.h"
+#include "platform/server_report.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace vanillashunt {
+
+namespace {
+
+    const std::string document = R"({"version":"r12","resources":[
+        {"type":"routes","metadata":{"name":"split"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent",
+            "timeout_s":0.8,"target_latency_s":1.2,"priority":2,"max_attempts":2,
+            "traffic_split":[{"service":"old","weight":90},{"service":"new","weight":10}]}},
+        {"type":"routes","metadata":{"name":"orders"},"spec":{"host":"b.example","prefix":"/y/","kind":"non_idempotent",
+            "timeout_s":5,"target_latency_s":1.5,"priority":0,"service":"old","max_attempts":2}},
+        {"type":"services","metadata":{"name":"old"},"spec":{"health_check_path":"/health","max_connections":934}},
+        {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]})";
+
+    bool isReadable(const std::string& text)
+    {
+        return std::holds_alternative<route_configuration>(parseRouteDocument(text));
+    }
+
+    http_request heartbeat(const std::string& body)
+    {
+        return { "POST", "/Instances.Heartbeat/i-1", {}, body };
+    }
+
+}
+
+TEST(RouteDocument, IsReadWithItsUnits)
+{
+    auto parsed = parseRouteDocument(document);
+    ASSERT_TRUE(std::holds_alternative<route_configuration>(parsed));
+    const auto& configuration = std::get<route_configuration>(parsed);
+    EXPECT_EQ(configuration.version, 12);
+    ASSERT_EQ(configuration.routes.size(), 2U);
+    const auto& split = configuration.routes[0];
+    EXPECT_TRUE(split.idempotent);
+    EXPECT_EQ(split.timeout, std::chrono::milliseconds(800));
+    ASSERT_EQ(split.destinations.size(), 2U);
+    EXPECT_EQ(split.destinations[1].weight, 10);
+    EXPECT_FALSE(configuration.routes[1].idempotent);
+    EXPECT_EQ(configuration.limits.headerTimeout, std::chrono::seconds(3));
+    EXPECT_EQ(configuration.services.at(0).maxConnections, 934U);
+}
+
+// No half of a version is in force.
+TEST(RouteDocument, IsRefusedAsAWhole)
+{
+    EXPECT_FALSE(isReadable(""));
+    EXPECT_FALSE(isReadable("[]"));
+    EXPECT_FALSE(isReadable(R"({"version":12,"resources":[]})"));
+    EXPECT_FALSE(isReadable(R"({"version":"r","resources":[]})"));
+    EXPECT_FALSE(isReadable(R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"x"},"spec":{"prefix":"/x/","timeout_s":1}}]})"));
+    EXPECT_FALSE(isReadable(R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"x"},"spec":{"prefix":"/x/","timeout_s":"soon","service":"a"}}]})"));
+}
+
+TEST(RouteDocument, SurvivesDamage)
+{
+    std::mt19937 random(7);
+    for (int i = 0; i < 2000; ++i) {
+        auto damaged = document;
+        damaged[random() % damaged.size()] = static_cast<char>(random());
+        damaged.resize(random() % 4 == 0 ? random() % damaged.size() : damaged.size());
+        parseRouteDocument(damaged);
+    }
+}
+
+TEST(ServerReport, IsReadFromHeartbeatAndDeregistration)
+{
+    auto parsed = parseServerReport(heartbeat(R"({"service":"a","address":"192.0.2.1:80","capacity":53,"state":"draining","warmup_left_s":1.5,"sequence":4})"));
+    ASSERT_TRUE(std::holds_alternative<server_report>(parsed));
+    const auto& report = std::get<server_report>(parsed);
+    EXPECT_EQ(report.instanceId, "i-1");
+    EXPECT_EQ(report.condition, server_condition::Draining);
+    EXPECT_EQ(report.slots, 53U);
+    EXPECT_EQ(report.warmupLeft, std::chrono::milliseconds(1500));
+    auto left = parseServerReport({ "POST", "/Instances.Deregister/i-1", {}, "" });
+    ASSERT_TRUE(std::holds_alternative<server_report>(left));
+    EXPECT_EQ(std::get<server_report>(left).condition, server_condition::Left);
+}
+
+TEST(ServerReport, OfAnotherShapeIsRefused)
+{
+    EXPECT_TRUE(std::holds_alternative<server_report_problem>(parseServerReport(heartbeat("no JSON"))));
+    EXPECT_TRUE(std::holds_alternative<server_report_problem>(parseServerReport(heartbeat(R"({"capacity":"many"})"))));
+    EXPECT_TRUE(std::holds_alternative<server_report_problem>(parseServerReport({ "POST", "/other", {}, "{}" })));
+    EXPECT_TRUE(std::holds_alternative<server_report_problem>(parseServerReport({ "POST", "/Instances.Heartbeat/", {}, "{}" })));
+}
+
+// What a client sends in the place of the node's own headers never reaches the server.
+TEST(RequestHeaders, ReplaceWhatTheClientSent)
+{
+    http_fields fields { { "vanillashunt-caller-service", "forged" }, { "Vanillashunt-Expect-Instance", "i-9" }, { "Vanillashunt-Deadline-Ms", "99999" }, { "Host", "a.example" } };
+    writeServerTerms(fields, { std::chrono::milliseconds(700), "i-1", "threads" });
+    EXPECT_EQ(fields.size(), 4U);
+    EXPECT_EQ(fieldValue(fields, "Vanillashunt-Caller-Service"), "threads");
+    EXPECT_EQ(fieldValue(fields, "Vanillashunt-Expect-Instance"), "i-1");
+    EXPECT_EQ(fieldValue(fields, "Vanillashunt-Deadline-Ms"), "700");
+}
+
+TEST(RequestHeaders, ReadADeadlineOnlyFromANumber)
+{
+    EXPECT_EQ(readRequestTerms({ { "Vanillashunt-Deadline-Ms", "1500" } }).remaining, std::chrono::milliseconds(1500));
+    EXPECT_EQ(readRequestTerms({ { "Vanillashunt-Deadline-Ms", "1500.7" } }).remaining, std::chrono::milliseconds(1500));
+    EXPECT_FALSE(readRequestTerms({ { "Vanillashunt-Deadline-Ms", "soon" } }).remaining);
+    EXPECT_FALSE(readRequestTerms({}).remaining);
+}
+
+TEST(RequestHeaders, WriteRetryAfterInSecondsWithFractions)
+{
+    EXPECT_EQ(retryAfterField(std::chrono::milliseconds(350)).value, "0.350");
+}
+
+}
--- /dev/null
+++ b/Tests/RouteTable/route_table_test.cpp
@@ -0,0 +1,76 @@
+#include "routes/destination_rotation.h"
+#include "routes/route_table.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+namespace vanillashunt {
+
+namespace {
+
+    route routeTo(const std::string& name, const std::string& host, const std::string& prefix)
+    {
+        route result;
+        result.name = name;
+        result.host = host;
+        result.prefix = prefix;
+        result.destinations = { { "threads", 1 } };
+        return result;
+    }
+
+    route_table tableOf(const std::vector<route>& routes)
+    {
+        auto configuration = std::make_shared<route_configuration>();
+        configuration->routes = routes;
+        return route_table(configuration);
+    }
+
+    std::string nameOf(const route* found)
+    {
+        return found ? found->name : "none";
+    }
+
+}
+
+TEST(RouteTable, TakesTheLongestPrefixOfTheHost)
+{
+    auto table = tableOf({ routeTo("short", "a.example", "/x/"), routeTo("long", "a.example", "/x/y/"), routeTo("other", "b.example", "/x/y/z/") });
+    EXPECT_EQ(nameOf(table.find("a.example", "/x/y/z/1")), "long");
+    EXPECT_EQ(nameOf(table.find("a.example", "/x/1")), "short");
+    EXPECT_EQ(nameOf(table.find("b.example", "/x/y/1")), "none");
+}
+
+TEST(RouteTable, TakesTheHostInAnyCaseAndWithAPort)
+{
+    auto table = tableOf({ routeTo("one", "A.example", "/x/") });
+    EXPECT_EQ(nameOf(table.find("a.EXAMPLE:8080", "/x/1")), "one");
+}
+
+TEST(RouteTable, DoesNotTakeAQueryForThePath)
+{
+    auto table = tableOf({ routeTo("one", "a.example", "/x/y/") });
+    EXPECT_EQ(nameOf(table.find("a.example", "/x?to=/x/y/")), "none");
+    EXPECT_EQ(nameOf(table.find("a.example", "/x/y")), "none");
+}
+
+// Every run of requests has the weights' parts, whatever turns some of them away.
+TEST(DestinationRotation, KeepsThePartsInEveryRunOfRequests)
+{
+    auto split = routeTo("split", "a.example", "/x/");
+    split.destinations = { { "old", 90 }, { "new", 10 } };
+    destination_rotation rotation;
+    std::map<std::string, int> counts;
+    constexpr int runs = 20;
+    constexpr int runLength = 50;
+    for (int run = 0; run < runs; ++run) {
+        counts.clear();
+        for (int i = 0; i < runLength; ++i) {
+            ++counts[rotation.next(split, 0.7)];
+        }
+        EXPECT_NEAR(counts["new"], runLength / 10, 1);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -0,0 +1,274 @@
+#include "node/routed_entry.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    using time_point = routed_entry::time_point;
+    using std::chrono::milliseconds;
+
+    struct sent_attempt {
+        std::uint64_t id;
+        member target;
+        call_request request;
+    };
+
+    // One entry, four servers, and everything that it sent and answered.
+    class entry_world {
+    public:
+        explicit entry_world(bool idempotent = true, double slack = 48)
+            : m_entry(settings(slack), hooks())
+        {
+            configuration->version = 7;
+            route each;
+            each.name = "notice-read";
+            each.host = "a.example";
+            each.prefix = "/x/";
+            each.destinations = { { "notices", 1 } };
+            each.idempotent = idempotent;
+            each.timeout = milliseconds(800);
+            each.maxAttempts = 2;
+            each.priority = 2;
+            configuration->routes = { each };
+            auto members = std::make_shared<std::vector<member>>();
+            for (std::uint64_t id = 1; id <= 4; ++id) {
+                member server;
+                server.id = id;
+                server.availabilityZone = "a";
+                server.service = "notices";
+                server.slots = 10;
+                members->push_back(server);
+            }
+            m_entry.setMembers(members, now);
+        }
+
+        void configure() { m_entry.setConfiguration(configuration); }
+
+        std::uint64_t arrive(std::optional<parent_run> parent = {}, const std::string& path = "/x/1")
+        {
+            entry_request request;
+            request.requestId = "r" + std::to_string(++m_requests);
+            request.message = { "GET", path, { { "Host", "a.example" } }, "" };
+            request.deadline = now + milliseconds(5000);
+            request.parent = std::move(parent);
+            return m_entry.arrive(
+                std::move(request), [this](entry_answer answer) { answers.push_back(std::move(answer)); }, now);
+        }
+
+        void answer(const verdict& outcome, std::uint32_t status = 0, shedding_position cut = 0)
+        {
+            call_answer result;
+            result.outcome = outcome;
+            result.status = status;
+            result.cut = cut;
+            result.limit = 10;
+            m_entry.attemptAnswered(sent.back().id, result, now);
+        }
+
+        routed_entry& entry() { return m_entry; }
+
+        time_point now { std::chrono::seconds(100) };
+        std::shared_ptr<route_configuration> configuration = std::make_shared<route_configuration>();
+        std::vector<sent_attempt> sent;
+        std::vector<std::uint64_t> cancelled;
+        std::vector<entry_answer> answers;
+        std::vector<shedding_position> onwardCuts;
+
+    private:
+        static entry_settings settings(double slack)
+        {
+            entry_settings result;
+            result.place = { "a", "" };
+            result.ownService = "threads";
+            result.retries = { 0.2, slack, milliseconds(10000) };
+            return result;
+        }
+
+        entry_hooks hooks()
+        {
+            entry_hooks result;
+            result.send = [this](std::uint64_t id, const member& target, const call_request& request) { sent.push_back({ id, target, request }); };
+            result.cancelAttempt = [this](std::uint64_t id) { cancelled.push_back(id); };
+            result.ended = [](std::uint64_t, bool) {};
+            result.onwardCut = [this](std::uint64_t, shedding_position cut) { onwardCuts.push_back(cut); };
+            result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
+            return result;
+        }
+
+        std::uint64_t m_random = 1;
+        int m_requests = 0;
+        routed_entry m_entry;
+    };
+
+}
+
+TEST(RoutedEntry, KnowsNoRouteBeforeItKnowsAConfiguration)
+{
+    entry_world world;
+    world.arrive();
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    EXPECT_GT(world.answers.back().outcome.retryAfter.count(), 0);
+    world.configure();
+    world.arrive({}, "/y/1");
+    EXPECT_EQ(world.answers.back().refusalStatus, 404U);
+    EXPECT_TRUE(world.sent.empty());
+}
+
+TEST(RoutedEntry, NeverGoesBackToAnOlderVersion)
+{
+    entry_world world;
+    world.configure();
+    auto older = std::make_shared<route_configuration>();
+    older->version = 6;
+    world.entry().setConfiguration(older);
+    EXPECT_EQ(world.entry().version(), 7);
+    world.arrive();
+    EXPECT_EQ(world.sent.size(), 1U);
+}
+
+TEST(RoutedEntry, TellsTheServiceBesideWhichTheRequestBegan)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    EXPECT_EQ(world.sent.back().request.callerService, "threads");
+}
+
+// A refusal that reached no server costs nothing, and goes to another one at once.
+TEST(RoutedEntry, AsksAnotherNodeWhereOneRefuses)
+{
+    entry_world world(false, 0);
+    world.configure();
+    world.arrive();
+    world.answer(verdict::notRun(verdict_reason::Overload, milliseconds(300)));
+    ASSERT_EQ(world.sent.size(), 2U);
+    EXPECT_NE(world.sent[0].target.id, world.sent[1].target.id);
+    world.answer(verdict::notRun(verdict_reason::Overload, milliseconds(300)));
+    world.answer(verdict::notRun(verdict_reason::Overload, milliseconds(300)));
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    EXPECT_EQ(world.answers.back().outcome.retryAfter, milliseconds(300));
+}
+
+TEST(RoutedEntry, NeverRepeatsWhatMayHaveRunAndMayNotRunTwice)
+{
+    entry_world world(false);
+    world.configure();
+    world.arrive();
+    world.answer(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_EQ(world.sent.size(), 1U);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 502U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::MayHaveRun);
+}
+
+TEST(RoutedEntry, RepeatsAnIdempotentRequestWithinAttemptsAndAllowance)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.answer(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_EQ(world.sent.size(), 2U);
+    world.answer(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_EQ(world.sent.size(), 2U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 502U);
+    entry_world without(true, 0);
+    without.configure();
+    without.arrive();
+    without.answer(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_EQ(without.sent.size(), 1U);
+}
+
+TEST(RoutedEntry, HandsOnTheServersOwnFailure)
+{
+    entry_world world(true, 0);
+    world.configure();
+    world.arrive();
+    world.answer(verdict::answered(), 500);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::Ran);
+    EXPECT_EQ(world.answers.back().answer.status, 500U);
+}
+
+TEST(RoutedEntry, AnswersWhenTheRoutesTimeIsOver)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.now += milliseconds(799);
+    world.entry().tick(world.now);
+    EXPECT_TRUE(world.answers.empty());
+    world.now += milliseconds(1);
+    world.entry().tick(world.now);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 504U);
+    EXPECT_EQ(world.cancelled.size(), 1U);
+}
+
+// A server's silence is no reason to end an answer sooner: ending the calls of a
+// silent target broke off requests at which their servers were at work, on 8 of 14 days.
+TEST(RoutedEntry, WaitsForASilentTargetUntilTheTimeIsOver)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.answer(verdict::answered(), 200);
+    world.arrive();
+    for (int i = 0; i < 70; ++i) {
+        world.now += milliseconds(10);
+        world.entry().tick(world.now);
+    }
+    EXPECT_TRUE(world.cancelled.empty());
+}
+
+TEST(RoutedEntry, CancelsWhatItsSenderHasLeft)
+{
+    entry_world world;
+    world.configure();
+    auto id = world.arrive();
+    world.entry().cancel(id, world.now);
+    EXPECT_EQ(world.cancelled.size(), 1U);
+    EXPECT_TRUE(world.answers.empty());
+    EXPECT_EQ(world.entry().inProgress(), 0U);
+}
+
+// The load: the deepest service carries half of what enters. Its refusals in the middle
+// cost whole requests that had used three services (served 0.378 of a day, and 0.599
+// with the entrance refusing for it).
+TEST(RoutedEntry, RefusesAtTheEntranceForTheServiceFurtherDown)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.answer(verdict::answered(), 200, positionsPerImportance);
+    auto before = world.sent.size();
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        world.arrive();
+        refused += world.sent.size() == before ? 1 : 0;
+        before = world.sent.size();
+    }
+    EXPECT_GE(refused, 17);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+}
+
+TEST(RoutedEntry, LetsACallOfTheOwnServerInheritItsRequestsPlace)
+{
+    entry_world world;
+    world.configure();
+    parent_run parent;
+    parent.runId = 5;
+    parent.context.level = importance::Confirmed;
+    parent.context.position = sheddingPositionCount - 1;
+    world.arrive(parent);
+    ASSERT_EQ(world.sent.size(), 1U);
+    EXPECT_EQ(world.sent.back().request.context.position, sheddingPositionCount - 1);
+    EXPECT_EQ(world.sent.back().request.context.depth, 1U);
+    world.answer(verdict::answered(), 200, 1234);
+    EXPECT_EQ(world.onwardCuts, std::vector<shedding_position> { 1234 });
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -0,0 +1,176 @@
+#include "node/routed_target.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace vanillashunt {
+
+namespace {
+
+    using time_point = routed_target::time_point;
+    using std::chrono::milliseconds;
+
+    constexpr std::uint32_t slots = 28;
+
+    // A target with a server of its own, and what became of its calls.
+    class target_world {
+    public:
+        target_world()
+            : m_target(hooks())
+        {
+            server.instanceId = "i-1";
+            server.service = "notices";
+            server.slots = slots;
+            m_target.setServer(server, true, now);
+        }
+
+        std::uint64_t arrive(std::uint32_t depth = 0, shedding_position position = 0)
+        {
+            call_request request;
+            request.service = "notices";
+            request.context.requestClass = "notice-read";
+            request.context.deadline = now + milliseconds(2000);
+            request.context.depth = depth;
+            request.context.position = position;
+            return m_target.arrive(
+                std::move(request), [this](const call_answer& answer) { answers.push_back(answer); }, now);
+        }
+
+        // Answers the call that has run longest.
+        void serverAnswers(const verdict& outcome)
+        {
+            auto runId = running.front();
+            running.pop_front();
+            call_answer answer;
+            answer.outcome = outcome;
+            m_target.serverAnswered(runId, answer, now);
+        }
+
+        int refusals() const
+        {
+            int count = 0;
+            for (const auto& each : answers) {
+                count += each.outcome.run == execution::NotRun ? 1 : 0;
+            }
+            return count;
+        }
+
+        routed_target& target() { return m_target; }
+
+        server_report server;
+        time_point now { std::chrono::seconds(100) };
+        std::deque<std::uint64_t> running;
+        std::vector<std::uint64_t> cancelled;
+        std::vector<call_answer> answers;
+
+    private:
+        target_hooks hooks()
+        {
+            target_hooks result;
+            result.run = [this](std::uint64_t runId, const server_report&, const call_request&, time_point) { running.push_back(runId); };
+            result.cancelRun = [this](std::uint64_t runId) { cancelled.push_back(runId); };
+            result.random = [this] { return ++m_lastId; };
+            return result;
+        }
+
+        std::uint64_t m_lastId = 0;
+        routed_target m_target;
+    };
+
+}
+
+// The load: every server of a service refuses over half of what it gets for eight
+// seconds while its health is good. The limit of 28 slots fell to one by a fifth for
+// each window of refusals, and 28% were served until the processes were killed.
+TEST(RoutedTarget, KeepsTheSlotsOfAServerThatRefusesForAReasonOfItsOwn)
+{
+    target_world world;
+    for (int i = 0; i < 2000; ++i) {
+        world.now += milliseconds(4);
+        world.arrive();
+        if (!world.running.empty()) {
+            world.serverAnswers(i % 2 == 0 ? verdict::notRun(verdict_reason::BackendRefused) : verdict::answered());
+        }
+    }
+    EXPECT_EQ(world.target().gate().limit(), slots);
+}
+
+TEST(RoutedTarget, GivesAServerNeverMoreThanItsSlots)
+{
+    target_world world;
+    for (std::uint32_t i = 0; i < 3 * slots; ++i) {
+        world.arrive();
+    }
+    EXPECT_EQ(world.running.size(), slots);
+}
+
+TEST(RoutedTarget, BeginsNothingOnceTheServerLeaves)
+{
+    target_world world;
+    for (std::uint32_t i = 0; i < slots + 5; ++i) {
+        world.arrive();
+    }
+    ASSERT_EQ(world.running.size(), slots);
+    world.server.condition = server_condition::Draining;
+    world.target().setServer(world.server, false, world.now);
+    EXPECT_EQ(world.refusals(), 5);
+    world.arrive();
+    EXPECT_EQ(world.refusals(), 6);
+    EXPECT_EQ(world.answers.back().outcome.reason, verdict_reason::Draining);
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.running.size(), slots - 1);
+}
+
+TEST(RoutedTarget, RefusesWhatIsForAnotherService)
+{
+    target_world world;
+    world.server.service = "threads";
+    world.target().setServer(world.server, true, world.now);
+    world.arrive();
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.front().outcome.run, execution::NotRun);
+}
+
+TEST(RoutedTarget, DropsTheRunOfACallerThatLeft)
+{
+    target_world world;
+    auto id = world.arrive();
+    world.target().cancel(id, world.now);
+    EXPECT_EQ(world.cancelled, std::vector<std::uint64_t> { id });
+    EXPECT_EQ(world.target().inProgress(), 0U);
+}
+
+// The load: requests that have used three services meet the fourth, which is full of
+// requests that have used none. Whole requests are refused for the sake of begun ones.
+TEST(RoutedTarget, PrefersWhatHasBegunToWhatBegins)
+{
+    target_world world;
+    for (std::uint32_t i = 0; i < slots + 12; ++i) {
+        world.arrive();
+    }
+    auto begun = world.arrive(2);
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.running.back(), begun);
+}
+
+TEST(RoutedTarget, TellsTheCutThatTheRunsOwnCallsMet)
+{
+    target_world world;
+    auto id = world.arrive();
+    world.target().learnCut(id, 1234);
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.answers.back().cut, 1234U);
+}
+
+TEST(RoutedTarget, FindsTheRunOfACallByItsDeadline)
+{
+    target_world world;
+    auto id = world.arrive();
+    auto parent = world.target().findParent(world.now + milliseconds(2000));
+    ASSERT_TRUE(parent);
+    EXPECT_EQ(parent->runId, id);
+    EXPECT_FALSE(world.target().findParent(world.now + milliseconds(5000)));
+}
+
+}
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -100,4 +100,19 @@
     EXPECT_EQ(choices(both), ids { 2 });
 }
 
+// The load: a zone is cut off while its members owe answers. Calls went on to them
+// until three had failed by time-out.
+TEST(Routing, AvoidsAMemberThatOwesAnswersAndIsSilent)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b") });
+    time_point now { std::chrono::seconds(100) };
+    both.started(1, now);
+    both.finished(1, { verdict::answered(), milliseconds(20) }, now);
+    both.started(1, now);
+    EXPECT_EQ(choices(both, {}, now + milliseconds(100)), ids { 1 });
+    EXPECT_EQ(choices(both, {}, now + milliseconds(400)), ids { 2 });
+    both.finished(1, { verdict::answered(), milliseconds(420) }, now + milliseconds(420));
+    EXPECT_EQ(choices(both, {}, now + milliseconds(430)), ids { 1 });
+}
+
 }
