--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -23,7 +23,7 @@
 
     // Requests of one connection that are worked on at once; the others wait in the socket.
     constexpr std::size_t mostExchanges = 32;
-    constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::size_t readBytes = 16384;
 
     // How long a client may leave an answer unread, and its end of the connection open.
     constexpr std::chrono::milliseconds longestUnread { 10000 };
--- /dev/null
+++ b/Tests/RawSocket/raw_socket.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <boost/asio.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace vanillashunt {
+
+// Runs an io_context on a thread of its own until the object ends.
+class context_thread {
+public:
+    context_thread()
+        : m_work(boost::asio::make_work_guard(context))
+        , m_thread([this] { context.run(); })
+    {
+    }
+
+    ~context_thread()
+    {
+        context.stop();
+        m_thread.join();
+    }
+
+    context_thread(const context_thread&) = delete;
+    context_thread& operator=(const context_thread&) = delete;
+
+    boost::asio::io_context context { 1 };
+
+private:
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+};
+
+// A blocking connection on which a test says exactly which bytes go and come.
+class raw_socket {
+public:
+    explicit raw_socket(boost::asio::ip::tcp::socket socket)
+        : m_socket(std::move(socket))
+    {
+    }
+
+    static raw_socket connectTo(const std::string& address)
+    {
+        auto colon = address.rfind(':');
+        auto port = static_cast<unsigned short>(std::stoi(address.substr(colon + 1)));
+        boost::asio::ip::tcp::socket socket(sharedContext());
+        socket.connect({ boost::asio::ip::make_address(address.substr(0, colon)), port });
+        return raw_socket(std::move(socket));
+    }
+
+    void send(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+
+    // Everything up to and with the text; less if the connection ends before.
+    std::string readUntil(const std::string& text)
+    {
+        boost::system::error_code error;
+        auto count = boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(m_read), text, error);
+        auto taken = error ? m_read.size() : count;
+        auto result = m_read.substr(0, taken);
+        m_read.erase(0, taken);
+        return result;
+    }
+
+    std::string readToEnd()
+    {
+        boost::system::error_code error;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(m_read), error);
+        return std::exchange(m_read, {});
+    }
+
+    void close() { m_socket.close(); }
+
+    // Ends the connection as a crash does: the other side's reads fail.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
+    static boost::asio::io_context& sharedContext()
+    {
+        static boost::asio::io_context context;
+        return context;
+    }
+
+private:
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_read;
+};
+
+// A server whose every byte a test decides.
+class raw_listener {
+public:
+    raw_listener()
+        : m_acceptor(raw_socket::sharedContext(), { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    raw_socket accept() { return raw_socket(m_acceptor.accept()); }
+
+private:
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+}
