Find the run of a call by the request that it names, and let begun calls wait by importance

Cause: calls that are bound to end before their run (a class deadline of 700 ms under a run of 800) match no run by deadline: 3768 in six seconds were taken for whole requests and refused at the entrance. Begun calls waited in the order of a hash, so that a desk reply of eight calls waited behind thread reads, and up to six times the limit. Now the run is found by the id that the call's id begins with, if that is the id of a run in progress; only a call that names none is matched by its deadline. Begun calls wait by their requests' place, for 100 ms of work. The cut that goes up is the mean of those met at a service.

--- a/Source/call/request_terms.h
+++ b/Source/call/request_terms.h
@@ -14,6 +14,9 @@
 struct request_terms {
     // Names one attempt of the client.
     std::string requestId;
+    // The id of the request that this one seems to be made for; whoever uses it has
+    // to know that request. Empty if there is none.
+    std::string parentId;
     // How long the client goes on waiting; nothing if it does not say.
     std::optional<std::chrono::milliseconds> remaining;
 };
--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -14,6 +14,8 @@
     constexpr std::size_t hopQueueFactor = 2;
     // What the backend server ends in this time may wait.
     constexpr std::chrono::duration<double> queueTime { 0.05 };
+    // The same for calls of requests on which work has been done.
+    constexpr std::chrono::duration<double> begunQueueTime { 0.1 };
     // A server that ends few calls needs some in its queue all the same, or it
     // idles between them: this many may wait, for as long as this at most.
     constexpr double fewCalls = 12;
@@ -125,15 +127,24 @@
 admission_decision admission_gate::arriveBegun(waiting_call call, std::chrono::steady_clock::time_point now)
 {
     // Ordered among themselves as before, and ahead of whatever is not begun.
-    call.position = call.position % positionsPerImportance + confirmedBase;
+    call.position = call.position / importanceCount + confirmedBase;
     if (slotFree() && (!m_waiting.next() || m_waiting.next()->position < confirmedBase)) {
         return run(call, now);
     }
-    if (waitsTooLong(call, now) || m_waiting.sizeOf(importance::Confirmed) >= queueFactor * m_limitNow) {
+    if (waitsTooLong(call, now)) {
         noteNoRoom();
         return refuseForOverload(call, verdict_reason::Overload, now);
     }
     m_waiting.add(call);
+    if (m_waiting.sizeOf(importance::Confirmed) > begunBound()) {
+        noteNoRoom();
+        auto worst = *m_waiting.worst(importance::Confirmed, call.customer);
+        if (worst.callId == call.callId) {
+            m_waiting.remove(call.callId);
+            return refuseForOverload(call, verdict_reason::Overload, now);
+        }
+        evict(worst, now);
+    }
     return { admission_outcome::Wait, {} };
 }
 
@@ -261,6 +272,15 @@
     return std::clamp<std::size_t>(drained, std::max<std::size_t>(1, m_limitNow / 4), most);
 }
 
+// Calls of requests that have begun wait for longer than others may, and not for
+// so long that they fill the servers that wait for them.
+std::size_t admission_gate::begunBound() const
+{
+    auto most = queueFactor * m_limitNow;
+    auto drained = static_cast<std::size_t>(std::max(fewCalls, m_drainRate * begunQueueTime.count()));
+    return m_drainRate <= 0 ? most : std::min<std::size_t>(drained, most);
+}
+
 void admission_gate::evict(const waiting_call& victim, std::chrono::steady_clock::time_point now)
 {
     auto call = victim;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -110,16 +110,17 @@
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
     context.deadline = std::min(request.deadline, now + found->timeout);
-    if (request.parent) {
+    auto maker = m_hooks.findParent(request);
+    if (maker) {
         // A call is part of the request that it is made for, and matters as much.
-        const auto& parent = request.parent->context;
-        call.parentRun = request.parent->runId;
+        const auto& parent = maker->context;
+        call.parentRun = maker->runId;
         context.level = parent.level;
         context.position = parent.position;
         context.depth = parent.depth + 1;
     }
     m_allowance.requested(sent.service, now);
-    auto refusal = request.parent ? std::nullopt : m_entrance.refusal({ "", context.requestClass, context.position, context.deadline }, now);
+    auto refusal = maker ? std::nullopt : m_entrance.refusal({ "", context.requestClass, context.position, context.deadline }, now);
     m_calls.emplace(callId, std::move(call));
     if (refusal) {
         giveUp(callId, *refusal, "refused here for a service further down", now);
@@ -206,7 +207,7 @@
         return;
     }
     if (call.parentRun != 0) {
-        m_hooks.onwardCut(call.parentRun, answer.cut);
+        m_hooks.onwardCut(call.parentRun, call.request.service, answer.cut);
         return;
     }
     const auto& context = call.request.context;
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -24,11 +24,11 @@
 // One request as it came to this node's port.
 struct entry_request {
     std::string requestId;
+    // The request for whose sake this one is made, if it names one.
+    std::string parentId;
     http_request message;
     // When its sender stops waiting.
     std::chrono::steady_clock::time_point deadline;
-    // The run of the own server that makes this call; nothing for a whole request.
-    std::optional<parent_run> parent;
 };
 
 // What the sender of a request is told: the server's answer, or a refusal.
@@ -48,8 +48,10 @@
     std::function<void(std::uint64_t attemptId)> cancelAttempt;
     // Whether anything came back from a member.
     std::function<void(std::uint64_t memberId, bool answered)> ended;
+    // The run of the own server that makes a call; nothing for a whole request.
+    std::function<std::optional<parent_run>(const entry_request&)> findParent;
     // A call of the own server ended, and met this cut.
-    std::function<void(std::uint64_t runId, shedding_position cut)> onwardCut;
+    std::function<void(std::uint64_t runId, const std::string& service, shedding_position cut)> onwardCut;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -25,6 +25,7 @@
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -46,6 +47,7 @@
     constexpr std::chrono::milliseconds busyTickPeriod { 10 };
     constexpr std::chrono::milliseconds idleTickPeriod { 100 };
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
+    constexpr std::chrono::milliseconds loadLinePeriod { 1000 };
 
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
@@ -84,6 +86,7 @@
         void tick();
         void scheduleTick();
         void workBegins();
+        void logLoad(std::chrono::steady_clock::time_point now);
         void awaitSignals();
         void stop();
         void stepStop(std::chrono::steady_clock::time_point now);
@@ -139,6 +142,7 @@
         std::unordered_map<std::uint64_t, std::uint64_t> m_sentOfRun;
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
+        std::chrono::steady_clock::time_point m_nextLoadLine;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
         call_log m_callLog;
@@ -228,7 +232,8 @@
         hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
         hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
-        hooks.onwardCut = [this](std::uint64_t runId, shedding_position cut) { m_target.learnCut(runId, cut); };
+        hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
+        hooks.onwardCut = [this](std::uint64_t runId, const std::string& service, shedding_position cut) { m_target.learnCut(runId, service, cut); };
         hooks.random = [this] { return m_random(); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
@@ -296,7 +301,7 @@
         }
         workBegins();
         auto deadline = now + terms.remaining.value_or(defaultWait);
-        entry_request entry { terms.requestId, std::move(request), deadline, m_target.findParent(deadline) };
+        entry_request entry { terms.requestId, terms.parentId, std::move(request), deadline };
         auto callId = m_entry.arrive(
             std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
                 exchange->respond(responseTo(requestId, std::move(answer)));
@@ -439,6 +444,7 @@
         auto now = std::chrono::steady_clock::now();
         m_entry.tick(now);
         m_target.tick(now);
+        logLoad(now);
         if (now >= m_nextSessionCheck) {
             m_nextSessionCheck = now + sessionCheckPeriod;
             m_clients->endLate(now);
@@ -450,6 +456,17 @@
         scheduleTick();
     }
 
+    // What the decisions about the own server rest on, once a second while it works.
+    void routed_process::logLoad(std::chrono::steady_clock::time_point now)
+    {
+        if (now < m_nextLoadLine || m_target.inProgress() == 0) {
+            return;
+        }
+        m_nextLoadLine = now + loadLinePeriod;
+        const auto& gate = m_target.gate();
+        logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "entered", std::to_string(m_entry.inProgress()) } });
+    }
+
     void routed_process::scheduleTick()
     {
         m_tickTimer.expires_after(m_busyTicks ? busyTickPeriod : idleTickPeriod);
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -81,6 +81,7 @@
     auto& entry = m_arrivals.at(arrivalId);
     entry.running = true;
     entry.started = now;
+    m_runOfRequest[entry.request.context.requestId] = arrivalId;
     m_hooks.run(arrivalId, *m_server, entry.request, m_deadlines.begin(arrivalId, entry.request.context.deadline));
 }
 
@@ -103,13 +104,23 @@
         return;
     }
     if (node.mapped().running) {
-        m_deadlines.end(arrivalId);
+        forgetRun(arrivalId, node.mapped());
         m_hooks.cancelRun(arrivalId);
     }
     m_gate.cancel(arrivalId, now);
     startReleased(now);
 }
 
+void routed_target::forgetRun(std::uint64_t runId, const arrival& entry)
+{
+    m_deadlines.end(runId);
+    auto found = m_runOfRequest.find(entry.request.context.requestId);
+    // The same request may have come again, by another attempt.
+    if (found != m_runOfRequest.end() && found->second == runId) {
+        m_runOfRequest.erase(found);
+    }
+}
+
 void routed_target::serverAnswered(std::uint64_t runId, const call_answer& answer, time_point now)
 {
     auto node = m_arrivals.extract(runId);
@@ -117,7 +128,7 @@
         return;
     }
     const auto& entry = node.mapped();
-    m_deadlines.end(runId);
+    forgetRun(runId, entry);
     if (answer.outcome.run == execution::Ran) {
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
@@ -133,7 +144,7 @@
 {
     answer.callId = entry.request.callId;
     answer.attempt = entry.request.attempt;
-    answer.cut = std::max(m_gate.cut(), entry.onwardCut);
+    answer.cut = std::max(m_gate.cut(), highestMean(entry.onwardCuts));
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
     entry.replier(answer);
@@ -154,21 +165,41 @@
     }
 }
 
-std::optional<parent_run> routed_target::findParent(time_point deadline) const
+std::optional<parent_run> routed_target::findParent(const std::string& parentId, time_point deadline) const
 {
-    auto runId = m_deadlines.find(deadline);
+    auto named = m_runOfRequest.find(parentId);
+    auto runId = named != m_runOfRequest.end() ? std::optional(named->second) : std::nullopt;
+    if (parentId.empty()) {
+        runId = m_deadlines.find(deadline);
+    }
     if (!runId) {
         return std::nullopt;
     }
     return parent_run { *runId, m_arrivals.at(*runId).request.context };
 }
 
-void routed_target::learnCut(std::uint64_t runId, shedding_position cut)
+void routed_target::learnCut(std::uint64_t runId, const std::string& service, shedding_position cut)
 {
     auto found = m_arrivals.find(runId);
-    if (found != m_arrivals.end()) {
-        found->second.onwardCut = std::max(found->second.onwardCut, cut);
+    if (found == m_arrivals.end()) {
+        return;
+    }
+    auto& cuts = found->second.onwardCuts;
+    auto met = std::find_if(cuts.begin(), cuts.end(), [&service](const met_cut& each) { return each.service == service; });
+    if (met == cuts.end()) {
+        met = cuts.insert(cuts.end(), met_cut { service });
+    }
+    met->sum += cut;
+    ++met->calls;
+}
+
+shedding_position routed_target::highestMean(const std::vector<met_cut>& cuts)
+{
+    shedding_position highest = 0;
+    for (const auto& each : cuts) {
+        highest = std::max(highest, static_cast<shedding_position>(each.sum / each.calls));
     }
+    return highest;
 }
 
 void routed_target::tick(time_point now)
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -56,30 +56,41 @@
 
     void tick(time_point now);
 
-    // The run that made a call which expires then; nothing for a call of anyone else.
-    std::optional<parent_run> findParent(time_point deadline) const;
+    // The run that made a call: the one of that request, or, where the call names
+    // none, the one that ends with it. Nothing for a request of anyone else.
+    std::optional<parent_run> findParent(const std::string& parentId, time_point deadline) const;
 
-    // A call that the run made has met a cut further down.
-    void learnCut(std::uint64_t runId, shedding_position cut);
+    // A call that the run made to the service has met a cut there.
+    void learnCut(std::uint64_t runId, const std::string& service, shedding_position cut);
 
     std::size_t inProgress() const { return m_arrivals.size(); }
     const admission_gate& gate() const { return m_gate; }
 
 private:
+    // The cuts that a run's own calls have met at the servers of one service. The
+    // servers differ, and a request is to be judged by the service and not by its
+    // worst server: the mean counts.
+    struct met_cut {
+        std::string service;
+        std::uint64_t sum = 0;
+        std::uint32_t calls = 0;
+    };
+
     struct arrival {
         call_request request;
         call_replier replier;
         bool running = false;
         time_point started {};
-        // The highest cut that the run's own calls have met.
-        shedding_position onwardCut = 0;
+        std::vector<met_cut> onwardCuts {};
     };
 
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
     void reply(const arrival&, call_answer) const;
+    static shedding_position highestMean(const std::vector<met_cut>&);
     void startReleased(time_point now);
+    void forgetRun(std::uint64_t runId, const arrival&);
 
     target_hooks m_hooks;
     admission_gate m_gate;
@@ -88,6 +99,8 @@
     bool m_stopping = false;
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
     run_deadlines m_deadlines;
+    // By the request's id.
+    std::unordered_map<std::string, std::uint64_t> m_runOfRequest;
 };
 
 }
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -46,13 +46,12 @@
 
         void configure() { m_entry.setConfiguration(configuration); }
 
-        std::uint64_t arrive(std::optional<parent_run> parent = {}, const std::string& path = "/x/1")
+        std::uint64_t arrive(const std::string& path = "/x/1")
         {
             entry_request request;
             request.requestId = "r" + std::to_string(++m_requests);
             request.message = { "GET", path, { { "Host", "a.example" } }, "" };
             request.deadline = now + milliseconds(5000);
-            request.parent = std::move(parent);
             return m_entry.arrive(
                 std::move(request), [this](entry_answer answer) { answers.push_back(std::move(answer)); }, now);
         }
@@ -75,6 +74,8 @@
         std::vector<std::uint64_t> cancelled;
         std::vector<entry_answer> answers;
         std::vector<shedding_position> onwardCuts;
+        // Who makes the calls that arrive.
+        std::optional<parent_run> parent;
 
     private:
         static entry_settings settings(double slack)
@@ -92,7 +93,8 @@
             result.send = [this](std::uint64_t id, const member& target, const call_request& request) { sent.push_back({ id, target, request }); };
             result.cancelAttempt = [this](std::uint64_t id) { cancelled.push_back(id); };
             result.ended = [](std::uint64_t, bool) {};
-            result.onwardCut = [this](std::uint64_t, shedding_position cut) { onwardCuts.push_back(cut); };
+            result.findParent = [this](const entry_request&) { return parent; };
+            result.onwardCut = [this](std::uint64_t, const std::string&, shedding_position cut) { onwardCuts.push_back(cut); };
             result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
             return result;
         }
@@ -112,7 +114,7 @@
     EXPECT_EQ(world.answers.back().refusalStatus, 503U);
     EXPECT_GT(world.answers.back().outcome.retryAfter.count(), 0);
     world.configure();
-    world.arrive({}, "/y/1");
+    world.arrive("/y/1");
     EXPECT_EQ(world.answers.back().refusalStatus, 404U);
     EXPECT_TRUE(world.sent.empty());
 }
@@ -259,11 +261,10 @@
 {
     entry_world world;
     world.configure();
-    parent_run parent;
-    parent.runId = 5;
-    parent.context.level = importance::Confirmed;
-    parent.context.position = sheddingPositionCount - 1;
-    world.arrive(parent);
+    world.parent = parent_run { 5, {} };
+    world.parent->context.level = importance::Confirmed;
+    world.parent->context.position = sheddingPositionCount - 1;
+    world.arrive();
     ASSERT_EQ(world.sent.size(), 1U);
     EXPECT_EQ(world.sent.back().request.context.position, sheddingPositionCount - 1);
     EXPECT_EQ(world.sent.back().request.context.depth, 1U);
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -30,6 +30,7 @@
             call_request request;
             request.service = "notices";
             request.context.requestClass = "notice-read";
+            request.context.requestId = "request-" + std::to_string(m_lastId + 1);
             request.context.deadline = now + milliseconds(2000);
             request.context.depth = depth;
             request.context.position = position;
@@ -158,19 +159,36 @@
 {
     target_world world;
     auto id = world.arrive();
-    world.target().learnCut(id, 1234);
+    world.target().learnCut(id, "stays", 1000);
+    world.target().learnCut(id, "notices", 1200);
+    world.target().learnCut(id, "notices", 1600);
     world.serverAnswers(verdict::answered());
-    EXPECT_EQ(world.answers.back().cut, 1234U);
+    EXPECT_EQ(world.answers.back().cut, 1400U);
 }
 
 TEST(RoutedTarget, FindsTheRunOfACallByItsDeadline)
 {
     target_world world;
     auto id = world.arrive();
-    auto parent = world.target().findParent(world.now + milliseconds(2000));
+    auto parent = world.target().findParent("", world.now + milliseconds(2000));
     ASSERT_TRUE(parent);
     EXPECT_EQ(parent->runId, id);
-    EXPECT_FALSE(world.target().findParent(world.now + milliseconds(5000)));
+    EXPECT_FALSE(world.target().findParent("", world.now + milliseconds(5000)));
+}
+
+// The load: calls that are bound to end before their run carry no deadline of its own;
+// 3768 of them in six seconds were refused at the entrance as if they were whole requests.
+TEST(RoutedTarget, FindsTheRunOfACallByTheRequestThatItNames)
+{
+    target_world world;
+    auto first = world.arrive();
+    auto second = world.arrive();
+    auto parent = world.target().findParent("request-" + std::to_string(second), world.now + milliseconds(700));
+    ASSERT_TRUE(parent);
+    EXPECT_EQ(parent->runId, second);
+    EXPECT_FALSE(world.target().findParent("stranger", world.now + milliseconds(2000)));
+    world.target().cancel(first, world.now);
+    EXPECT_FALSE(world.target().findParent("request-" + std::to_string(first), world.now + milliseconds(700)));
 }
 
 }
