Tell why in logs that never block, and try the routed node as real processes

Cause: a log whose reader stops would have stopped the node, and refusals could not be explained: each failed attempt, rejected call and unserved request now has its line, the load once a second, the store's loss and return, and a settings file that changed. Ruled out: an asynchronous sink of the library (a queue that grows, and a thread).

--- a/Source/command/routed_node_command.cpp
+++ b/Source/command/routed_node_command.cpp
@@ -45,7 +45,11 @@
             std::cerr << fileName << ": the section [routes] is missing; add it, or use the command node\n";
             return exit_code::Usage;
         }
-        auto reread = [fileName] { return std::holds_alternative<node_settings>(readSettingsFile(fileName)); };
+        auto reread = [fileName]() -> std::optional<node_settings> {
+            auto again = readSettingsFile(fileName);
+            auto* right = std::get_if<node_settings>(&again);
+            return right ? std::optional(std::move(*right)) : std::nullopt;
+        };
         return static_cast<exit_code>(runRoutedNode(whole, { fileName, reread }));
     }
 
--- a/Source/events/event.cpp
+++ b/Source/events/event.cpp
@@ -1,15 +1,21 @@
 #include "events/event.h"
 
+#include "events/line_writer.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/make_shared.hpp>
 
 #include <array>
-#include <iostream>
 #include <sstream>
 
+#include <unistd.h>
+
 namespace vanillashunt {
 
 namespace {
@@ -45,12 +51,29 @@
         return value;
     }
 
-    void addConsoleOnce()
+    // Hands each formatted line to the writer, which never blocks.
+    class line_backend : public boost::log::sinks::basic_formatted_sink_backend<char> {
+    public:
+        explicit line_backend(int descriptor)
+            : m_writer(descriptor)
+        {
+        }
+
+        void consume(const boost::log::record_view&, const std::string& line) { m_writer.write(line); }
+
+    private:
+        line_writer m_writer;
+    };
+
+    void addSinkOnce()
     {
         static const bool added = [] {
             boost::log::add_common_attributes();
-            boost::log::add_console_log(writesToStandardOutput() ? std::cout : std::clog, boost::log::keywords::format = "%TimeStamp% %Message%",
-                boost::log::keywords::auto_flush = true);
+            auto descriptor = writesToStandardOutput() ? STDOUT_FILENO : STDERR_FILENO;
+            using line_sink = boost::log::sinks::synchronous_sink<line_backend>;
+            auto sink = boost::make_shared<line_sink>(boost::make_shared<line_backend>(descriptor));
+            sink->set_formatter(boost::log::parse_formatter("%TimeStamp% %Message%"));
+            boost::log::core::get()->add_sink(sink);
             return true;
         }();
         (void)added;
@@ -65,7 +88,7 @@
 
 void logEvent(const event& what, std::initializer_list<event_field> fields)
 {
-    addConsoleOnce();
+    addSinkOnce();
     std::ostringstream line;
     line << boostSeverity(what.level) << " VS" << what.number << ' ' << what.text;
     for (const auto& field : fields) {
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -13,6 +13,7 @@
 inline constexpr event nodeStopped { 102, severity::Info, "node stopped" };
 inline constexpr event portNotBound { 104, severity::Error, "a port cannot be opened" };
 inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
+inline constexpr event logLinesLeftOut { 106, severity::Warning, "log lines left out, since nobody read them" };
 inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
 inline constexpr event backendServerLeaves { 111, severity::Info, "backend server leaves" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
@@ -20,6 +21,7 @@
 inline constexpr event routesChanged { 131, severity::Info, "routes changed" };
 inline constexpr event routesUnreadable { 132, severity::Error, "a version of the routes cannot be read" };
 inline constexpr event storeLost { 133, severity::Warning, "the platform's store does not answer" };
+inline constexpr event storeBack { 134, severity::Info, "the platform's store answers again" };
 inline constexpr event settingsReread { 105, severity::Info, "settings file read again" };
 inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
 inline constexpr event attemptFailed { 203, severity::Info, "attempt brought no answer of a backend server" };
@@ -28,6 +30,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, logLinesLeftOut };
 
 }
--- a/Source/node/route_watch.cpp
+++ b/Source/node/route_watch.cpp
@@ -99,7 +99,7 @@
             failed(failure->message);
             return;
         }
-        m_failuresInARow = 0;
+        answered();
         m_readOnce = true;
         const auto& range = std::get<store_range>(result);
         m_storeRevision = range.revision;
@@ -125,7 +125,7 @@
             return;
         }
         const auto& changes = std::get<store_changes>(result);
-        m_failuresInARow = 0;
+        answered();
         m_storeRevision = changes.historyIsGone ? 0 : changes.revision;
         for (const auto& entry : changes.written) {
             if (entry.key == wire::configurationKey) {
@@ -140,6 +140,7 @@
 {
     ++m_counts.failures;
     if (m_failuresInARow == 0) {
+        m_lost = currentTime();
         logEvent(events::storeLost, { { "reason", why } });
     }
     auto backoff = std::min<milliseconds>(firstBackoff * (1 << std::min(m_failuresInARow, mostDoublings)), longestBackoff);
@@ -148,6 +149,15 @@
     m_nextCall = currentTime() + backoff / 2 + milliseconds(spread);
 }
 
+void route_watch::answered()
+{
+    if (std::exchange(m_failuresInARow, 0) == 0) {
+        return;
+    }
+    auto away = std::chrono::duration_cast<milliseconds>(currentTime() - m_lost);
+    logEvent(events::storeBack, { { "after_ms", std::to_string(away.count()) } });
+}
+
 bool route_watch::take(const std::string& document)
 {
     auto parsed = parseRouteDocument(document);
--- a/Source/node/route_watch.h
+++ b/Source/node/route_watch.h
@@ -60,6 +60,7 @@
     void readStore();
     void waitAtStore();
     void failed(const std::string& why);
+    void answered();
     bool take(const std::string& document);
     void fetchFrom(const std::string& operatorAddress);
 
@@ -78,6 +79,7 @@
     bool m_fetching = false;
     bool m_readOnce = false;
     std::uint32_t m_failuresInARow = 0;
+    std::chrono::steady_clock::time_point m_lost;
     std::chrono::steady_clock::time_point m_nextCall;
     route_watch_counts m_counts;
 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -27,6 +27,7 @@
 
 #include <cmath>
 #include <csignal>
+#include <filesystem>
 #include <random>
 
 namespace vanillashunt {
@@ -48,6 +49,7 @@
     constexpr std::chrono::milliseconds idleTickPeriod { 100 };
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
     constexpr std::chrono::milliseconds loadLinePeriod { 1000 };
+    constexpr std::chrono::milliseconds settingsCheckPeriod { 2000 };
 
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
@@ -88,6 +90,8 @@
         void workBegins();
         void logLoad(std::chrono::steady_clock::time_point now);
         void awaitSignals();
+        void rereadSettings();
+        void watchSettings(std::chrono::steady_clock::time_point now);
         void stop();
         void stepStop(std::chrono::steady_clock::time_point now);
         void endActors();
@@ -143,11 +147,21 @@
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
         std::chrono::steady_clock::time_point m_nextLoadLine;
+        std::chrono::steady_clock::time_point m_nextSettingsCheck;
+        std::filesystem::file_time_type m_fileWritten;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
         call_log m_callLog;
     };
 
+    // The same time for a file that cannot be looked at.
+    std::filesystem::file_time_type writtenAt(const std::string& fileName)
+    {
+        std::error_code error;
+        auto time = std::filesystem::last_write_time(fileName, error);
+        return error ? std::filesystem::file_time_type::min() : time;
+    }
+
     peer_client_settings peerSettings(const node_settings& settings)
     {
         peer_client_settings result;
@@ -215,6 +229,7 @@
         m_self.region = settings.region;
         m_self.address = m_peerServer->address();
         m_self.operatorAddress = m_operatorPort->address();
+        m_fileWritten = writtenAt(m_source.fileName);
     }
 
     entry_settings routed_process::entrySettings() const
@@ -445,6 +460,7 @@
         m_entry.tick(now);
         m_target.tick(now);
         logLoad(now);
+        watchSettings(now);
         if (now >= m_nextSessionCheck) {
             m_nextSessionCheck = now + sessionCheckPeriod;
             m_clients->endLate(now);
@@ -484,8 +500,7 @@
                 return;
             }
             if (number == SIGHUP) {
-                bool right = m_source.reread();
-                logEvent(events::settingsReread, { { "file", m_source.fileName }, { "taken", right ? "yes" : "no" } });
+                rereadSettings();
             } else {
                 stop();
             }
@@ -493,6 +508,29 @@
         });
     }
 
+    void routed_process::rereadSettings()
+    {
+        m_fileWritten = writtenAt(m_source.fileName);
+        auto settings = m_source.reread();
+        if (settings) {
+            // Everything else is bound to ports or to the process's life.
+            setLogLevel(settings->logLevel);
+        }
+        logEvent(events::settingsReread, { { "file", m_source.fileName }, { "taken", settings ? "yes" : "no" } });
+    }
+
+    // The file may change without a signal.
+    void routed_process::watchSettings(std::chrono::steady_clock::time_point now)
+    {
+        if (now < m_nextSettingsCheck) {
+            return;
+        }
+        m_nextSettingsCheck = now + settingsCheckPeriod;
+        if (writtenAt(m_source.fileName) != m_fileWritten) {
+            rereadSettings();
+        }
+    }
+
     void routed_process::stop()
     {
         auto now = std::chrono::steady_clock::now();
@@ -602,7 +640,7 @@
     int routed_process::run()
     {
         awaitSignals();
-        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone } });
+        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone }, { "caller", m_clients->address() }, { "backend", m_reports->address() }, { "ready", m_readiness->address() }, { "peer", m_self.address }, { "operator", m_self.operatorAddress } });
         m_membership->start(m_self, m_peerServer->address());
         m_routes.start();
         tick();
--- a/Source/node/routed_process.h
+++ b/Source/node/routed_process.h
@@ -3,6 +3,7 @@
 #include "settings/node_settings.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace vanillashunt {
@@ -10,8 +11,8 @@
 // The file that the settings came from.
 struct settings_source {
     std::string fileName;
-    // Reads it again and tells whether it is right; its problems are reported.
-    std::function<bool()> reread;
+    // Reads it again; nothing if it is wrong, and its problems are reported.
+    std::function<std::optional<node_settings>()> reread;
 };
 
 // Runs a node that serves an operator's routes until SIGTERM; returns the exit code.
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -42,7 +42,7 @@
 
     const toml_key serviceKey { "service", "\"threads\"" };
     const toml_key serverKey { "server", "\"192.0.2.10:8080\"" };
-    const toml_key readyListenKey { "ready_listen", "\"192.0.2.10:8302\"" };
+    const toml_key readyListenKey { "ready_listen", "\"192.0.2.10:8302\"", presence::Optional };
     const toml_key retryRatioKey { "retry_ratio", "0.2", presence::Optional };
     const toml_key retrySlackKey { "retry_slack", "48", presence::Optional };
     const toml_key retryWindowKey { "retry_window_seconds", "10", presence::Optional };
--- /dev/null
+++ b/Tests/RoutedNodes/platform_world.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "RawSocket/raw_socket.h"
+#include "http/http_server.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// A store as the platform has it, with as much of its interface as nodes use, and
+// one server. Both run on a thread of their own until the object ends.
+class platform_world {
+public:
+    platform_world();
+    ~platform_world();
+
+    std::string storeAddress() const { return m_store->address(); }
+    std::string serverAddress() const { return m_server->address(); }
+
+    // Puts a version of the routes there: one route, to the service.
+    void configure(int version, const std::string& service, const std::string& kind = "idempotent");
+
+    // Lets the store turn every call away, or serve again.
+    void setStoreDown(bool);
+
+    // Whether the server holds its answers back.
+    void hold(bool);
+
+    // Waits until the server has run so many requests; returns the latest.
+    http_request waitForRuns(std::size_t count);
+    std::size_t runs();
+
+private:
+    struct item {
+        std::string value;
+        int revision = 0;
+    };
+
+    void storeCalled(const http_request&, const std::shared_ptr<http_exchange>&);
+    void serverCalled(const http_request&, const std::shared_ptr<http_exchange>&);
+    http_response answerOf(const http_request&);
+    void answerWaiting();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, item> m_items;
+    int m_revision = 1;
+    bool m_down = false;
+    bool m_holding = false;
+    std::vector<http_request> m_runs;
+    std::vector<std::pair<http_request, std::shared_ptr<http_exchange>>> m_held;
+    context_thread m_loop;
+    std::unique_ptr<http_server> m_store;
+    std::unique_ptr<http_server> m_server;
+};
+
+}
