Keep one listening loop and one pooled socket for all servers and clients

Cause: http_server, peer_server and the new pipeline_server held the same accept loop, and peer_client and instance_client the same connect, idle and close. They are now http/connection_acceptor and http/pooled_socket. Behaviour as before. Ruled out: folding http_client in, too (its Beast stream has its own time-outs).

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -1,7 +1,7 @@
 #include "backend/instance_client.h"
 
 #include "http/connection_pool.h"
-#include "http/socket_address.h"
+#include "http/pooled_socket.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -82,15 +82,13 @@
     // One connection to the server, with at most one request in progress.
     class instance_connection : public std::enable_shared_from_this<instance_connection> {
     public:
-        instance_connection(const std::shared_ptr<instance_client::state>& client, std::string address)
+        instance_connection(const std::shared_ptr<instance_client::state>& client, const std::string& address)
             : m_client(client)
-            , m_socket(client->context)
-            , m_timer(client->context)
-            , m_address(std::move(address))
+            , m_connection(client->context, address)
         {
         }
 
-        const std::string& address() const { return m_address; }
+        const std::string& address() const { return m_connection.address(); }
 
         std::uint64_t startedId = 0;
 
@@ -99,21 +97,20 @@
         {
             char byte = 0;
             error_code error;
-            m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            m_connection.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
             return error == asio::error::would_block && m_buffer.size() == 0;
         }
 
         void start(const std::string& requestId, const http_request& request)
         {
-            m_idle = false;
             m_requestId = requestId;
             m_isHead = request.method == "HEAD";
             m_outgoing = requestText(request);
             m_written = false;
             m_sent = false;
             m_foreign = 0;
-            m_timer.cancel();
-            if (m_socket.is_open()) {
+            m_connection.use();
+            if (m_connection.socket().is_open()) {
                 exchange();
                 return;
             }
@@ -122,81 +119,32 @@
 
         void becomeIdle()
         {
-            m_idle = true;
-            auto self = shared_from_this();
-            m_socket.async_wait(tcp::socket::wait_read, [self](error_code error) {
-                if (!error) {
-                    self->closeIdle();
-                }
-            });
-            m_timer.expires_after(m_keptFor);
-            m_timer.async_wait([self](error_code error) {
-                if (!error) {
-                    self->closeIdle();
+            m_connection.becomeIdle(m_keptFor, [self = shared_from_this()] {
+                if (auto client = self->m_client.lock()) {
+                    client->pool.dropIdle(self);
                 }
             });
         }
 
-        void close()
-        {
-            m_closed = true;
-            error_code ignored;
-            m_timer.cancel();
-            m_socket.close(ignored);
-        }
+        void close() { m_connection.close(); }
 
     private:
-        void closeIdle()
-        {
-            if (!m_idle || m_closed) {
-                return;
-            }
-            close();
-            if (auto client = m_client.lock()) {
-                client->pool.dropIdle(shared_from_this());
-            }
-        }
-
         void connect()
         {
             auto client = m_client.lock();
-            auto endpoint = parseEndpoint(m_address);
-            error_code error = asio::error::invalid_argument;
-            if (endpoint && client) {
-                ++client->counts.connectionsOpened;
-                error = {};
-                openOutgoing(m_socket, *endpoint, client->settings.outgoingAddress, error);
-            }
-            auto self = shared_from_this();
-            if (error) {
-                asio::post(m_socket.get_executor(), [self, error] { self->fail(error.message()); });
+            if (!client) {
                 return;
             }
-            m_timer.expires_after(connectTimeout);
-            m_timer.async_wait([self](error_code timerError) {
-                if (!timerError && !self->m_connected) {
-                    self->fail("no connection in time");
+            ++client->counts.connectionsOpened;
+            m_connection.connect(client->settings.outgoingAddress, connectTimeout, [self = shared_from_this()](const error_code& error) {
+                if (error) {
+                    self->fail(error.message());
+                    return;
                 }
+                error_code ignored;
+                self->m_connection.socket().non_blocking(true, ignored);
+                self->exchange();
             });
-            m_socket.async_connect(*endpoint, [self](error_code connectError) {
-                self->connected(connectError);
-            });
-        }
-
-        void connected(const error_code& error)
-        {
-            if (m_closed) {
-                return;
-            }
-            if (error) {
-                fail(error.message());
-                return;
-            }
-            m_connected = true;
-            m_timer.cancel();
-            error_code ignored;
-            m_socket.non_blocking(true, ignored);
-            exchange();
         }
 
         // Reads while it writes: the server may answer before it has the whole body.
@@ -204,7 +152,7 @@
         {
             m_sent = true;
             auto self = shared_from_this();
-            asio::async_write(m_socket, asio::buffer(m_outgoing), [self](error_code error, std::size_t count) {
+            asio::async_write(m_connection.socket(), asio::buffer(m_outgoing), [self](error_code error, std::size_t count) {
                 self->m_written = !error;
                 // Nothing has left if even the first byte was refused.
                 self->m_sent = self->m_sent && !(error && count == 0);
@@ -223,7 +171,7 @@
                 m_parser->body_limit(client->settings.maxBodyBytes);
             }
             m_parser->skip(m_isHead);
-            http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+            http::async_read(m_connection.socket(), m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
                 self->answerRead(error);
             });
         }
@@ -231,7 +179,7 @@
         void answerRead(const error_code& error)
         {
             auto client = m_client.lock();
-            if (m_closed || !client) {
+            if (m_connection.isClosed() || !client) {
                 return;
             }
             if (error) {
@@ -283,7 +231,7 @@
 
         void fail(const std::string& message)
         {
-            if (!m_closed) {
+            if (!m_connection.isClosed()) {
                 end(instance_failure { m_sent, message }, false);
             }
         }
@@ -296,9 +244,7 @@
         }
 
         std::weak_ptr<instance_client::state> m_client;
-        tcp::socket m_socket;
-        asio::steady_timer m_timer;
-        std::string m_address;
+        pooled_socket m_connection;
         std::string m_requestId;
         std::string m_outgoing;
         beast::flat_buffer m_buffer;
@@ -306,11 +252,8 @@
         std::chrono::milliseconds m_keptFor { defaultIdleTimeout };
         int m_foreign = 0;
         bool m_isHead = false;
-        bool m_connected = false;
         bool m_written = false;
         bool m_sent = false;
-        bool m_idle = false;
-        bool m_closed = false;
     };
 
 }
--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -1,12 +1,10 @@
 #include "caller/pipeline_server.h"
 
 #include "caller/pipeline_session.h"
-#include "http/socket_address.h"
 
 namespace vanillashunt {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 namespace {
 
@@ -25,10 +23,14 @@
 }
 
 pipeline_server::pipeline_server(asio::io_context& context, const std::string& listenAddress, pipeline_server_hooks hooks)
-    : m_state(std::make_shared<state>(context, std::move(hooks)))
+    : m_state(std::make_shared<state>(std::move(hooks)))
 {
-    listenOn(m_state->acceptor, listenAddress);
-    m_state->accept();
+    std::weak_ptr<state> server = m_state;
+    m_state->acceptor = std::make_unique<connection_acceptor>(context, listenAddress, [server](asio::ip::tcp::socket socket) {
+        if (auto known = server.lock()) {
+            std::make_shared<pipeline_session>(std::move(socket), known)->start();
+        }
+    });
 }
 
 pipeline_server::~pipeline_server()
@@ -38,7 +40,7 @@
 
 std::string pipeline_server::address() const
 {
-    return toString(m_state->acceptor.local_endpoint());
+    return m_state->acceptor->address();
 }
 
 void pipeline_server::endLate(std::chrono::steady_clock::time_point now)
@@ -56,9 +58,7 @@
 void pipeline_server::stopAccepting()
 {
     m_state->closingAfterAnswers = true;
-    m_state->stopping = true;
-    error_code ignored;
-    m_state->acceptor.close(ignored);
+    m_state->acceptor->stop();
     for (const auto& session : sessionsOf(*m_state)) {
         session->closeIfIdle();
     }
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -1,7 +1,5 @@
 #include "caller/pipeline_session.h"
 
-#include "http/socket_address.h"
-
 #include <algorithm>
 
 namespace vanillashunt {
@@ -111,8 +109,6 @@
 
 void pipeline_session::start()
 {
-    error_code ignored;
-    m_socket.set_option(tcp::no_delay(true), ignored);
     enter(stage::Idle);
     read();
 }
@@ -410,23 +406,4 @@
     m_socket.close(ignored);
 }
 
-pipeline_server::state::state(asio::io_context& context, pipeline_server_hooks serverHooks)
-    : acceptor(context)
-    , hooks(std::move(serverHooks))
-{
-}
-
-void pipeline_server::state::accept()
-{
-    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (self->stopping || error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            std::make_shared<pipeline_session>(std::move(socket), self)->start();
-        }
-        self->accept();
-    });
-}
-
 }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/pipeline_server.h"
+#include "http/connection_acceptor.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -13,17 +14,17 @@
 
 class pipeline_session;
 
-struct pipeline_server::state : std::enable_shared_from_this<pipeline_server::state> {
-    state(boost::asio::io_context&, pipeline_server_hooks);
+struct pipeline_server::state {
+    explicit state(pipeline_server_hooks serverHooks)
+        : hooks(std::move(serverHooks))
+    {
+    }
 
-    void accept();
-
-    boost::asio::ip::tcp::acceptor acceptor;
+    std::unique_ptr<connection_acceptor> acceptor;
     pipeline_server_hooks hooks;
     std::unordered_set<pipeline_session*> sessions;
     pipeline_server_counts counts;
     bool closingAfterAnswers = false;
-    bool stopping = false;
 };
 
 // One connection of a client.
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -1,6 +1,6 @@
 #include "http/http_server.h"
 
-#include "http/socket_address.h"
+#include "http/connection_acceptor.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -41,22 +41,18 @@
 
 class http_session;
 
-struct http_server::state : std::enable_shared_from_this<http_server::state> {
-    state(asio::io_context& context, const http_server_limits& serverLimits, http_handler serverHandler)
-        : acceptor(context)
-        , limits(serverLimits)
+struct http_server::state {
+    state(const http_server_limits& serverLimits, http_handler serverHandler)
+        : limits(serverLimits)
         , handler(std::move(serverHandler))
     {
     }
 
-    void accept();
-
-    tcp::acceptor acceptor;
+    std::unique_ptr<connection_acceptor> acceptor;
     http_server_limits limits;
     http_handler handler;
     std::unordered_set<http_session*> sessions;
     bool closingAfterResponses = false;
-    bool stopping = false;
 };
 
 // One connection: reads a request, has it answered, and goes on with the next.
@@ -125,21 +121,6 @@
     bool m_keepAlive;
 };
 
-void http_server::state::accept()
-{
-    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (self->stopping || error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<http_session>(std::move(socket), self)->readRequest();
-        }
-        self->accept();
-    });
-}
-
 http_session::http_session(tcp::socket socket, std::shared_ptr<http_server::state> server)
     : m_stream(std::move(socket))
     , m_server(std::move(server))
@@ -285,10 +266,14 @@
 }
 
 http_server::http_server(asio::io_context& context, const std::string& listenAddress, const http_server_limits& limits, http_handler handler)
-    : m_state(std::make_shared<state>(context, limits, std::move(handler)))
+    : m_state(std::make_shared<state>(limits, std::move(handler)))
 {
-    listenOn(m_state->acceptor, listenAddress);
-    m_state->accept();
+    std::weak_ptr<state> server = m_state;
+    m_state->acceptor = std::make_unique<connection_acceptor>(context, listenAddress, [server](tcp::socket socket) {
+        if (auto known = server.lock()) {
+            std::make_shared<http_session>(std::move(socket), known)->readRequest();
+        }
+    });
 }
 
 http_server::~http_server()
@@ -298,7 +283,7 @@
 
 std::string http_server::address() const
 {
-    return toString(m_state->acceptor.local_endpoint());
+    return m_state->acceptor->address();
 }
 
 void http_server::closeAfterResponses()
@@ -318,9 +303,7 @@
 void http_server::stopAccepting()
 {
     m_state->closingAfterResponses = true;
-    m_state->stopping = true;
-    error_code ignored;
-    m_state->acceptor.close(ignored);
+    m_state->acceptor->stop();
     auto sessions = m_state->sessions;
     for (auto* session : sessions) {
         session->closeIfIdle();
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -1,7 +1,7 @@
 #include "peer/peer_client.h"
 
 #include "http/connection_pool.h"
-#include "http/socket_address.h"
+#include "http/pooled_socket.h"
 #include "peer/call_codec.h"
 
 #include <boost/asio.hpp>
@@ -42,16 +42,14 @@
     // One connection to one peer, with at most one call in progress.
     class peer_connection : public std::enable_shared_from_this<peer_connection> {
     public:
-        peer_connection(const std::shared_ptr<peer_client::state>& client, std::string address)
+        peer_connection(const std::shared_ptr<peer_client::state>& client, const std::string& address)
             : m_client(client)
-            , m_socket(client->context)
-            , m_timer(client->context)
-            , m_address(std::move(address))
+            , m_connection(client->context, address)
             , m_idleTimeout(client->settings.idleTimeout)
         {
         }
 
-        const std::string& address() const { return m_address; }
+        const std::string& address() const { return m_connection.address(); }
 
         std::uint64_t startedId = 0;
 
@@ -59,10 +57,9 @@
         {
             m_callId = request.callId;
             m_attempt = request.attempt;
-            m_idle = false;
             m_outgoing = encodeFrame(request, std::chrono::steady_clock::now());
-            m_timer.cancel();
-            if (m_socket.is_open()) {
+            m_connection.use();
+            if (m_connection.socket().is_open()) {
                 write();
                 return;
             }
@@ -72,70 +69,27 @@
         // A peer that closes an idle connection is noticed before a call is lost on it.
         void becomeIdle()
         {
-            m_idle = true;
-            auto self = shared_from_this();
-            m_socket.async_wait(tcp::socket::wait_read, [self](error_code error) {
-                if (!error) {
-                    self->closeIdle();
-                }
-            });
-            m_timer.expires_after(m_idleTimeout);
-            m_timer.async_wait([self](error_code error) {
-                if (!error) {
-                    self->closeIdle();
+            m_connection.becomeIdle(m_idleTimeout, [self = shared_from_this()] {
+                if (auto client = self->m_client.lock()) {
+                    client->pool.dropIdle(self);
                 }
             });
         }
 
-        void close()
-        {
-            m_closed = true;
-            error_code ignored;
-            m_timer.cancel();
-            m_socket.close(ignored);
-        }
+        void close() { m_connection.close(); }
 
     private:
-        void closeIdle()
-        {
-            if (!m_idle) {
-                return;
-            }
-            close();
-            if (auto client = m_client.lock()) {
-                client->pool.dropIdle(shared_from_this());
-            }
-        }
-
         void connect()
         {
             auto client = m_client.lock();
-            auto endpoint = parseEndpoint(m_address);
-            error_code error;
-            if (!endpoint || !client) {
-                error = asio::error::invalid_argument;
-            } else {
-                openOutgoing(m_socket, *endpoint, client->settings.outgoingAddress, error);
-            }
-            auto self = shared_from_this();
-            if (error) {
-                asio::post(m_socket.get_executor(), [self] { self->connectFailed(); });
+            if (!client) {
                 return;
             }
-            m_timer.expires_after(client->settings.connectTimeout);
-            m_timer.async_wait([self](error_code timerError) {
-                if (!timerError && !self->m_connected) {
-                    error_code ignored;
-                    self->m_socket.close(ignored);
-                }
-            });
-            m_socket.async_connect(*endpoint, [self](error_code connectError) {
-                if (connectError || !self->m_socket.is_open()) {
+            m_connection.connect(client->settings.outgoingAddress, client->settings.connectTimeout, [self = shared_from_this()](const error_code& error) {
+                if (error) {
                     self->connectFailed();
                     return;
                 }
-                self->m_connected = true;
-                self->m_timer.cancel();
                 self->write();
             });
         }
@@ -150,7 +104,7 @@
 
         void write()
         {
-            asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
+            asio::async_write(m_connection.socket(), asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
                 // A peer that refuses early may have answered before it closed.
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
                     self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
@@ -162,7 +116,7 @@
 
         void readHead()
         {
-            asio::async_read(m_socket, asio::buffer(m_head), [self = shared_from_this()](error_code error, std::size_t) {
+            asio::async_read(m_connection.socket(), asio::buffer(m_head), [self = shared_from_this()](error_code error, std::size_t) {
                 if (error) {
                     self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
                     return;
@@ -181,7 +135,7 @@
                 return;
             }
             m_payload.resize(head->length);
-            asio::async_read(m_socket, asio::buffer(m_payload), [self = shared_from_this(), head = *head](error_code error, std::size_t) {
+            asio::async_read(m_connection.socket(), asio::buffer(m_payload), [self = shared_from_this(), head = *head](error_code error, std::size_t) {
                 if (error) {
                     self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
                     return;
@@ -202,7 +156,7 @@
                 return;
             }
             auto client = m_client.lock();
-            if (!client || m_closed) {
+            if (!client || m_connection.isClosed()) {
                 return;
             }
             if (answer->callId != m_callId || answer->attempt != m_attempt) {
@@ -229,25 +183,20 @@
         void fail(const verdict& outcome)
         {
             auto client = m_client.lock();
-            if (!client || m_closed) {
+            if (!client || m_connection.isClosed()) {
                 return;
             }
             end(*client, answerWithout(m_callId, m_attempt, outcome), false);
         }
 
         std::weak_ptr<peer_client::state> m_client;
-        tcp::socket m_socket;
-        asio::steady_timer m_timer;
-        std::string m_address;
+        pooled_socket m_connection;
         std::chrono::milliseconds m_idleTimeout;
         std::uint64_t m_callId = 0;
         std::uint32_t m_attempt = 0;
         byte_vector m_outgoing;
         std::array<char, frameHeadBytes> m_head {};
         byte_vector m_payload;
-        bool m_connected = false;
-        bool m_idle = false;
-        bool m_closed = false;
     };
 
 }
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "peer/peer_server.h"
 
+#include "http/connection_acceptor.h"
 #include "http/socket_address.h"
 #include "peer/call_codec.h"
 
@@ -13,22 +14,18 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-struct peer_server::state : std::enable_shared_from_this<peer_server::state> {
-    state(asio::io_context& context, std::uint64_t bodyBytes, peer_call_handler callHandler)
-        : acceptor(context)
-        , maxBodyBytes(bodyBytes)
+struct peer_server::state {
+    state(std::uint64_t bodyBytes, peer_call_handler callHandler)
+        : maxBodyBytes(bodyBytes)
         , handler(std::move(callHandler))
     {
     }
 
-    void accept();
-
-    tcp::acceptor acceptor;
+    std::unique_ptr<connection_acceptor> acceptor;
     std::uint64_t maxBodyBytes;
     peer_call_handler handler;
     std::uint64_t damagedFrames = 0;
     std::size_t inProgress = 0;
-    bool stopping = false;
 };
 
 namespace {
@@ -191,29 +188,18 @@
 
 }
 
-void peer_server::state::accept()
+peer_server::peer_server(asio::io_context& context, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler handler)
+    : m_state(std::make_shared<state>(maxBodyBytes, std::move(handler)))
 {
-    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (self->stopping || error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
+    std::weak_ptr<state> server = m_state;
+    m_state->acceptor = std::make_unique<connection_acceptor>(context, listenAddress, [server](tcp::socket socket) {
+        if (auto known = server.lock()) {
             watchLiveness(socket);
-            std::make_shared<peer_session>(std::move(socket), self)->readHead();
+            std::make_shared<peer_session>(std::move(socket), known)->readHead();
         }
-        self->accept();
     });
 }
 
-peer_server::peer_server(asio::io_context& context, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler handler)
-    : m_state(std::make_shared<state>(context, maxBodyBytes, std::move(handler)))
-{
-    listenOn(m_state->acceptor, listenAddress);
-    m_state->accept();
-}
-
 peer_server::~peer_server()
 {
     stopAccepting();
@@ -221,7 +207,7 @@
 
 std::string peer_server::address() const
 {
-    return toString(m_state->acceptor.local_endpoint());
+    return m_state->acceptor->address();
 }
 
 std::size_t peer_server::inProgress() const
@@ -236,9 +222,7 @@
 
 void peer_server::stopAccepting()
 {
-    m_state->stopping = true;
-    error_code ignored;
-    m_state->acceptor.close(ignored);
+    m_state->acceptor->stop();
 }
 
 }
