Prefer servers that lose no answers, and try what is out of reach once at a time

Hire, 14 to 18 s: two of three servers of transport lost answers, and calls kept going to the nearest (810 answers 502 of route-sheet, VS202 and VS203 by target). Hotel, 31 to 36 s: the only server of benang lay beyond a cut; each request waited 250 ms for a connection of its own and was refused then (1053, VS203 peer_unreachable). A target's lost part now counts as load; one without a connection gets one attempt at a time. Ruled out: members that were unknown (VS205 counts them), the retry allowance (it was spent).

--- a/Source/decision/router.cpp
+++ b/Source/decision/router.cpp
@@ -68,6 +68,9 @@
             continue;
         }
         auto view = m_views.find(target->id);
+        if (view != m_views.end() && view->second.outOfReach()) {
+            continue;
+        }
         bool isAvoided = target->state == member_state::Suspect || !target->reachable || (view != m_views.end() && (view->second.avoided(now) || view->second.silent(now)));
         if (isAvoided != avoided) {
             continue;
--- a/Source/decision/target_view.cpp
+++ b/Source/decision/target_view.cpp
@@ -24,6 +24,23 @@
     constexpr double silentPauses = 6;
     constexpr double latencyWeight = 0.2;
 
+    // From so many on, a target without a connection gets one attempt at a time.
+    constexpr std::uint32_t unreachedBeforeProbing = 2;
+
+    // Weight of an attempt's outcome in the part that is lost, and the time after
+    // which it counts for half: a target that is not used could not show that it is well.
+    constexpr double lostWeight = 0.1;
+    constexpr std::chrono::duration<double> lostHalfLife { 2 };
+    // A lost answer costs its whole request. A target that loses a fifth of them is
+    // taken for four fifths fuller than it is, so that another is preferred while it has room.
+    constexpr double loadOfLosingAll = 4;
+
+    // Whether the member's server got the call and gave nothing back for it.
+    bool isLost(verdict_reason reason)
+    {
+        return reason == verdict_reason::AnswerLost || reason == verdict_reason::BackendRefused;
+    }
+
     // Whether an outcome says that the member cannot serve, whatever its load.
     bool isFailure(verdict_reason reason)
     {
@@ -65,6 +82,9 @@
 void target_view::finished(const route_outcome& outcome, double chance, std::chrono::steady_clock::time_point now)
 {
     cancelled();
+    m_lost = lostPart(now) * (1 - lostWeight) + (isLost(outcome.result.reason) ? lostWeight : 0);
+    m_lostNoted = now;
+    m_unreachedInRow = outcome.result.reason == verdict_reason::PeerUnreachable ? m_unreachedInRow + 1 : 0;
     if (isFailure(outcome.result.reason)) {
         failed(chance, now);
         return;
@@ -87,6 +107,16 @@
     return now - m_owesSince > bound;
 }
 
+bool target_view::outOfReach() const
+{
+    return m_unreachedInRow >= unreachedBeforeProbing && m_outstanding > 0;
+}
+
+double target_view::lostPart(std::chrono::steady_clock::time_point now) const
+{
+    return m_lost * std::exp2(-std::chrono::duration<double>(now - m_lostNoted) / lostHalfLife);
+}
+
 void target_view::failed(double chance, std::chrono::steady_clock::time_point now)
 {
     auto doublings = std::min(m_failuresInRow, mostDoublings);
@@ -111,7 +141,7 @@
 {
     auto limit = m_limit != 0 ? m_limit : std::max(slots, 1U);
     auto others = m_limit != 0 ? m_othersInFlight * decay(now - m_reported) : 0;
-    return (m_outstanding + others) / limit;
+    return (m_outstanding + others) / limit + loadOfLosingAll * lostPart(now);
 }
 
 }
--- a/Source/decision/target_view.h
+++ b/Source/decision/target_view.h
@@ -33,7 +33,11 @@
     // it is out of reach, or stands still.
     bool silent(std::chrono::steady_clock::time_point now) const;
 
-    // Part of its limit that is in use, as far as this node knows; over 1 where
+    // Whether no connection to it came about lately, and one more is being tried: a
+    // further call would only wait for the same end.
+    bool outOfReach() const;
+
+    // Part of its limit that is in use, and more where it loses answers, as far as this node knows; over 1 where
     // calls wait. Slots stand in for a limit that was never reported.
     double load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const;
 
@@ -43,7 +47,14 @@
     void failed(double chance, std::chrono::steady_clock::time_point now);
     void noteLoad(const route_outcome&, std::chrono::steady_clock::time_point now);
 
+    double lostPart(std::chrono::steady_clock::time_point now) const;
+
     std::uint32_t m_outstanding = 0;
+    // Attempts in a row for which no connection came about.
+    std::uint32_t m_unreachedInRow = 0;
+    // Part of the attempts that brought no answer, the latest counting most.
+    double m_lost = 0;
+    std::chrono::steady_clock::time_point m_lostNoted;
     std::uint32_t m_failuresInRow = 0;
     // Since when at least one answer is owed and none has come.
     std::chrono::steady_clock::time_point m_owesSince;
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -64,7 +64,7 @@
     // measure against: plain limits per hop, and none.
     std::string policy = "full";
     // Only for the command routed-node.
-    std::optional<route_settings> routes;
+    std::optional<route_settings> routes {};
 };
 
 }
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -115,4 +115,38 @@
     EXPECT_EQ(choices(both, {}, now + milliseconds(430)), ids { 1 });
 }
 
+// The load: two of a service's three servers lose a third of their answers. Calls kept
+// going to the nearest, and each lost one cost a request that had used three services
+// (810 answers 502 in five seconds).
+TEST(Routing, PrefersAMemberThatLosesNoAnswers)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b") });
+    time_point now { std::chrono::seconds(100) };
+    for (int i = 0; i < 60; ++i) {
+        both.started(1, now);
+        both.finished(1, { i % 3 == 0 ? verdict::mayHaveRun(verdict_reason::AnswerLost) : verdict::answered(), milliseconds(20), 0, 6, 10 }, now);
+    }
+    now += milliseconds(500);
+    EXPECT_EQ(choices(both, {}, now), ids { 2 });
+    // It is tried again after a while.
+    EXPECT_EQ(choices(both, {}, now + std::chrono::seconds(8)), ids { 1 });
+}
+
+// The load: the only server of a service lies beyond a cut. Each request waited for a
+// connection of its own, 250 ms, and was refused then (1053 in six seconds).
+TEST(Routing, TriesAMemberOutOfReachOnceAtATime)
+{
+    auto only = routerWith({ serverIn(1, "b") });
+    time_point now { std::chrono::seconds(100) };
+    for (int i = 0; i < 3; ++i) {
+        only.started(1, now);
+        only.finished(1, { verdict::notRun(verdict_reason::PeerUnreachable) }, now);
+    }
+    EXPECT_EQ(choices(only, {}, now), ids { 1 });
+    only.started(1, now);
+    EXPECT_EQ(choices(only, {}, now), ids {});
+    only.finished(1, { verdict::answered(), milliseconds(20), 0, 1, 10 }, now);
+    EXPECT_EQ(choices(only, {}, now), ids { 1 });
+}
+
 }
--- a/Tests/SeedKeeping/seed_keeping_test.cpp
+++ b/Tests/SeedKeeping/seed_keeping_test.cpp
@@ -1,5 +1,6 @@
 #include "Harness/stand_in.h"
 #include "node/seed_keeper.h"
+#include "store/store_client.h"
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
