Part the routed process into its calls, its server's runs and its settings file

Now routed_calls joins entry, target, peers and server_runs; settings_watch looks at the file; queue_bounds says how many may wait. Behaviour as before. Ruled out: nothing.

--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -1,5 +1,7 @@
 #include "decision/admission_gate.h"
 
+#include "decision/queue_bounds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,19 +9,9 @@
 
 namespace {
 
-    // Waiting calls for each call of the limit, at most; more would wait longer
-    // than they are worth.
-    constexpr std::size_t queueFactor = 6;
-    // The same for the baseline with plain limits for each hop.
+    // Waiting calls for each call of the limit, in the baseline with plain limits for
+    // each hop.
     constexpr std::size_t hopQueueFactor = 2;
-    // What the backend server ends in this time may wait.
-    constexpr std::chrono::duration<double> queueTime { 0.05 };
-    // The same for calls of requests on which work has been done.
-    constexpr std::chrono::duration<double> begunQueueTime { 0.1 };
-    // A server that ends few calls needs some in its queue all the same, or it
-    // idles between them: this many may wait, for as long as this at most.
-    constexpr double fewCalls = 12;
-    constexpr std::chrono::duration<double> longestQueueTime { 0.2 };
     // Work that waits this long during a whole window is a sign of overload, if
     // it is more than chance leaves behind.
     constexpr std::chrono::duration<double> standingTime { 0.005 };
@@ -136,7 +128,7 @@
         return refuseForOverload(call, verdict_reason::Overload, now);
     }
     m_waiting.add(call);
-    if (m_waiting.sizeOf(importance::Confirmed) > begunBound()) {
+    if (m_waiting.sizeOf(importance::Confirmed) > begunQueueBound(m_limitNow, m_drainRate)) {
         noteNoRoom();
         auto worst = *m_waiting.worst(importance::Confirmed, call.customer);
         if (worst.callId == call.callId) {
@@ -150,7 +142,7 @@
 
 admission_decision admission_gate::placeInQueue(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
-    if (m_waiting.size() >= queueBound()) {
+    if (m_waiting.size() >= queueBound(m_limitNow, m_drainRate)) {
         noteNoRoom();
         const auto* victim = victimFor(call);
         const auto& loser = victim ? *victim : call;
@@ -261,26 +253,6 @@
     return wait + m_serviceTime > std::chrono::duration<double>(call.deadline - now);
 }
 
-std::size_t admission_gate::queueBound() const
-{
-    auto most = queueFactor * m_limitNow;
-    if (m_drainRate <= 0) {
-        return most;
-    }
-    auto few = std::min(fewCalls, m_drainRate * longestQueueTime.count());
-    auto drained = static_cast<std::size_t>(std::max(few, m_drainRate * queueTime.count()));
-    return std::clamp<std::size_t>(drained, std::max<std::size_t>(1, m_limitNow / 4), most);
-}
-
-// Calls of requests that have begun wait for longer than others may, and not for
-// so long that they fill the servers that wait for them.
-std::size_t admission_gate::begunBound() const
-{
-    auto most = queueFactor * m_limitNow;
-    auto drained = static_cast<std::size_t>(std::max(fewCalls, m_drainRate * begunQueueTime.count()));
-    return m_drainRate <= 0 ? most : std::min<std::size_t>(drained, most);
-}
-
 void admission_gate::evict(const waiting_call& victim, std::chrono::steady_clock::time_point now)
 {
     auto call = victim;
@@ -394,7 +366,7 @@
 // Takes back the room that confirmed calls were given above the bound.
 void admission_gate::trimQueue(std::chrono::steady_clock::time_point now)
 {
-    while (m_waiting.size() > queueBound()) {
+    while (m_waiting.size() > queueBound(m_limitNow, m_drainRate)) {
         const auto* worst = m_waiting.worst();
         if (!mayRefuse(*worst, now)) {
             return;
--- a/Source/decision/admission_gate.h
+++ b/Source/decision/admission_gate.h
@@ -180,8 +180,6 @@
     void expireWaiting(std::chrono::steady_clock::time_point now);
     void startWaiting(std::chrono::steady_clock::time_point now);
     void startLine(std::chrono::steady_clock::time_point now);
-    std::size_t queueBound() const;
-    std::size_t begunBound() const;
     std::chrono::milliseconds retryAfter() const;
     void advance(std::chrono::steady_clock::time_point now);
     bool slotFree() const { return m_running.size() < m_limitNow; }
--- /dev/null
+++ b/Source/node/routed_calls.cpp
@@ -0,0 +1,166 @@
+#include "node/routed_calls.h"
+
+#include "platform/request_headers.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr unsigned statusBadRequest = 400;
+
+    // A client that does not say how long it waits.
+    constexpr std::chrono::milliseconds defaultWait { 10000 };
+
+    peer_client_settings peerSettings(const node_settings& settings)
+    {
+        peer_client_settings result;
+        result.outgoingAddress = settings.outgoingAddress;
+        result.maxBodyBytes = settings.maxBodyBytes;
+        return result;
+    }
+
+    instance_client_settings instanceSettings(const node_settings& node)
+    {
+        instance_client_settings settings;
+        settings.outgoingAddress = node.outgoingAddress;
+        settings.maxBodyBytes = node.maxBodyBytes;
+        return settings;
+    }
+
+    entry_settings entrySettings(const node_settings& node)
+    {
+        entry_settings settings;
+        settings.place = { node.availabilityZone, node.region };
+        settings.ownService = node.routes->service;
+        settings.retries = { node.routes->retryRatio, node.routes->retrySlack, node.routes->retryWindow };
+        return settings;
+    }
+
+    http_response responseTo(const std::string& requestId, entry_answer result)
+    {
+        if (result.outcome.run == execution::Ran) {
+            return { result.answer.status, std::move(result.answer.fields), std::move(result.answer.body) };
+        }
+        http_response response { result.refusalStatus, { requestIdField(requestId), { "Content-Type", "text/plain" } }, result.message + "\n" };
+        if (result.outcome.run == execution::NotRun && result.outcome.retryAfter.count() > 0) {
+            response.fields.push_back(retryAfterField(result.outcome.retryAfter));
+        }
+        return response;
+    }
+
+}
+
+routed_calls::routed_calls(boost::asio::io_context& context, const node_settings& settings, std::uint64_t selfId, time_point started, routed_call_hooks hooks)
+    : m_selfId(selfId)
+    , m_hooks(std::move(hooks))
+    , m_peers(context, peerSettings(settings))
+    , m_runs(context, settings.routes->server, instanceSettings(settings), runHooks())
+    , m_target(targetHooks())
+    , m_entry(entrySettings(settings), entryHooks(), started)
+{
+}
+
+entry_hooks routed_calls::entryHooks()
+{
+    entry_hooks hooks;
+    hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
+    hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
+    hooks.ended = [this](std::uint64_t memberId, bool answered) { m_hooks.ended(memberId, answered); };
+    hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
+    hooks.onwardCut = [this](std::uint64_t runId, const std::string& service, shedding_position cut) { m_target.learnCut(runId, service, cut); };
+    hooks.random = [this] { return m_hooks.random(); };
+    hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
+    return hooks;
+}
+
+target_hooks routed_calls::targetHooks()
+{
+    target_hooks hooks;
+    hooks.run = [this](std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline) {
+        m_runs.begin(runId, server, request, deadline);
+    };
+    hooks.cancelRun = [this](std::uint64_t runId) { m_runs.cancel(runId); };
+    hooks.random = [this] { return m_hooks.random(); };
+    hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
+    return hooks;
+}
+
+server_run_hooks routed_calls::runHooks()
+{
+    server_run_hooks hooks;
+    hooks.answered = [this](std::uint64_t runId, const call_answer& answer) { m_target.serverAnswered(runId, answer, std::chrono::steady_clock::now()); };
+    hooks.misdirected = [this](const std::string& instanceId) {
+        m_hooks.misdirected(instanceId);
+    };
+    return hooks;
+}
+
+void routed_calls::requestArrived(http_request request, const std::shared_ptr<http_exchange>& exchange)
+{
+    auto now = std::chrono::steady_clock::now();
+    auto terms = readRequestTerms(request.fields);
+    if (terms.requestId.empty()) {
+        exchange->respond({ statusBadRequest, {}, "the request has no id\n" });
+        return;
+    }
+    m_hooks.begins();
+    auto deadline = now + terms.remaining.value_or(defaultWait);
+    entry_request entry { terms.requestId, terms.parentId, std::move(request), deadline };
+    auto callId = m_entry.arrive(
+        std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
+            exchange->respond(responseTo(requestId, std::move(answer)));
+        },
+        now);
+    exchange->whenClientGone([this, callId] { m_entry.cancel(callId, std::chrono::steady_clock::now()); });
+}
+
+void routed_calls::sendAttempt(std::uint64_t attemptId, const member& target, const call_request& request)
+{
+    if (target.id != m_selfId) {
+        auto id = m_peers.start(target.address, request, [this, attemptId](call_answer answer) { attemptAnswered(attemptId, std::move(answer)); });
+        m_paths[attemptId] = { false, id };
+        return;
+    }
+    m_paths[attemptId] = { true, 0 };
+    auto id = m_target.arrive(
+        request, [this, attemptId](const call_answer& answer) { attemptAnswered(attemptId, answer); }, std::chrono::steady_clock::now());
+    auto path = m_paths.find(attemptId);
+    if (path != m_paths.end()) {
+        path->second.id = id;
+    }
+}
+
+void routed_calls::cancelAttempt(std::uint64_t attemptId)
+{
+    auto node = m_paths.extract(attemptId);
+    if (!node) {
+        return;
+    }
+    if (node.mapped().local) {
+        m_target.cancel(node.mapped().id, std::chrono::steady_clock::now());
+    } else {
+        m_peers.cancel(node.mapped().id);
+    }
+}
+
+void routed_calls::attemptAnswered(std::uint64_t attemptId, call_answer answer)
+{
+    m_paths.erase(attemptId);
+    m_entry.attemptAnswered(attemptId, std::move(answer), std::chrono::steady_clock::now());
+}
+
+void routed_calls::peerCallArrived(call_request request, const std::shared_ptr<peer_exchange>& exchange)
+{
+    m_hooks.begins();
+    auto id = m_target.arrive(
+        std::move(request), [exchange](const call_answer& answer) { exchange->answer(answer); }, std::chrono::steady_clock::now());
+    exchange->whenCancelled([this, id] { m_target.cancel(id, std::chrono::steady_clock::now()); });
+}
+
+void routed_calls::tick(time_point now)
+{
+    m_entry.tick(now);
+    m_target.tick(now);
+}
+
+}
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -1,25 +1,19 @@
 #include "node/routed_process.h"
 
-#include "backend/instance_answer.h"
-#include "backend/instance_client.h"
 #include "backend/server_tracker.h"
 #include "caller/pipeline_server.h"
 #include "events/event_catalogue.h"
 #include "node/membership_service.h"
 #include "node/planned_stop.h"
 #include "node/route_watch.h"
-#include "node/routed_entry.h"
-#include "node/routed_target.h"
+#include "node/routed_calls.h"
+#include "node/settings_watch.h"
 #include "operator/call_log.h"
 #include "operator/node_metrics.h"
 #include "operator/operator_port.h"
 #include "operator/operator_state.h"
 #include "operator/request_journal.h"
-#include "peer/peer_client.h"
-#include "peer/peer_server.h"
-#include "platform/request_headers.h"
 #include "platform/server_report.h"
-#include "platform/wire_names.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
@@ -27,7 +21,6 @@
 
 #include <cmath>
 #include <csignal>
-#include <filesystem>
 #include <random>
 
 namespace vanillashunt {
@@ -49,7 +42,6 @@
     constexpr std::chrono::milliseconds idleTickPeriod { 100 };
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
     constexpr std::chrono::milliseconds loadLinePeriod { 1000 };
-    constexpr std::chrono::milliseconds settingsCheckPeriod { 2000 };
 
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
@@ -64,9 +56,6 @@
     // A node that knows nobody may be the only one, and serves alone after this.
     constexpr std::chrono::milliseconds longestJoin { 2000 };
 
-    // A client that does not say how long it waits.
-    constexpr std::chrono::milliseconds defaultWait { 10000 };
-
     class routed_process {
     public:
         routed_process(const node_settings&, settings_source);
@@ -74,14 +63,6 @@
         int run();
 
     private:
-        void requestArrived(http_request, const std::shared_ptr<http_exchange>&);
-        static http_response responseTo(const std::string& requestId, entry_answer);
-        void sendAttempt(std::uint64_t attemptId, const member&, const call_request&);
-        void cancelAttempt(std::uint64_t attemptId);
-        void attemptAnswered(std::uint64_t attemptId, call_answer);
-        void peerCallArrived(call_request, const std::shared_ptr<peer_exchange>&);
-        void runAtServer(std::uint64_t runId, const server_report&, const call_request&, std::chrono::steady_clock::time_point deadline);
-        void serverAnswered(std::uint64_t runId, const std::string& instanceId, instance_result);
         void reportArrived(const http_request&, http_exchange&);
         void serverChanged();
         bool isReady() const;
@@ -90,15 +71,10 @@
         void workBegins();
         void logLoad(std::chrono::steady_clock::time_point now);
         void awaitSignals();
-        void rereadSettings();
-        void watchSettings(std::chrono::steady_clock::time_point now);
         void stop();
         void stepStop(std::chrono::steady_clock::time_point now);
         void endActors();
-        entry_settings entrySettings() const;
-        entry_hooks entryHooks();
-        target_hooks targetHooks();
-        instance_client_settings instanceSettings() const;
+        routed_call_hooks callHooks();
         pipeline_server_hooks serverHooks();
         membership_hooks membershipHooks();
         operator_hooks operatorHooks();
@@ -107,30 +83,20 @@
         operator_reply explain(const std::string& requestId) const;
         void observe(const call_observation&);
 
-        // An attempt on its way: to the server beside this node, or to a peer.
-        struct attempt_path {
-            bool local = false;
-            std::uint64_t id = 0;
-        };
-
         node_settings m_settings;
-        settings_source m_source;
         std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
         std::mt19937_64 m_random { std::random_device {}() };
         asio::io_context m_context { 1 };
         caf::actor_system_config m_config;
         std::unique_ptr<caf::actor_system> m_system;
         std::unique_ptr<actor_host> m_host;
-        peer_client m_peers;
         key_value_store m_store;
         http_client m_controlClient;
         peer_rpc m_peerRpc { m_controlClient };
-        instance_client m_instances;
         server_tracker m_tracker;
-        routed_target m_target;
-        routed_entry m_entry;
         std::unique_ptr<membership_service> m_membership;
         member m_self;
+        routed_calls m_calls;
         route_watch m_routes;
         std::unique_ptr<pipeline_server> m_clients;
         std::unique_ptr<http_server> m_reports;
@@ -142,34 +108,15 @@
         asio::signal_set m_signals { m_context, SIGTERM, SIGINT, SIGHUP };
         planned_stop m_stop;
         member_list m_members = std::make_shared<std::vector<member>>();
-        std::unordered_map<std::uint64_t, attempt_path> m_paths;
-        std::unordered_map<std::uint64_t, std::uint64_t> m_sentOfRun;
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
         std::chrono::steady_clock::time_point m_nextLoadLine;
-        std::chrono::steady_clock::time_point m_nextSettingsCheck;
-        std::filesystem::file_time_type m_fileWritten;
+        settings_watch m_settingsWatch;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
         call_log m_callLog;
     };
 
-    // The same time for a file that cannot be looked at.
-    std::filesystem::file_time_type writtenAt(const std::string& fileName)
-    {
-        std::error_code error;
-        auto time = std::filesystem::last_write_time(fileName, error);
-        return error ? std::filesystem::file_time_type::min() : time;
-    }
-
-    peer_client_settings peerSettings(const node_settings& settings)
-    {
-        peer_client_settings result;
-        result.outgoingAddress = settings.outgoingAddress;
-        result.maxBodyBytes = settings.maxBodyBytes;
-        return result;
-    }
-
     http_client_settings clientSettings(const node_settings& settings)
     {
         http_client_settings result;
@@ -190,22 +137,19 @@
 
     routed_process::routed_process(const node_settings& settings, settings_source source)
         : m_settings(settings)
-        , m_source(std::move(source))
-        , m_peers(m_context, peerSettings(settings))
         , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
         , m_controlClient(m_context, clientSettings(settings))
-        , m_instances(m_context, instanceSettings())
-        , m_target(targetHooks())
-        , m_entry(entrySettings(), entryHooks(), m_started)
-        , m_routes(m_context, m_store, m_peerRpc, m_self.id = m_random(), settings.availabilityZone,
+        , m_calls(m_context, settings, m_self.id = m_random(), m_started, callHooks())
+        , m_routes(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone,
               watchHooks(
                   [this](route_snapshot configuration) {
                       logEvent(events::routesChanged, { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) } });
-                      m_entry.setConfiguration(std::move(configuration));
+                      m_calls.entry().setConfiguration(std::move(configuration));
                       m_membership->spreadSoon();
                   },
                   m_random))
         , m_stop(settings.routes->grace - killMargin, clientsLeaveTime)
+        , m_settingsWatch(std::move(source))
     {
         setLogLevel(settings.logLevel);
         // Every actor runs on the thread of the sockets; the library's own scheduler stays idle.
@@ -222,74 +166,38 @@
                 exchange->respond({ isReady() ? statusOk : statusUnavailable, {}, {} });
             });
         m_peerServer = std::make_unique<peer_server>(m_context, settings.peer.listen, settings.maxBodyBytes,
-            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { peerCallArrived(std::move(request), exchange); });
+            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { m_calls.peerCallArrived(std::move(request), exchange); });
         m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
         m_self.name = settings.name;
         m_self.availabilityZone = settings.availabilityZone;
         m_self.region = settings.region;
         m_self.address = m_peerServer->address();
         m_self.operatorAddress = m_operatorPort->address();
-        m_fileWritten = writtenAt(m_source.fileName);
-    }
-
-    entry_settings routed_process::entrySettings() const
-    {
-        entry_settings settings;
-        settings.place = { m_settings.availabilityZone, m_settings.region };
-        settings.ownService = m_settings.routes->service;
-        settings.retries = { m_settings.routes->retryRatio, m_settings.routes->retrySlack, m_settings.routes->retryWindow };
-        return settings;
     }
 
-    entry_hooks routed_process::entryHooks()
+    routed_call_hooks routed_process::callHooks()
     {
-        entry_hooks hooks;
-        hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
-        hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
-        hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
-        hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
-        hooks.onwardCut = [this](std::uint64_t runId, const std::string& service, shedding_position cut) { m_target.learnCut(runId, service, cut); };
+        routed_call_hooks hooks;
         hooks.random = [this] { return m_random(); };
-        hooks.observed = [this](const call_observation& seen) { observe(seen); };
-        return hooks;
-    }
-
-    target_hooks routed_process::targetHooks()
-    {
-        target_hooks hooks;
-        hooks.run = [this](std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline) {
-            runAtServer(runId, server, request, deadline);
-        };
-        hooks.cancelRun = [this](std::uint64_t runId) {
-            if (auto sent = m_sentOfRun.extract(runId)) {
-                m_instances.cancel(sent.mapped());
-            }
+        hooks.begins = [this] { workBegins(); };
+        hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
+        hooks.misdirected = [this](const std::string& instanceId) {
+            m_tracker.misdirected(instanceId);
+            serverChanged();
         };
-        hooks.random = [this] { return m_random(); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
 
-    instance_client_settings routed_process::instanceSettings() const
-    {
-        instance_client_settings settings;
-        settings.outgoingAddress = m_settings.outgoingAddress;
-        settings.maxBodyBytes = m_settings.maxBodyBytes;
-        settings.belongs = [](const http_response& response, const std::string& requestId) {
-            return answersRequest(readAnswerMarks(response.fields), requestId);
-        };
-        return settings;
-    }
-
     pipeline_server_hooks routed_process::serverHooks()
     {
         pipeline_server_hooks hooks;
         hooks.limits = [this] {
-            auto limits = m_entry.limits();
+            auto limits = m_calls.entry().limits();
             limits.maxBodyBytes = std::min(limits.maxBodyBytes, m_settings.maxBodyBytes);
             return limits;
         };
-        hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { requestArrived(std::move(request), exchange); };
+        hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { m_calls.requestArrived(std::move(request), exchange); };
         return hooks;
     }
 
@@ -299,112 +207,13 @@
         hooks.membersChanged = [this](const member_list& members) {
             m_members = members;
             m_routes.setMembers(members);
-            m_entry.setMembers(members, std::chrono::steady_clock::now());
+            m_calls.entry().setMembers(members, std::chrono::steady_clock::now());
         };
         hooks.ownRevision = [this] { return m_routes.version(); };
         hooks.peerRevision = [this](const member& peer, std::int64_t version) { m_routes.peerVersion(peer, version); };
         return hooks;
     }
 
-    void routed_process::requestArrived(http_request request, const std::shared_ptr<http_exchange>& exchange)
-    {
-        auto now = std::chrono::steady_clock::now();
-        auto terms = readRequestTerms(request.fields);
-        if (terms.requestId.empty()) {
-            exchange->respond({ statusBadRequest, {}, "the request has no id\n" });
-            return;
-        }
-        workBegins();
-        auto deadline = now + terms.remaining.value_or(defaultWait);
-        entry_request entry { terms.requestId, terms.parentId, std::move(request), deadline };
-        auto callId = m_entry.arrive(
-            std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
-                exchange->respond(responseTo(requestId, std::move(answer)));
-            },
-            now);
-        exchange->whenClientGone([this, callId] { m_entry.cancel(callId, std::chrono::steady_clock::now()); });
-    }
-
-    http_response routed_process::responseTo(const std::string& requestId, entry_answer result)
-    {
-        if (result.outcome.run == execution::Ran) {
-            return { result.answer.status, std::move(result.answer.fields), std::move(result.answer.body) };
-        }
-        http_response response { result.refusalStatus, { requestIdField(requestId), { "Content-Type", "text/plain" } }, result.message + "\n" };
-        if (result.outcome.run == execution::NotRun && result.outcome.retryAfter.count() > 0) {
-            response.fields.push_back(retryAfterField(result.outcome.retryAfter));
-        }
-        return response;
-    }
-
-    void routed_process::sendAttempt(std::uint64_t attemptId, const member& target, const call_request& request)
-    {
-        if (target.id != m_self.id) {
-            auto id = m_peers.start(target.address, request, [this, attemptId](call_answer answer) { attemptAnswered(attemptId, std::move(answer)); });
-            m_paths[attemptId] = { false, id };
-            return;
-        }
-        m_paths[attemptId] = { true, 0 };
-        auto id = m_target.arrive(
-            request, [this, attemptId](const call_answer& answer) { attemptAnswered(attemptId, answer); }, std::chrono::steady_clock::now());
-        auto path = m_paths.find(attemptId);
-        if (path != m_paths.end()) {
-            path->second.id = id;
-        }
-    }
-
-    void routed_process::cancelAttempt(std::uint64_t attemptId)
-    {
-        auto node = m_paths.extract(attemptId);
-        if (!node) {
-            return;
-        }
-        if (node.mapped().local) {
-            m_target.cancel(node.mapped().id, std::chrono::steady_clock::now());
-        } else {
-            m_peers.cancel(node.mapped().id);
-        }
-    }
-
-    void routed_process::attemptAnswered(std::uint64_t attemptId, call_answer answer)
-    {
-        m_paths.erase(attemptId);
-        m_entry.attemptAnswered(attemptId, std::move(answer), std::chrono::steady_clock::now());
-    }
-
-    void routed_process::peerCallArrived(call_request request, const std::shared_ptr<peer_exchange>& exchange)
-    {
-        workBegins();
-        auto id = m_target.arrive(
-            std::move(request), [exchange](const call_answer& answer) { exchange->answer(answer); }, std::chrono::steady_clock::now());
-        exchange->whenCancelled([this, id] { m_target.cancel(id, std::chrono::steady_clock::now()); });
-    }
-
-    void routed_process::runAtServer(std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline)
-    {
-        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
-        http_request message { request.method, request.path, request.fields, request.body };
-        writeServerTerms(message.fields, { std::max(left, std::chrono::milliseconds(1)), server.instanceId, request.callerService });
-        auto sent = m_instances.send(m_settings.routes->server, request.context.requestId, message,
-            [this, runId, instanceId = server.instanceId](instance_result result) { serverAnswered(runId, instanceId, std::move(result)); });
-        m_sentOfRun[runId] = sent;
-    }
-
-    void routed_process::serverAnswered(std::uint64_t runId, const std::string& instanceId, instance_result result)
-    {
-        constexpr unsigned statusMisdirected = 421;
-        m_sentOfRun.erase(runId);
-        answer_marks marks;
-        if (const auto* response = std::get_if<http_response>(&result)) {
-            marks = readAnswerMarks(response->fields);
-            if (response->status == statusMisdirected) {
-                m_tracker.misdirected(instanceId);
-                serverChanged();
-            }
-        }
-        m_target.serverAnswered(runId, judgeAnswer(std::move(result), marks), std::chrono::steady_clock::now());
-    }
-
     void routed_process::reportArrived(const http_request& request, http_exchange& exchange)
     {
         auto parsed = parseServerReport(request);
@@ -428,7 +237,7 @@
     void routed_process::serverChanged()
     {
         bool takesWork = m_tracker.takesWork();
-        m_target.setServer(m_tracker.current(), takesWork, std::chrono::steady_clock::now());
+        m_calls.target().setServer(m_tracker.current(), takesWork, std::chrono::steady_clock::now());
         bool offered = takesWork && !m_stop.draining();
         auto service = offered ? m_tracker.current()->service : "";
         auto slots = offered ? m_tracker.current()->slots : 0;
@@ -457,10 +266,9 @@
     void routed_process::tick()
     {
         auto now = std::chrono::steady_clock::now();
-        m_entry.tick(now);
-        m_target.tick(now);
+        m_calls.tick(now);
         logLoad(now);
-        watchSettings(now);
+        m_settingsWatch.check(now);
         if (now >= m_nextSessionCheck) {
             m_nextSessionCheck = now + sessionCheckPeriod;
             m_clients->endLate(now);
@@ -468,19 +276,19 @@
         if (m_stop.exiting()) {
             stepStop(now);
         }
-        m_busyTicks = m_entry.inProgress() != 0 || m_target.inProgress() != 0;
+        m_busyTicks = !m_calls.idle();
         scheduleTick();
     }
 
     // What the decisions about the own server rest on, once a second while it works.
     void routed_process::logLoad(std::chrono::steady_clock::time_point now)
     {
-        if (now < m_nextLoadLine || m_target.inProgress() == 0) {
+        if (now < m_nextLoadLine || m_calls.target().inProgress() == 0) {
             return;
         }
         m_nextLoadLine = now + loadLinePeriod;
-        const auto& gate = m_target.gate();
-        logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "entered", std::to_string(m_entry.inProgress()) }, { "members", std::to_string(m_members->size()) }, { "version", std::to_string(m_routes.version()) } });
+        const auto& gate = m_calls.target().gate();
+        logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "entered", std::to_string(m_calls.entry().inProgress()) }, { "members", std::to_string(m_members->size()) }, { "version", std::to_string(m_routes.version()) } });
     }
 
     void routed_process::scheduleTick()
@@ -500,7 +308,7 @@
                 return;
             }
             if (number == SIGHUP) {
-                rereadSettings();
+                m_settingsWatch.reread();
             } else {
                 stop();
             }
@@ -508,29 +316,6 @@
         });
     }
 
-    void routed_process::rereadSettings()
-    {
-        m_fileWritten = writtenAt(m_source.fileName);
-        auto settings = m_source.reread();
-        if (settings) {
-            // Everything else is bound to ports or to the process's life.
-            setLogLevel(settings->logLevel);
-        }
-        logEvent(events::settingsReread, { { "file", m_source.fileName }, { "taken", settings ? "yes" : "no" } });
-    }
-
-    // The file may change without a signal.
-    void routed_process::watchSettings(std::chrono::steady_clock::time_point now)
-    {
-        if (now < m_nextSettingsCheck) {
-            return;
-        }
-        m_nextSettingsCheck = now + settingsCheckPeriod;
-        if (writtenAt(m_source.fileName) != m_fileWritten) {
-            rereadSettings();
-        }
-    }
-
     void routed_process::stop()
     {
         auto now = std::chrono::steady_clock::now();
@@ -540,7 +325,7 @@
         logEvent(events::drainStarted);
         m_stop.request(stop_reason::Signal, now);
         m_clients->closeAfterAnswers();
-        m_target.setStopping(now);
+        m_calls.target().setStopping(now);
         m_self.state = member_state::Draining;
         m_self.service = "";
         m_self.slots = 0;
@@ -550,10 +335,10 @@
     // One step towards the exit; called with each tick.
     void routed_process::stepStop(std::chrono::steady_clock::time_point now)
     {
-        if (m_stop.mayClosePorts(now) && m_target.inProgress() == 0) {
+        if (m_stop.mayClosePorts(now) && m_calls.target().inProgress() == 0) {
             m_clients->stopAccepting();
         }
-        bool idle = m_entry.inProgress() == 0 && m_target.inProgress() == 0 && m_clients->inProgress() == 0 && m_peerServer->inProgress() == 0;
+        bool idle = m_calls.idle() && m_clients->inProgress() == 0 && m_peerServer->inProgress() == 0;
         if (!m_stop.mayExit(idle, now) || m_self.state == member_state::Left) {
             return;
         }
@@ -580,12 +365,12 @@
         state["self"] = toJson(m_self);
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
-        state["entry"]["in_progress"] = Json::UInt64(m_entry.inProgress());
-        state["target"]["running"] = m_target.gate().inFlight();
-        state["target"]["waiting"] = Json::UInt64(m_target.gate().waiting());
-        state["target"]["limit"] = m_target.gate().limit();
-        state["server"]["connections_opened"] = Json::UInt64(m_instances.counts().connectionsOpened);
-        state["server"]["foreign_answers"] = Json::UInt64(m_instances.counts().foreignAnswers);
+        state["entry"]["in_progress"] = Json::UInt64(m_calls.entry().inProgress());
+        state["target"]["running"] = m_calls.target().gate().inFlight();
+        state["target"]["waiting"] = Json::UInt64(m_calls.target().gate().waiting());
+        state["target"]["limit"] = m_calls.target().gate().limit();
+        state["server"]["connections_opened"] = Json::UInt64(m_calls.serverCounts().connectionsOpened);
+        state["server"]["foreign_answers"] = Json::UInt64(m_calls.serverCounts().foreignAnswers);
         m_membership->dump([state, receiver = std::move(receiver)](const Json::Value& membership) {
             auto whole = state;
             whole["membership"] = membership;
@@ -596,18 +381,18 @@
     void routed_process::collectMetrics(const std::function<void(std::string)>& receiver)
     {
         node_gauges gauges;
-        gauges.gateLimit = m_target.gate().limit();
-        gauges.gateInFlight = m_target.gate().inFlight();
-        gauges.gateWaiting = m_target.gate().waiting();
-        gauges.gateCut = m_target.gate().cut();
-        gauges.inboundCalls = m_target.inProgress();
-        gauges.outboundCalls = m_entry.inProgress();
+        gauges.gateLimit = m_calls.target().gate().limit();
+        gauges.gateInFlight = m_calls.target().gate().inFlight();
+        gauges.gateWaiting = m_calls.target().gate().waiting();
+        gauges.gateCut = m_calls.target().gate().cut();
+        gauges.inboundCalls = m_calls.target().inProgress();
+        gauges.outboundCalls = m_calls.entry().inProgress();
         gauges.draining = m_stop.draining();
         gauges.contractRevision = m_routes.version();
         gauges.members = m_members->size();
-        gauges.crossedAnswers = m_peers.counts().crossedAnswers;
-        gauges.damagedAnswers = m_peers.counts().damagedAnswers;
-        gauges.connectsFailed = m_peers.counts().connectsFailed;
+        gauges.crossedAnswers = m_calls.peerCounts().crossedAnswers;
+        gauges.damagedAnswers = m_calls.peerCounts().damagedAnswers;
+        gauges.connectsFailed = m_calls.peerCounts().connectsFailed;
         gauges.damagedFrames = m_peerServer->damagedFrames();
         m_metrics.set(gauges);
         receiver(m_metrics.text());
--- /dev/null
+++ b/Source/node/server_runs.cpp
@@ -0,0 +1,63 @@
+#include "node/server_runs.h"
+
+#include "backend/instance_answer.h"
+#include "platform/request_headers.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr unsigned statusMisdirected = 421;
+
+    // A server takes no time of zero.
+    constexpr std::chrono::milliseconds leastTime { 1 };
+
+    instance_client_settings withOwnership(instance_client_settings settings)
+    {
+        settings.belongs = [](const http_response& response, const std::string& requestId) {
+            return answersRequest(readAnswerMarks(response.fields), requestId);
+        };
+        return settings;
+    }
+
+}
+
+server_runs::server_runs(boost::asio::io_context& context, std::string address, instance_client_settings settings, server_run_hooks hooks)
+    : m_address(std::move(address))
+    , m_hooks(std::move(hooks))
+    , m_client(context, withOwnership(std::move(settings)))
+{
+}
+
+void server_runs::begin(std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline)
+{
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+    http_request message { request.method, request.path, request.fields, request.body };
+    writeServerTerms(message.fields, { std::max(left, leastTime), server.instanceId, request.callerService });
+    m_sent[runId] = m_client.send(m_address, request.context.requestId, message,
+        [this, runId, instanceId = server.instanceId](instance_result result) { ended(runId, instanceId, std::move(result)); });
+}
+
+void server_runs::cancel(std::uint64_t runId)
+{
+    if (auto sent = m_sent.extract(runId)) {
+        m_client.cancel(sent.mapped());
+    }
+}
+
+void server_runs::ended(std::uint64_t runId, const std::string& instanceId, instance_result result)
+{
+    m_sent.erase(runId);
+    answer_marks marks;
+    if (const auto* response = std::get_if<http_response>(&result)) {
+        marks = readAnswerMarks(response->fields);
+        if (response->status == statusMisdirected) {
+            m_hooks.misdirected(instanceId);
+        }
+    }
+    m_hooks.answered(runId, judgeAnswer(std::move(result), marks));
+}
+
+}
--- /dev/null
+++ b/Source/node/server_runs.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "backend/instance_client.h"
+#include "backend/server_tracker.h"
+#include "call/call_answer.h"
+#include "call/call_request.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace vanillashunt {
+
+struct server_run_hooks {
+    // What came of a run; called once for each that is not cancelled.
+    std::function<void(std::uint64_t runId, const call_answer&)> answered;
+    // The server at the address is another start than the one that was meant.
+    std::function<void(const std::string& instanceId)> misdirected;
+};
+
+// The requests that are with the server beside this node, in the headers that the
+// platform's servers understand.
+class server_runs {
+public:
+    // The address is the server's "IP:port".
+    server_runs(boost::asio::io_context&, std::string address, instance_client_settings, server_run_hooks);
+
+    // Sends the request to this start of the server, which is to stop at the deadline.
+    void begin(std::uint64_t runId, const server_report&, const call_request&, std::chrono::steady_clock::time_point deadline);
+
+    void cancel(std::uint64_t runId);
+
+    const instance_client_counts& counts() const { return m_client.counts(); }
+
+private:
+    void ended(std::uint64_t runId, const std::string& instanceId, instance_result);
+
+    std::string m_address;
+    server_run_hooks m_hooks;
+    instance_client m_client;
+    // What the client calls each run.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_sent;
+};
+
+}
--- /dev/null
+++ b/Source/node/settings_watch.cpp
@@ -0,0 +1,49 @@
+#include "node/settings_watch.h"
+
+#include "events/event_catalogue.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    // A look costs one system call; nobody waits for a change of the settings.
+    constexpr std::chrono::milliseconds checkPeriod { 2000 };
+
+    // The same time for a file that cannot be looked at.
+    std::filesystem::file_time_type writtenAt(const std::string& fileName)
+    {
+        std::error_code error;
+        auto time = std::filesystem::last_write_time(fileName, error);
+        return error ? std::filesystem::file_time_type::min() : time;
+    }
+
+}
+
+settings_watch::settings_watch(settings_source source)
+    : m_source(std::move(source))
+    , m_written(writtenAt(m_source.fileName))
+{
+}
+
+void settings_watch::check(std::chrono::steady_clock::time_point now)
+{
+    if (now < m_nextCheck) {
+        return;
+    }
+    m_nextCheck = now + checkPeriod;
+    if (writtenAt(m_source.fileName) != m_written) {
+        reread();
+    }
+}
+
+void settings_watch::reread()
+{
+    m_written = writtenAt(m_source.fileName);
+    auto settings = m_source.reread();
+    if (settings) {
+        setLogLevel(settings->logLevel);
+    }
+    logEvent(events::settingsReread, { { "file", m_source.fileName }, { "taken", settings ? "yes" : "no" } });
+}
+
+}
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -15,7 +15,6 @@
 namespace vanillashunt {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
--- a/Tests/RouteTable/route_table_test.cpp
+++ b/Tests/RouteTable/route_table_test.cpp
@@ -69,7 +69,7 @@
         for (int i = 0; i < runLength; ++i) {
             ++counts[rotation.next(split, 0.7)];
         }
-        EXPECT_NEAR(counts["new"], runLength / 10, 1);
+        EXPECT_NEAR(counts["new"], 0.1 * runLength, 1);
     }
 }
 
--- a/Tests/ServerAnswers/server_answers_test.cpp
+++ b/Tests/ServerAnswers/server_answers_test.cpp
@@ -205,7 +205,7 @@
 TEST(ServerAnswers, BeforeTheBodyIsReadEndTheirConnection)
 {
     exchange world;
-    auto first = world.send("r1", std::string(32 * 1024 * 1024, 'b'));
+    auto first = world.send("r1", std::string(std::size_t { 1 } << 25U, 'b'));
     auto connection = world.server.accept();
     connection.readUntil("\r\n\r\n");
     connection.send(wholeAnswer("r1", "early"));
