Hand on a server's own failure where its repeat brings nothing

The failure is kept now, and a failure that took longer than what is left is not repeated. Both tests failed before. Ruled out: nothing.

--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -192,7 +192,10 @@
         call.refusal = answer.outcome;
         observe(call, call_decision::AttemptFailed, answer.outcome, call.targetName, 0, now);
     }
-    if (mayTryAgain(call, answer, now)) {
+    if (mayTryAgain(call, answer, latency, now)) {
+        if (answer.outcome.run == execution::Ran) {
+            call.failure = std::move(answer);
+        }
         attempt(callId, now);
         return;
     }
@@ -225,7 +228,7 @@
     ++call.reached;
 }
 
-bool routed_entry::mayTryAgain(entry_call& call, const call_answer& answer, time_point now)
+bool routed_entry::mayTryAgain(entry_call& call, const call_answer& answer, std::chrono::microseconds latency, time_point now)
 {
     bool served = answer.outcome.run == execution::Ran && answer.status < leastServerError;
     if (served || call.request.context.deadline < now + leastTimeToRetry) {
@@ -234,6 +237,10 @@
     if (call.mayHaveRun && !call.request.context.idempotent) {
         return false;
     }
+    if (answer.outcome.run == execution::Ran && call.request.context.deadline < now + latency) {
+        // Another server would need as long, and the answer of this one is at hand.
+        return false;
+    }
     if (!reachedServer(answer.outcome)) {
         return call.tried.size() < mostRefusals + call.reached;
     }
@@ -250,10 +257,13 @@
 {
     auto node = m_calls.extract(callId);
     auto& call = node.mapped();
+    if (why.run != execution::Ran && call.failure) {
+        answer = std::move(*call.failure);
+    }
     entry_answer result;
-    result.outcome = why;
-    if (why.run == execution::Ran) {
-        observe(call, call_decision::Finished, why, "", answer.status, now);
+    result.outcome = answer.outcome.run == execution::Ran ? answer.outcome : why;
+    if (result.outcome.run == execution::Ran) {
+        observe(call, call_decision::Finished, result.outcome, "", answer.status, now);
         result.answer = std::move(answer);
         call.handler(std::move(result));
         return;
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -104,6 +105,8 @@
         // Servers that the request has reached, as far as can be known.
         std::uint32_t reached = 0;
         bool mayHaveRun = false;
+        // A server's own failure, which is handed on if nothing better comes.
+        std::optional<call_answer> failure;
         // The last refusal, and its advice.
         verdict refusal;
         std::uint64_t attemptId = 0;
@@ -115,7 +118,7 @@
     void learn(const entry_call&, const call_answer&, time_point now);
     void attempt(std::uint64_t callId, time_point now);
     void noteReached(entry_call&, time_point now);
-    bool mayTryAgain(entry_call&, const call_answer&, time_point now);
+    bool mayTryAgain(entry_call&, const call_answer&, std::chrono::microseconds latency, time_point now);
     void finish(std::uint64_t callId, const verdict&, call_answer, const std::string& message, time_point now);
     void giveUp(std::uint64_t callId, const verdict&, const std::string& message, time_point now);
     void refuseNow(const entry_request&, const entry_handler&, unsigned status, const verdict&, const std::string& message, time_point now) const;
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -292,4 +292,33 @@
     EXPECT_EQ(world.sent.size(), before);
 }
 
+// Seen in the hire site's incident: a server's own 500 came at 694 of 800 ms, three
+// nodes refused the repeat as too late, and the client got a 502 in the 500's place.
+TEST(RoutedEntry, HandsOnTheServersFailureWhereARepeatBringsNothing)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.answer(verdict::answered(), 500);
+    ASSERT_EQ(world.sent.size(), 2U);
+    for (int i = 0; i < 3 && world.answers.empty(); ++i) {
+        world.answer(verdict::notRun(verdict_reason::DeadlineTooShort));
+    }
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::Ran);
+    EXPECT_EQ(world.answers.back().answer.status, 500U);
+}
+
+TEST(RoutedEntry, RepeatsNoFailureThatTookLongerThanWhatIsLeft)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.now += milliseconds(500);
+    world.answer(verdict::answered(), 500);
+    EXPECT_EQ(world.sent.size(), 1U);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().answer.status, 500U);
+}
+
 }
