--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -78,6 +78,7 @@
         pipeline_server_hooks serverHooks();
         membership_hooks membershipHooks();
         operator_hooks operatorHooks();
+        Json::Value dumpCalls() const;
         void collectState(state_receiver);
         void collectMetrics(const std::function<void(std::string)>&);
         operator_reply explain(const std::string& requestId) const;
@@ -358,19 +359,32 @@
         return hooks;
     }
 
+    // As the dump of a node with contracts has it, so that one command reads both.
+    Json::Value routed_process::dumpCalls() const
+    {
+        const auto& target = m_calls.target();
+        Json::Value calls;
+        auto& inbound = calls["inbound"];
+        inbound["in_progress"] = Json::UInt64(target.inProgress());
+        inbound["running"] = target.gate().inFlight();
+        inbound["waiting"] = Json::UInt64(target.gate().waiting());
+        inbound["limit"] = target.gate().limit();
+        inbound["cut"] = target.gate().cut();
+        inbound["draining"] = m_stop.draining();
+        calls["outbound"]["in_progress"] = Json::UInt64(m_calls.entry().inProgress());
+        calls["server"]["connections_opened"] = Json::UInt64(m_calls.serverCounts().connectionsOpened);
+        calls["server"]["foreign_answers"] = Json::UInt64(m_calls.serverCounts().foreignAnswers);
+        return calls;
+    }
+
     void routed_process::collectState(state_receiver receiver)
     {
-        Json::Value state;
-        state["name"] = m_settings.name;
-        state["self"] = toJson(m_self);
+        auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
+        auto versions = std::make_shared<contract_set>();
+        versions->revision = m_routes.version();
+        auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, versions }, dumpCalls());
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
-        state["entry"]["in_progress"] = Json::UInt64(m_calls.entry().inProgress());
-        state["target"]["running"] = m_calls.target().gate().inFlight();
-        state["target"]["waiting"] = Json::UInt64(m_calls.target().gate().waiting());
-        state["target"]["limit"] = m_calls.target().gate().limit();
-        state["server"]["connections_opened"] = Json::UInt64(m_calls.serverCounts().connectionsOpened);
-        state["server"]["foreign_answers"] = Json::UInt64(m_calls.serverCounts().foreignAnswers);
         m_membership->dump([state, receiver = std::move(receiver)](const Json::Value& membership) {
             auto whole = state;
             whole["membership"] = membership;
@@ -380,14 +394,7 @@
 
     void routed_process::collectMetrics(const std::function<void(std::string)>& receiver)
     {
-        node_gauges gauges;
-        gauges.gateLimit = m_calls.target().gate().limit();
-        gauges.gateInFlight = m_calls.target().gate().inFlight();
-        gauges.gateWaiting = m_calls.target().gate().waiting();
-        gauges.gateCut = m_calls.target().gate().cut();
-        gauges.inboundCalls = m_calls.target().inProgress();
-        gauges.outboundCalls = m_calls.entry().inProgress();
-        gauges.draining = m_stop.draining();
+        auto gauges = readGauges(dumpCalls());
         gauges.contractRevision = m_routes.version();
         gauges.members = m_members->size();
         gauges.crossedAnswers = m_calls.peerCounts().crossedAnswers;
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -198,4 +198,27 @@
     EXPECT_EQ(node.getUntil("503").substr(9, 3), "503");
 }
 
+// The commands that operators know read these nodes, too.
+TEST(RoutedNodes, TellOperatorsWhatTheyKnowAndDecided)
+{
+    platform_world world;
+    world.configure(5, "desk");
+    routed_node node(world, "desk-1", "desk");
+    node.report("ready", 1, "desk");
+    node.getUntil("200");
+    child_process status({ VANILLASHUNT_PATH, "status", "--node", node.port("operator") });
+    status.readLine(longest);
+    auto row = status.readLine(longest);
+    ASSERT_TRUE(std::holds_alternative<std::string>(row));
+    EXPECT_NE(std::get<std::string>(row).find("desk-1"), std::string::npos);
+    EXPECT_NE(std::get<std::string>(row).find(" 5 "), std::string::npos);
+    child_process explain({ VANILLASHUNT_PATH, "explain", "r1", "--node", node.port("operator") });
+    auto end = explain.wait(longest);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->exitCode, 0);
+    auto metrics = raw_socket::connectTo(node.port("operator"));
+    metrics.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(metrics.readToEnd().find("vanillashunt_contract_revision 5"), std::string::npos);
+}
+
 }
