--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -100,6 +100,20 @@
         int m_requests = 0;
     };
 
+    // One node that serves the route of the world's configuration by the world's server.
+    struct served_node {
+        explicit served_node(int version = 1, const std::string& kind = "idempotent")
+        {
+            world.configure(version, "desk", kind);
+            node = std::make_unique<routed_node>(world, "desk-1", "desk");
+            node->report("ready", 1, "desk");
+            EXPECT_EQ(node->getUntil("200").substr(9, 3), "200");
+        }
+
+        platform_world world;
+        std::unique_ptr<routed_node> node;
+    };
+
 }
 
 TEST(RoutedNodes, PassARequestToTheServerOfItsRoute)
@@ -135,11 +149,9 @@
 
 TEST(RoutedNodes, SendNothingToAServerThatHasSaidThatItLeaves)
 {
-    platform_world world;
-    world.configure(1, "desk");
-    routed_node node(world, "desk-1", "desk");
-    node.report("ready", 1, "desk");
-    node.getUntil("200");
+    served_node served;
+    auto& world = served.world;
+    auto& node = *served.node;
     node.report("draining", 2, "desk");
     auto before = world.runs();
     EXPECT_EQ(node.get().substr(9, 3), "503");
@@ -150,11 +162,9 @@
 
 TEST(RoutedNodes, StopWithoutCuttingOffARequest)
 {
-    platform_world world;
-    world.configure(1, "desk", "non_idempotent");
-    routed_node node(world, "desk-1", "desk");
-    node.report("ready", 1, "desk");
-    node.getUntil("200");
+    served_node served(1, "non_idempotent");
+    auto& world = served.world;
+    auto& node = *served.node;
     world.hold(true);
     auto before = world.runs();
     auto running = node.begin();
@@ -171,11 +181,9 @@
 
 TEST(RoutedNodes, ReadTheirSettingsAgainAndGoOnServing)
 {
-    platform_world world;
-    world.configure(1, "desk");
-    routed_node node(world, "desk-1", "desk");
-    node.report("ready", 1, "desk");
-    node.getUntil("200");
+    served_node served;
+    auto& world = served.world;
+    auto& node = *served.node;
     node.process->signal(SIGHUP);
     EXPECT_NE(node.waitForLine("VS105").find("taken=\"yes\""), std::string::npos);
     EXPECT_EQ(node.get().substr(9, 3), "200");
@@ -183,11 +191,9 @@
 
 TEST(RoutedNodes, NeverGoBackToAnOlderVersion)
 {
-    platform_world world;
-    world.configure(5, "desk");
-    routed_node node(world, "desk-1", "desk");
-    node.report("ready", 1, "desk");
-    node.getUntil("200");
+    served_node served(5);
+    auto& world = served.world;
+    auto& node = *served.node;
     world.configure(4, "nobody");
     // The wait for changes brings the older version, again and again.
     for (int i = 0; i < 5; ++i) {
@@ -201,11 +207,9 @@
 // The commands that operators know read these nodes, too.
 TEST(RoutedNodes, TellOperatorsWhatTheyKnowAndDecided)
 {
-    platform_world world;
-    world.configure(5, "desk");
-    routed_node node(world, "desk-1", "desk");
-    node.report("ready", 1, "desk");
-    node.getUntil("200");
+    served_node served(5);
+    auto& world = served.world;
+    auto& node = *served.node;
     child_process status({ VANILLASHUNT_PATH, "status", "--node", node.port("operator") });
     status.readLine(longest);
     auto row = status.readLine(longest);
