--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -182,7 +182,6 @@
 TEST(RoutedNodes, ReadTheirSettingsAgainAndGoOnServing)
 {
     served_node served;
-    auto& world = served.world;
     auto& node = *served.node;
     node.process->signal(SIGHUP);
     EXPECT_NE(node.waitForLine("VS105").find("taken=\"yes\""), std::string::npos);
@@ -208,7 +207,6 @@
 TEST(RoutedNodes, TellOperatorsWhatTheyKnowAndDecided)
 {
     served_node served(5);
-    auto& world = served.world;
     auto& node = *served.node;
     child_process status({ VANILLASHUNT_PATH, "status", "--node", node.port("operator") });
     status.readLine(longest);
