Bear that the end of one late call answers another

Cause: found on reading the change again. When a call's time is over, its attempt is cancelled; at the own server's gate that gives up the next waiting call, whose time may be over too. It was answered and forgotten, and the walk over the late calls then looked it up: the process ended by an exception. The test failed before (std::out_of_range).

--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -312,7 +312,12 @@
         }
     }
     for (auto callId : late) {
-        abandonAttempt(m_calls.at(callId), now);
+        auto found = m_calls.find(callId);
+        if (found == m_calls.end()) {
+            // At the own server's gate the end of the call before may have refused this one.
+            continue;
+        }
+        abandonAttempt(found->second, now);
         giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
     }
 }
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -72,6 +72,7 @@
         std::shared_ptr<route_configuration> configuration = std::make_shared<route_configuration>();
         std::vector<sent_attempt> sent;
         std::vector<std::uint64_t> cancelled;
+        std::function<void()> whenCancelled;
         std::vector<entry_answer> answers;
         std::vector<shedding_position> onwardCuts;
         // Who makes the calls that arrive.
@@ -91,7 +92,12 @@
         {
             entry_hooks result;
             result.send = [this](std::uint64_t id, const member& target, const call_request& request) { sent.push_back({ id, target, request }); };
-            result.cancelAttempt = [this](std::uint64_t id) { cancelled.push_back(id); };
+            result.cancelAttempt = [this](std::uint64_t id) {
+                cancelled.push_back(id);
+                if (whenCancelled) {
+                    whenCancelled();
+                }
+            };
             result.ended = [](std::uint64_t, bool) {};
             result.findParent = [this](const entry_request&) { return parent; };
             result.onwardCut = [this](std::uint64_t, const std::string&, shedding_position cut) { onwardCuts.push_back(cut); };
@@ -321,4 +327,24 @@
     EXPECT_EQ(world.answers.back().answer.status, 500U);
 }
 
+// At the own server's gate the end of one call gives up the next, so that a call may be
+// answered while another one's time is found to be over. The process ended by that.
+TEST(RoutedEntry, BearsThatTheEndOfOneLateCallAnswersAnother)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.arrive();
+    world.whenCancelled = [&world] {
+        call_answer refusal;
+        refusal.outcome = verdict::notRun(verdict_reason::DeadlinePassed);
+        auto other = world.cancelled.back() == world.sent[0].id ? world.sent[1].id : world.sent[0].id;
+        world.entry().attemptAnswered(other, refusal, world.now);
+    };
+    world.now += milliseconds(800);
+    world.entry().tick(world.now);
+    EXPECT_EQ(world.answers.size(), 2U);
+    EXPECT_EQ(world.entry().inProgress(), 0U);
+}
+
 }
