Tell the texts of a frame as their difference from the frame before

Most of it are calls of a deep chain, whose frames repeat host, names of fields, service and class, in numbers of fixed width, with an empty ticket each. Now each direction of a connection keeps the last frame's texts and sends the shared length and the rest; numbers are as short as their value, a ticket is sent only where there is one, the head has 16 bytes instead of 20. A table of words known beforehand was ruled out: names differ by platform, and the frame before holds them all.

--- a/Source/peer/call_codec.h
+++ b/Source/peer/call_codec.h
@@ -2,13 +2,12 @@
 
 #include "call/call_answer.h"
 #include "call/call_request.h"
+#include "peer/frame_history.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
-#include <variant>
 #include <vector>
 
 namespace vanillashunt {
@@ -30,7 +29,7 @@
     std::uint64_t checksum = 0;
 };
 
-constexpr std::size_t frameHeadBytes = 20;
+constexpr std::size_t frameHeadBytes = 16;
 
 // Bytes that a frame may have beside the bodies that the settings bound.
 constexpr std::uint64_t frameOverheadBytes = 64ULL * 1024;
@@ -40,12 +39,14 @@
 
 bool checksumMatches(const frame_head&, const byte_vector& payload);
 
-// A request's deadline goes as the time that is left after now.
-byte_vector encodeFrame(const call_request&, std::chrono::steady_clock::time_point now);
-byte_vector encodeFrame(const call_answer&);
+// The history is that of the connection and of the direction in which the frame goes;
+// every frame is to be sent. A request's deadline goes as the time that is left after now.
+byte_vector encodeFrame(const call_request&, std::chrono::steady_clock::time_point now, frame_history&);
+byte_vector encodeFrame(const call_answer&, frame_history&);
 
-// Both return nothing for a payload that the encoder cannot have made.
-std::optional<call_request> decodeRequest(const byte_vector& payload, std::chrono::steady_clock::time_point now);
-std::optional<call_answer> decodeAnswer(const byte_vector& payload);
+// Both return nothing for a payload that the encoder cannot have made; nothing that
+// comes behind it on the connection can be read then.
+std::optional<call_request> decodeRequest(const byte_vector& payload, std::chrono::steady_clock::time_point now, frame_history&);
+std::optional<call_answer> decodeAnswer(const byte_vector& payload, frame_history&);
 
 }
--- /dev/null
+++ b/Source/peer/frame_history.cpp
@@ -0,0 +1,59 @@
+#include "peer/frame_history.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Places that are remembered for each direction of a connection, and bytes of each
+    // text: a request has about 30 texts, hardly one of them over 100 bytes long. With
+    // some hundred connections a node keeps less than 2 MB.
+    constexpr std::size_t mostTexts = 64;
+    constexpr std::size_t longestRemembered = std::numeric_limits<std::uint8_t>::max();
+
+    const std::string nothing;
+
+}
+
+const std::string& frame_history::previous() const
+{
+    return m_next < m_texts.size() ? m_texts[m_next] : nothing;
+}
+
+void frame_history::remember(const std::string& text)
+{
+    if (m_next == m_texts.size() && m_next < mostTexts) {
+        m_texts.emplace_back();
+    }
+    if (m_next < m_texts.size()) {
+        m_texts[m_next].assign(text, 0, longestRemembered);
+    }
+    ++m_next;
+}
+
+shortened_text frame_history::shorten(const std::string& text)
+{
+    const auto& known = previous();
+    auto length = std::min(known.size(), text.size());
+    auto end = static_cast<std::ptrdiff_t>(length);
+    auto firstOther = std::mismatch(known.begin(), known.begin() + end, text.begin()).first;
+    auto shared = static_cast<std::size_t>(firstOther - known.begin());
+    shortened_text result { static_cast<std::uint8_t>(shared), text.substr(shared) };
+    remember(text);
+    return result;
+}
+
+std::optional<std::string> frame_history::restore(const shortened_text& shortened)
+{
+    const auto& known = previous();
+    if (shortened.shared > known.size()) {
+        return std::nullopt;
+    }
+    auto text = known.substr(0, shortened.shared) + shortened.rest;
+    remember(text);
+    return text;
+}
+
+}
--- /dev/null
+++ b/Source/peer/frame_history.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// A text as its difference from one that the reader has: so many of that one's
+// first bytes, then the rest.
+struct shortened_text {
+    std::uint8_t shared = 0;
+    std::string rest;
+};
+
+// The texts of the last frame that went one way over a connection, in their order.
+// The frames of one connection are alike (host, names of fields, service, path), and
+// bytes between availability zones cost money; so a text is told as its difference
+// from the one at the same place of the frame before. Sender and receiver keep one
+// each, which agree because a connection loses and reorders nothing.
+class frame_history {
+public:
+    // Starts with the first text of the next frame.
+    void beginFrame() { m_next = 0; }
+
+    shortened_text shorten(const std::string& text);
+
+    // Nothing for what shorten() cannot have returned at the other end.
+    std::optional<std::string> restore(const shortened_text&);
+
+private:
+    const std::string& previous() const;
+    void remember(const std::string& text);
+
+    std::vector<std::string> m_texts;
+    std::size_t m_next = 0;
+};
+
+}
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -56,7 +56,7 @@
         {
             m_callId = request.callId;
             m_attempt = request.attempt;
-            m_outgoing = encodeFrame(request, std::chrono::steady_clock::now());
+            m_outgoing = encodeFrame(request, std::chrono::steady_clock::now(), m_sentFrames);
             m_connection.use();
             if (m_connection.socket().is_open()) {
                 write();
@@ -149,7 +149,7 @@
                 failDamaged();
                 return;
             }
-            auto answer = decodeAnswer(m_payload);
+            auto answer = decodeAnswer(m_payload, m_receivedFrames);
             if (!answer) {
                 failDamaged();
                 return;
@@ -193,6 +193,8 @@
         std::chrono::milliseconds m_idleTimeout;
         std::uint64_t m_callId = 0;
         std::uint32_t m_attempt = 0;
+        frame_history m_sentFrames;
+        frame_history m_receivedFrames;
         byte_vector m_outgoing;
         std::array<char, frameHeadBytes> m_head {};
         byte_vector m_payload;
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -63,6 +63,8 @@
 
         tcp::socket m_socket;
         std::shared_ptr<peer_server::state> m_server;
+        frame_history m_receivedFrames;
+        frame_history m_sentFrames;
         std::array<char, frameHeadBytes> m_head {};
         byte_vector m_payload;
         byte_vector m_outgoing;
@@ -128,7 +130,7 @@
             closeDamaged();
             return;
         }
-        auto request = decodeRequest(m_payload, std::chrono::steady_clock::now());
+        auto request = decodeRequest(m_payload, std::chrono::steady_clock::now(), m_receivedFrames);
         if (!request) {
             closeDamaged();
             return;
@@ -163,7 +165,7 @@
     {
         m_exchange.reset();
         ++m_exchangeNumber;
-        m_outgoing = encodeFrame(answer);
+        m_outgoing = encodeFrame(answer, m_sentFrames);
         asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
             --self->m_server->inProgress;
             if (error) {
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -57,12 +57,14 @@
     auto now = std::chrono::steady_clock::now();
     auto request = sampleRequest();
     request.context.deadline = now + std::chrono::milliseconds(1500);
-    auto bytes = encodeFrame(request, now);
+    frame_history sent;
+    frame_history received;
+    auto bytes = encodeFrame(request, now, sent);
     auto head = decodeHead(bytes.data());
     ASSERT_TRUE(head);
     byte_vector payload(bytes.begin() + frameHeadBytes, bytes.end());
     EXPECT_TRUE(checksumMatches(*head, payload));
-    auto read = decodeRequest(payload, now);
+    auto read = decodeRequest(payload, now, received);
     ASSERT_TRUE(read);
     EXPECT_EQ(read->permit, request.permit);
     EXPECT_EQ(read->context.deadline, request.context.deadline);
@@ -71,18 +73,70 @@
     EXPECT_EQ(read->fields.at(0).value, "text/plain");
 }
 
+// The pattern: a node asks the same service again and again over a kept connection, as
+// the servers of a deep chain do with each of their calls. Seen on a day of one such
+// chain, 1,300 calls a second crossed zones and were the largest part of its cost.
+TEST(OutsideBytes, FramesOfOneConnectionAreShortAndReadBackWhole)
+{
+    auto now = std::chrono::steady_clock::now();
+    frame_history sent;
+    frame_history received;
+    for (int i = 0; i < 50; ++i) {
+        auto request = sampleRequest();
+        request.permit.reset();
+        request.context.requestId = "0123456789abcdef." + std::to_string(1000 + i);
+        request.path = "/reply/" + std::to_string(i);
+        request.fields = { { "Host", "desk.example" }, { "X-Request-Id", request.context.requestId }, { "X-Deadline-Ms", std::to_string(700 - i) } };
+        if (i % 7 == 0) {
+            // Another kind of request has other fields, or none.
+            request.fields.resize(static_cast<std::size_t>(i) % 3);
+        }
+        request.body.clear();
+        auto bytes = encodeFrame(request, now, sent);
+        frame_history ofNewConnection;
+        auto whole = encodeFrame(request, now, ofNewConnection);
+        auto read = decodeRequest({ bytes.begin() + frameHeadBytes, bytes.end() }, now, received);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->context.requestId, request.context.requestId);
+        EXPECT_EQ(read->path, request.path);
+        ASSERT_EQ(read->fields.size(), request.fields.size());
+        for (std::size_t field = 0; field < request.fields.size(); ++field) {
+            EXPECT_EQ(read->fields[field].name, request.fields[field].name);
+            EXPECT_EQ(read->fields[field].value, request.fields[field].value);
+        }
+        // Head, numbers and two bytes for each of 13 texts, beside what is new.
+        constexpr std::size_t longestAlike = 91;
+        if (i > 1 && i % 7 > 1) {
+            EXPECT_LE(bytes.size(), longestAlike);
+            EXPECT_GE(whole.size(), bytes.size() + 70);
+        }
+    }
+}
+
+TEST(OutsideBytes, AFrameThatNeedsAnotherBeforeItIsNotRead)
+{
+    auto now = std::chrono::steady_clock::now();
+    frame_history sent;
+    encodeFrame(sampleRequest(), now, sent);
+    auto second = encodeFrame(sampleRequest(), now, sent);
+    frame_history ofAnotherConnection;
+    EXPECT_FALSE(decodeRequest({ second.begin() + frameHeadBytes, second.end() }, now, ofAnotherConnection));
+}
+
 TEST(OutsideBytes, DamagedFramesNeverCrashAndNeverPassTheChecksum)
 {
     std::mt19937_64 random(1);
     auto now = std::chrono::steady_clock::now();
-    auto request = encodeFrame(sampleRequest(), now);
+    frame_history sent;
+    auto request = encodeFrame(sampleRequest(), now, sent);
     std::string original(request.begin() + frameHeadBytes, request.end());
     auto head = *decodeHead(request.data());
     for (int i = 0; i < rounds; ++i) {
         auto text = damage(original, random);
         byte_vector payload(text.begin(), text.end());
-        decodeRequest(payload, now);
-        decodeAnswer(payload);
+        frame_history received;
+        decodeRequest(payload, now, received);
+        decodeAnswer(payload, received);
         EXPECT_EQ(checksumMatches(head, payload), text == original);
     }
 }
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -64,7 +64,7 @@
 
         void respond()
         {
-            auto request = decodeRequest(m_payload, std::chrono::steady_clock::now());
+            auto request = decodeRequest(m_payload, std::chrono::steady_clock::now(), m_received);
             m_bytes = m_answer(*request);
             asio::async_write(m_socket, asio::buffer(m_bytes), [this](boost::system::error_code, std::size_t) { m_socket.close(); });
         }
@@ -72,6 +72,7 @@
         tcp::acceptor m_acceptor;
         tcp::socket m_socket;
         answer_hook m_answer;
+        frame_history m_received;
         std::array<char, frameHeadBytes> m_head {};
         byte_vector m_payload;
         byte_vector m_bytes;
@@ -118,7 +119,8 @@
     auto crossed = [](const call_request& request) {
         auto answer = answered(request, "not yours");
         answer.callId = request.callId + 1;
-        return encodeFrame(answer);
+        frame_history sent;
+        return encodeFrame(answer, sent);
     };
     auto result = callRaw(crossed, counts);
     EXPECT_EQ(result.outcome.run, execution::MayHaveRun);
@@ -130,7 +132,8 @@
 {
     peer_client_counts counts;
     auto damaged = [](const call_request& request) {
-        auto bytes = encodeFrame(answered(request, "late checkout confirmed"));
+        frame_history sent;
+        auto bytes = encodeFrame(answered(request, "late checkout confirmed"), sent);
         bytes.back() ^= 1;
         return bytes;
     };
@@ -142,7 +145,8 @@
 {
     peer_client_counts counts;
     auto cutShort = [](const call_request& request) {
-        auto bytes = encodeFrame(answered(request, "late checkout confirmed"));
+        frame_history sent;
+        auto bytes = encodeFrame(answered(request, "late checkout confirmed"), sent);
         bytes.resize(bytes.size() - 5);
         return bytes;
     };
