Let a stopping node work on until half of the runs still end before the exit

The two servers of a service that are left stand beside nodes that stop 1.4 s apart (log: cyberjaya-1 stops 31.50, exits 34.29, is back 34.79, server known 35.03; shah-alam-1 stops 32.92, exits 35.68, is back 36.18, server known 36.87). A run lasts 0.17 s in the middle; the second that was kept for runs to end was mostly idle. Now new work is refused after 2.3 s of the 2.6 s; the exit still waits for every run. Ruled out: a probe of the server's health at the start, which would save the wait for its next report (0.03 to 0.7 s here) and risk to use a server that has said to the last process that it leaves.

--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -50,9 +50,9 @@
     // clients away.
     constexpr std::chrono::milliseconds clientsLeaveTime { 2600 };
     // So long a stopping node still gives its server new work: until the clients have
-    // left it waits anyway, and in the last second the runs end. The server beside it
-    // goes on, and others may be stopped at the same time.
-    constexpr std::chrono::milliseconds stopWorkTime { clientsLeaveTime - std::chrono::milliseconds(1000) };
+    // left it waits anyway, and half of the runs end within the last 300 ms. The server
+    // beside it goes on, and others may be stopped at the same time.
+    constexpr std::chrono::milliseconds stopWorkTime { clientsLeaveTime - std::chrono::milliseconds(300) };
     // Before the platform kills the process: the last answers and the farewell.
     constexpr std::chrono::milliseconds killMargin { 600 };
     constexpr std::chrono::milliseconds farewellTime { 100 };
