--- a/Source/call/call_observation.h
+++ b/Source/call/call_observation.h
@@ -21,6 +21,15 @@
 
 std::string toString(call_decision);
 
+// What a decision rested on, as far as it did not come with the call itself.
+struct decision_inputs {
+    // Of the operator's routes; 0 where they have no part in it.
+    std::int64_t version = 0;
+    // The cut that the call's position was compared with, and how old the news of it was.
+    shedding_position cut = 0;
+    std::chrono::milliseconds cutAge { 0 };
+};
+
 // What metrics, logs and the request journal are told of one step; read at once.
 struct call_observation {
     call_decision decision;
@@ -35,6 +44,7 @@
     bool whole = false;
     std::uint32_t status = 0;
     std::chrono::microseconds duration { 0 };
+    decision_inputs inputs {};
 };
 
 // Whether a call was given up for the sake of others.
--- a/Source/decision/cut_memory.cpp
+++ b/Source/decision/cut_memory.cpp
@@ -44,7 +44,8 @@
     if (cut < leastCut) {
         return {};
     }
-    return { static_cast<shedding_position>(std::lround(cut)), entry.retryAfter };
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.learned);
+    return { static_cast<shedding_position>(std::lround(cut)), entry.retryAfter, age };
 }
 
 void cut_memory::forgetFaded(std::chrono::steady_clock::time_point now)
--- a/Source/decision/cut_memory.h
+++ b/Source/decision/cut_memory.h
@@ -14,6 +14,8 @@
     shedding_position cut = 0;
     // When the refusing node wanted its callers back.
     std::chrono::milliseconds retryAfter { 0 };
+    // Since the news of it came.
+    std::chrono::milliseconds age { 0 };
 };
 
 // What an entrance remembers of the cuts that came back with answers. The last
--- a/Source/decision/entrance_gate.cpp
+++ b/Source/decision/entrance_gate.cpp
@@ -44,6 +44,11 @@
     return verdict::notRun(verdict_reason::Overload, time / 2 + std::chrono::milliseconds(spread));
 }
 
+remembered_cut entrance_gate::cutFor(const entrance_request& request, std::chrono::steady_clock::time_point now) const
+{
+    return m_cuts.get(kindOf(request), now);
+}
+
 // Only the importance that opens next is probed: a lesser one would be refused below.
 bool entrance_gate::isProbe(shedding_position position, shedding_position cut)
 {
--- a/Source/decision/entrance_gate.h
+++ b/Source/decision/entrance_gate.h
@@ -46,6 +46,9 @@
     // Nothing: the request may go on.
     std::optional<verdict> refusal(const entrance_request&, std::chrono::steady_clock::time_point now);
 
+    // The cut that requests like this one meet, as far as it is known.
+    remembered_cut cutFor(const entrance_request&, std::chrono::steady_clock::time_point now) const;
+
     // The cut and the advice that came back with an answer from below.
     void learnCut(const entrance_request&, const remembered_cut&, std::chrono::steady_clock::time_point now);
 
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -122,7 +122,12 @@
         m_costs.arrived(context.requestClass, context.level, now);
         context.position = m_costs.place(context.requestClass, context.position);
     }
-    auto refusal = maker ? std::nullopt : m_entrance.refusal({ "", context.requestClass, context.position, context.deadline }, now);
+    std::optional<verdict> refusal;
+    if (!maker) {
+        entrance_request asking { "", context.requestClass, context.position, context.deadline };
+        call.entranceCut = m_entrance.cutFor(asking, now);
+        refusal = m_entrance.refusal(asking, now);
+    }
     m_calls.emplace(callId, std::move(call));
     if (refusal) {
         giveUp(callId, *refusal, "refused here for a service further down", now);
@@ -142,6 +147,7 @@
         seen.detail = message;
         seen.whole = true;
         seen.status = status;
+        seen.inputs.version = version();
         m_hooks.observed(seen);
     }
     handler({ why, {}, status, message });
@@ -340,6 +346,7 @@
     seen.whole = call.parentRun == 0;
     seen.status = status;
     seen.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived);
+    seen.inputs = { version(), call.entranceCut.cut, call.entranceCut.age };
     m_hooks.observed(seen);
 }
 
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -114,6 +114,8 @@
         std::uint64_t target = 0;
         std::string targetName;
         time_point attemptStarted;
+        // What the entrance compared a whole request with.
+        remembered_cut entranceCut;
     };
 
     void learn(const entry_call&, const call_answer&, time_point now);
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -94,6 +94,7 @@
     if (m_hooks.observed) {
         call_observation seen { call_decision::Rejected, entry.request.context, now };
         seen.outcome = why;
+        seen.inputs.cut = m_gate.cut();
         m_hooks.observed(seen);
     }
     reply(entry, answerWithout(0, 0, why), now);
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -16,6 +16,13 @@
     };
 
     // One entry, four servers, and everything that it sent and answered.
+    // What the log is told of the end of a request.
+    struct finished_request {
+        shedding_position position = 0;
+        verdict outcome;
+        decision_inputs inputs;
+    };
+
     class entry_world {
     public:
         explicit entry_world(bool idempotent = true, double slack = 48)
@@ -75,6 +82,7 @@
         std::function<void()> whenCancelled;
         std::vector<entry_answer> answers;
         std::vector<shedding_position> onwardCuts;
+        std::vector<finished_request> finished;
         // Who makes the calls that arrive.
         std::optional<parent_run> parent;
 
@@ -99,6 +107,11 @@
                 }
             };
             result.ended = [](std::uint64_t, bool) {};
+            result.observed = [this](const call_observation& seen) {
+                if (seen.decision == call_decision::Finished) {
+                    finished.push_back({ seen.context.position, seen.outcome, seen.inputs });
+                }
+            };
             result.findParent = [this](const entry_request&) { return parent; };
             result.onwardCut = [this](std::uint64_t, const std::string&, shedding_position cut, const narrowest_cost&) { onwardCuts.push_back(cut); };
             result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
@@ -347,4 +360,27 @@
     EXPECT_EQ(world.entry().inProgress(), 0U);
 }
 
+TEST(RoutedEntry, TellsWhatARefusalRestedOnAndHowOldItWas)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.answer(verdict::answered(), 200, sheddingPositionCount);
+    world.now += milliseconds(120);
+    for (int i = 0; i < 64 && world.finished.back().outcome.run == execution::Ran; ++i) {
+        world.arrive();
+        if (world.answers.size() < static_cast<std::size_t>(i + 2)) {
+            // Let through to learn whether the cut has opened.
+            world.answer(verdict::answered(), 200, sheddingPositionCount);
+        }
+    }
+    const auto& refused = world.finished.back();
+    EXPECT_EQ(refused.outcome.reason, verdict_reason::Overload);
+    EXPECT_EQ(refused.inputs.version, 7);
+    EXPECT_EQ(refused.inputs.cut, sheddingPositionCount);
+    EXPECT_GE(refused.inputs.cutAge, milliseconds(0));
+    EXPECT_LE(refused.inputs.cutAge, milliseconds(120));
+    EXPECT_LT(refused.position, refused.inputs.cut);
+}
+
 }
