Go to the zone from which fewer calls follow to other zones

Each answer now tells how many calls below it crossed zones. The router keeps that for each target (half counts for 5 s, so that a better zone is tried again) and takes a farther zone with room if that saves more than half a call. Zones are compared by the mean of their servers, which have the same zones around them; single servers were ruled out, whose reports differ by the kinds of requests.

--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -29,6 +29,9 @@
     shedding_position cut = 0;
     // What the request took of the service whose cut that is.
     narrowest_cost cost;
+    // Calls that were made for the request below the answering node, and that went to
+    // another availability zone.
+    std::uint32_t zoneCrossings = 0;
     // Load of the answering node: calls at its backend server, and their limit.
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 0;
--- a/Source/decision/router.cpp
+++ b/Source/decision/router.cpp
@@ -1,6 +1,8 @@
 #include "decision/router.h"
 
 #include <algorithm>
+#include <limits>
+#include <map>
 
 namespace vanillashunt {
 
@@ -14,8 +16,20 @@
     // A farther member must be less loaded by this much to be worth the way.
     constexpr double spillAdvantage = 0.2;
 
+    // A farther member must save more calls to other zones than this, beside the one to
+    // itself, and must have room: bytes between zones cost money, and each way there time.
+    constexpr double crossingsWorthTheWay = 0.5;
+    constexpr double roomyLoad = 0.75;
+
     constexpr std::uint64_t chanceSteps = 1024;
 
+    struct zone_mean {
+        double sum = 0;
+        int members = 0;
+
+        double get() const { return sum / members; }
+    };
+
     bool contains(const std::vector<std::uint64_t>& ids, std::uint64_t id)
     {
         return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -75,11 +89,41 @@
         if (isAvoided != avoided) {
             continue;
         }
-        result.push_back({ target, view != m_views.end() ? view->second.load(target->slots, now) : 0 });
+        bool known = view != m_views.end();
+        double crossings = (wanted == 0 ? 0 : 1) + (known ? view->second.zoneCrossings(now) : 0);
+        result.push_back({ target, known ? view->second.load(target->slots, now) : 0, crossings });
     }
     return result;
 }
 
+// The servers of one zone have the same zones around them, so that the mean of what they
+// reported counts for each. Leaves the zones with the fewest calls to others, among
+// those that have room.
+void router::keepFewestCrossings(std::vector<candidate>& from)
+{
+    auto fewer = [](const candidate& a, const candidate& b) { return a.zoneCrossings < b.zoneCrossings; };
+    auto [least, most] = std::minmax_element(from.begin(), from.end(), fewer);
+    if (from.empty() || most->zoneCrossings - least->zoneCrossings <= crossingsWorthTheWay) {
+        return;
+    }
+    std::map<std::string, zone_mean> zones;
+    for (const auto& each : from) {
+        auto& zone = zones[each.target->availabilityZone];
+        zone.sum += each.zoneCrossings;
+        ++zone.members;
+    }
+    double fewest = std::numeric_limits<double>::max();
+    for (auto& each : from) {
+        each.zoneCrossings = zones.at(each.target->availabilityZone).get();
+        fewest = each.load < roomyLoad ? std::min(fewest, each.zoneCrossings) : fewest;
+    }
+    auto tooMany = [fewest](const candidate& each) { return each.zoneCrossings > fewest + crossingsWorthTheWay; };
+    auto first = std::remove_if(from.begin(), from.end(), tooMany);
+    if (first != from.begin()) {
+        from.erase(first, from.end());
+    }
+}
+
 std::optional<router::candidate> router::drawTwo(const std::vector<candidate>& from) const
 {
     if (from.empty()) {
@@ -97,14 +141,18 @@
 {
     std::optional<candidate> best;
     for (int wanted = 0; wanted <= farthest; ++wanted) {
-        auto drawn = drawTwo(candidatesAt(wanted, avoided, request, now));
+        auto candidates = candidatesAt(wanted, avoided, request, now);
+        keepFewestCrossings(candidates);
+        auto drawn = drawTwo(candidates);
         if (!drawn) {
             continue;
         }
-        if (!best || drawn->load + spillAdvantage < best->load) {
+        bool hasRoom = !best || drawn->load + spillAdvantage < best->load;
+        bool savesCrossings = best && drawn->load < roomyLoad && drawn->zoneCrossings + crossingsWorthTheWay < best->zoneCrossings;
+        if (hasRoom || savesCrossings) {
             best = drawn;
         }
-        if (best->load < fullLoad) {
+        if (best->load < fullLoad && best->zoneCrossings <= 1 + crossingsWorthTheWay) {
             break;
         }
     }
--- a/Source/decision/router.h
+++ b/Source/decision/router.h
@@ -27,7 +27,8 @@
 
 // Chooses the member that a call goes to: in the own availability zone first,
 // the less loaded of two drawn at random, by what this node has seen itself; in
-// another zone where the own one is full, or has nobody who answers.
+// another zone where the own one is full, or has nobody who answers, or where fewer
+// of the calls that follow go to other zones.
 class router {
 public:
     // Returns a random number below its argument.
@@ -56,11 +57,14 @@
     struct candidate {
         const member* target = nullptr;
         double load = 0;
+        // Calls to other zones that the choice brings about, with the call itself.
+        double zoneCrossings = 0;
     };
 
     // Lower is nearer: own zone, own region, elsewhere.
     int distance(const member&) const;
     std::vector<candidate> candidatesAt(int distance, bool avoided, const route_request&, std::chrono::steady_clock::time_point now) const;
+    static void keepFewestCrossings(std::vector<candidate>&);
     std::optional<candidate> drawTwo(const std::vector<candidate>&) const;
     std::optional<candidate> chooseNearest(bool avoided, const route_request&, std::chrono::steady_clock::time_point now) const;
 
--- a/Source/decision/target_view.cpp
+++ b/Source/decision/target_view.cpp
@@ -24,6 +24,11 @@
     constexpr double silentPauses = 6;
     constexpr double latencyWeight = 0.2;
 
+    // Weight of one answer in the calls to other zones that follow from it, and the time
+    // after which what was reported counts for half.
+    constexpr double crossingsWeight = 0.2;
+    constexpr std::chrono::duration<double> crossingsHalfLife { 5 };
+
     // From so many on, a target without a connection gets one attempt at a time.
     constexpr std::uint32_t unreachedBeforeProbing = 2;
 
@@ -93,6 +98,11 @@
     m_avoidedUntil = {};
     m_owesSince = now;
     m_usualLatency += latencyWeight * (outcome.latency - m_usualLatency);
+    if (outcome.result.run == execution::Ran) {
+        auto known = zoneCrossings(now);
+        m_zoneCrossings = known + crossingsWeight * (outcome.zoneCrossings - known);
+        m_crossingsReported = now;
+    }
     noteLoad(outcome, now);
 }
 
@@ -112,6 +122,11 @@
     return m_unreachedInRow >= unreachedBeforeProbing && m_outstanding > 0;
 }
 
+double target_view::zoneCrossings(std::chrono::steady_clock::time_point now) const
+{
+    return m_zoneCrossings * std::exp2(-std::chrono::duration<double>(now - m_crossingsReported) / crossingsHalfLife);
+}
+
 double target_view::lostPart(std::chrono::steady_clock::time_point now) const
 {
     return m_lost * std::exp2(-std::chrono::duration<double>(now - m_lostNoted) / lostHalfLife);
--- a/Source/decision/target_view.h
+++ b/Source/decision/target_view.h
@@ -16,6 +16,8 @@
     // Calls at the member's backend server or waiting for it, and their limit.
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 0;
+    // Calls below it that went to another availability zone.
+    std::uint32_t zoneCrossings = 0;
 };
 
 // What this node has seen itself of one other member: its load, and whether it answers.
@@ -41,6 +43,10 @@
     // calls wait. Slots stand in for a limit that was never reported.
     double load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const;
 
+    // How many calls to other zones follow from one call to it, usually. What was
+    // reported long ago counts less, so that it is tried again.
+    double zoneCrossings(std::chrono::steady_clock::time_point now) const;
+
     std::uint32_t outstanding() const { return m_outstanding; }
 
 private:
@@ -65,6 +71,8 @@
     double m_othersInFlight = 0;
     std::uint32_t m_limit = 0;
     std::chrono::steady_clock::time_point m_reported;
+    double m_zoneCrossings = 0;
+    std::chrono::steady_clock::time_point m_crossingsReported;
 };
 
 }
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -67,7 +67,7 @@
     hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
     hooks.ended = [this](std::uint64_t memberId, bool answered) { m_hooks.ended(memberId, answered); };
     hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
-    hooks.onwardCut = [this](std::uint64_t runId, const std::string& service, shedding_position cut, const narrowest_cost& cost) { m_target.learnCut(runId, service, cut, cost); };
+    hooks.onwardEnded = [this](std::uint64_t runId, const onward_report& report) { m_target.learnOnward(runId, report); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -172,6 +172,7 @@
     call.attemptStarted = now;
     call.target = chosen->id;
     call.targetName = chosen->name;
+    call.targetInOtherZone = chosen->availabilityZone != m_settings.place.availabilityZone;
     m_callOfAttempt[call.attemptId] = callId;
     m_router.started(chosen->id, now);
     observe(call, call.tried.size() == 1 ? call_decision::Attempt : call_decision::Retry, call.refusal, chosen->name, 0, now);
@@ -188,7 +189,7 @@
     auto& call = m_calls.at(callId);
     call.attemptId = 0;
     auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted);
-    m_router.finished(call.target, { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit }, now);
+    m_router.finished(call.target, { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit, answer.zoneCrossings }, now);
     // A node that answers tells its limit, also where its server lost the answer.
     bool nothingCameBack = answer.limit == 0 && (answer.outcome.reason == verdict_reason::PeerUnreachable || answer.outcome.reason == verdict_reason::AnswerLost);
     m_hooks.ended(call.target, !nothingCameBack);
@@ -220,7 +221,8 @@
         return;
     }
     if (call.parentRun != 0) {
-        m_hooks.onwardCut(call.parentRun, call.request.service, answer.cut, answer.cost);
+        auto crossings = answer.zoneCrossings + (call.targetInOtherZone ? 1U : 0U);
+        m_hooks.onwardEnded(call.parentRun, { call.request.service, answer.cut, answer.cost, crossings });
         return;
     }
     const auto& context = call.request.context;
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -52,8 +52,8 @@
     std::function<void(std::uint64_t memberId, bool answered)> ended;
     // The run of the own server that makes a call; nothing for a whole request.
     std::function<std::optional<parent_run>(const entry_request&)> findParent;
-    // A call of the own server ended: it met this cut, and took so much there.
-    std::function<void(std::uint64_t runId, const std::string& service, shedding_position cut, const narrowest_cost&)> onwardCut;
+    // A call of the own server ended.
+    std::function<void(std::uint64_t runId, const onward_report&)> onwardEnded;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -113,6 +113,7 @@
         std::uint64_t attemptId = 0;
         std::uint64_t target = 0;
         std::string targetName;
+        bool targetInOtherZone = false;
         time_point attemptStarted;
         // What the entrance compared a whole request with.
         remembered_cut entranceCut;
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -155,6 +155,7 @@
     } else if (entry.running) {
         answer.cost = { entry.request.service, std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started) };
     }
+    answer.zoneCrossings = entry.zoneCrossings;
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
     entry.replier(answer);
@@ -188,22 +189,23 @@
     return parent_run { *runId, m_arrivals.at(*runId).request.context };
 }
 
-void routed_target::learnCut(std::uint64_t runId, const std::string& service, shedding_position cut, const narrowest_cost& cost)
+void routed_target::learnOnward(std::uint64_t runId, const onward_report& report)
 {
     auto found = m_arrivals.find(runId);
     if (found == m_arrivals.end()) {
         return;
     }
+    found->second.zoneCrossings += report.zoneCrossings;
     auto& cuts = found->second.onwardCuts;
-    auto met = std::find_if(cuts.begin(), cuts.end(), [&service](const met_cut& each) { return each.service == service; });
+    auto met = std::find_if(cuts.begin(), cuts.end(), [&report](const met_cut& each) { return each.service == report.service; });
     if (met == cuts.end()) {
-        met = cuts.insert(cuts.end(), met_cut { service });
+        met = cuts.insert(cuts.end(), met_cut { report.service });
     }
-    met->sum += cut;
+    met->sum += report.cut;
     ++met->calls;
-    if (!cost.service.empty()) {
-        met->cost.service = cost.service;
-        met->cost.slotTime += cost.slotTime;
+    if (!report.cost.service.empty()) {
+        met->cost.service = report.cost.service;
+        met->cost.slotTime += report.cost.slotTime;
     }
 }
 
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -31,6 +31,16 @@
     request_context context;
 };
 
+// What came back from a call that the own server made.
+struct onward_report {
+    std::string service;
+    // The cut that the call has met there or below, and what it took of that service.
+    shedding_position cut = 0;
+    narrowest_cost cost {};
+    // The call itself, if it went to another availability zone, and those below it.
+    std::uint32_t zoneCrossings = 0;
+};
+
 // The calls that are to run at the server beside this node. Everything that
 // reaches the server passes here, so that what is said here of a call, that it
 // has not run and never will, is certain.
@@ -60,9 +70,8 @@
     // none, the one that ends with it. Nothing for a request of anyone else.
     std::optional<parent_run> findParent(const std::string& parentId, time_point deadline) const;
 
-    // A call that the run made to the service has met a cut there, and took so much of
-    // the service whose cut it is.
-    void learnCut(std::uint64_t runId, const std::string& service, shedding_position cut, const narrowest_cost&);
+    // A call that the run made has ended.
+    void learnOnward(std::uint64_t runId, const onward_report&);
 
     std::size_t inProgress() const { return m_arrivals.size(); }
     const admission_gate& gate() const { return m_gate; }
@@ -87,6 +96,7 @@
         bool running = false;
         time_point started {};
         std::vector<met_cut> onwardCuts {};
+        std::uint32_t zoneCrossings = 0;
     };
 
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -77,6 +77,7 @@
         short_number inFlight;
         short_number limit;
         short_number costMicroseconds;
+        short_number zoneCrossings;
         // The service of the cost, then names and values of the fields.
         std::vector<shortened_text> texts;
         std::string body;
@@ -99,7 +100,7 @@
     typename Inspector::result_type inspect(Inspector& f, answer_payload& x)
     {
         return f(caf::meta::type_name("answer_payload"), x.callId, x.attempt, x.run, x.reason, x.retryAfterMilliseconds,
-            x.status, x.nextUse, x.retryTokens, x.cut, x.inFlight, x.limit, x.costMicroseconds, x.texts, x.body);
+            x.status, x.nextUse, x.retryTokens, x.cut, x.inFlight, x.limit, x.costMicroseconds, x.zoneCrossings, x.texts, x.body);
     }
 
     // The texts of a frame in their order, shortened by those of the frame before.
@@ -263,6 +264,7 @@
     payload.inFlight.value = answer.inFlight;
     payload.limit.value = answer.limit;
     payload.costMicroseconds.value = static_cast<std::size_t>(std::clamp(answer.cost.slotTime, std::chrono::microseconds(0), longestRemaining).count());
+    payload.zoneCrossings.value = answer.zoneCrossings;
     text_writer texts(payload.texts, history, requestId);
     texts.add(answer.cost.service);
     texts.add(answer.fields);
@@ -332,6 +334,7 @@
     answer.inFlight = static_cast<std::uint32_t>(payload.inFlight.value);
     answer.limit = static_cast<std::uint32_t>(payload.limit.value);
     answer.cost.slotTime = std::chrono::microseconds(payload.costMicroseconds.value);
+    answer.zoneCrossings = static_cast<std::uint32_t>(payload.zoneCrossings.value);
     text_reader texts(payload.texts, history, requestId);
     answer.cost.service = texts.next();
     answer.fields = texts.fields();
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -113,7 +113,7 @@
                 }
             };
             result.findParent = [this](const entry_request&) { return parent; };
-            result.onwardCut = [this](std::uint64_t, const std::string&, shedding_position cut, const narrowest_cost&) { onwardCuts.push_back(cut); };
+            result.onwardEnded = [this](std::uint64_t, const onward_report& report) { onwardCuts.push_back(report.cut); };
             result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
             return result;
         }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -163,14 +163,15 @@
 {
     target_world world;
     auto id = world.arrive();
-    world.target().learnCut(id, "stays", 1000, { "stays", milliseconds(15) });
-    world.target().learnCut(id, "notices", 1200, { "notices", milliseconds(20) });
-    world.target().learnCut(id, "notices", 1600, { "notices", milliseconds(24) });
+    world.target().learnOnward(id, { "stays", 1000, { "stays", milliseconds(15) }, 1 });
+    world.target().learnOnward(id, { "notices", 1200, { "notices", milliseconds(20) }, 4 });
+    world.target().learnOnward(id, { "notices", 1600, { "notices", milliseconds(24) }, 0 });
     world.serverAnswers(verdict::answered());
     EXPECT_EQ(world.answers.back().cut, 1400U);
     // All calls to the narrowest service count together.
     EXPECT_EQ(world.answers.back().cost.service, "notices");
     EXPECT_EQ(world.answers.back().cost.slotTime, milliseconds(44));
+    EXPECT_EQ(world.answers.back().zoneCrossings, 5U);
 }
 
 TEST(RoutedTarget, TellsForHowLongARequestHeldItsSlot)
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -65,6 +65,57 @@
     EXPECT_EQ(choices(both), ids { 2 });
 }
 
+// The load: two of three zones have lost their servers of a middle service, and the third
+// one its servers of the service below, to which four calls follow from each. From the
+// middle service's callers on, every call crossed zones: 0.041 of a day's worth for bytes.
+TEST(Routing, GoesToTheZoneFromWhichFewerCallsFollowToOthers)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b"), serverIn(3, "c") });
+    time_point now { std::chrono::seconds(100) };
+    auto report = [&both, now](std::uint64_t id, std::uint32_t crossings) {
+        both.started(id, now);
+        route_outcome outcome;
+        outcome.result = verdict::answered();
+        outcome.zoneCrossings = crossings;
+        outcome.limit = 10;
+        both.finished(id, outcome, now);
+    };
+    for (int i = 0; i < 20; ++i) {
+        report(1, 4);
+        report(2, 0);
+        report(3, 4);
+    }
+    for (int i = 0; i < 200; ++i) {
+        auto chosen = both.choose({ "threads", {} }, now);
+        ASSERT_TRUE(chosen);
+        EXPECT_NE(chosen->id, 1U);
+    }
+    // One call more or less is not worth the way.
+    for (int i = 0; i < 40; ++i) {
+        report(1, 1);
+    }
+    EXPECT_EQ(choices(both, {}, now), ids { 1 });
+}
+
+TEST(Routing, SavesNoCallsToOtherZonesWhereTheOtherZoneHasNoRoom)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "b") });
+    time_point now { std::chrono::seconds(100) };
+    for (int i = 0; i < 20; ++i) {
+        both.started(1, now);
+        route_outcome outcome;
+        outcome.result = verdict::answered();
+        outcome.zoneCrossings = 4;
+        outcome.limit = 10;
+        both.finished(1, outcome, now);
+    }
+    EXPECT_EQ(choices(both, {}, now), ids { 2 });
+    for (int i = 0; i < 8; ++i) {
+        both.started(2, now);
+    }
+    EXPECT_EQ(choices(both, {}, now), ids { 1 });
+}
+
 TEST(Routing, TriesAnotherServerThanBefore)
 {
     auto both = routerWith({ serverIn(1, "a"), serverIn(2, "a") });
