--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -367,9 +367,9 @@
     world.arrive();
     world.answer(verdict::answered(), 200, sheddingPositionCount);
     world.now += milliseconds(120);
-    for (int i = 0; i < 64 && world.finished.back().outcome.run == execution::Ran; ++i) {
+    for (std::size_t asked = 2; asked < 64 && world.finished.back().outcome.run == execution::Ran; ++asked) {
         world.arrive();
-        if (world.answers.size() < static_cast<std::size_t>(i + 2)) {
+        if (world.answers.size() < asked) {
             // Let through to learn whether the cut has opened.
             world.answer(verdict::answered(), 200, sheddingPositionCount);
         }
