--- a/Source/membership/gossip_protocol.cpp
+++ b/Source/membership/gossip_protocol.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-    // Pushes that may follow each other at once, and how many more a second.
-    constexpr double pushBurst = 10;
-    constexpr double pushesPerSecond = 4;
     constexpr std::chrono::milliseconds sweepPeriod { 5000 };
     constexpr std::chrono::milliseconds fastestZoneProbe { 150 };
     constexpr std::chrono::milliseconds slowestZoneProbe { 1000 };
@@ -38,11 +35,10 @@
     , m_table(options, [this](std::uint64_t memberId) { memberChanged(memberId); })
     , m_exchange(m_table, exchangeHooks())
     , m_schedule(m_hooks.random)
+    , m_pushes(options.secondPush, now)
     , m_started(now)
     , m_selfStarted(now - self.uptime)
     , m_now(now)
-    , m_lastPushRefill(now)
-    , m_secondPush(time_point::max())
     , m_lastExchange(now - options.longestUnsettled)
 {
     updateSelf(self, now);
@@ -107,7 +103,7 @@
         m_joining = m_joining && m_exchange.finished() == 0;
         break;
     }
-    if (m_pushDue) {
+    if (m_pushes.isSoon()) {
         push(now);
     }
 }
@@ -188,7 +184,7 @@
 
 void gossip_protocol::leave(time_point now)
 {
-    m_pushAllowance = pushBurst;
+    m_pushes.refill();
     constexpr int rounds = 3;
     for (int round = 0; round < rounds; ++round) {
         push(now);
@@ -199,7 +195,7 @@
 void gossip_protocol::spreadSoon(time_point now)
 {
     push(now);
-    m_secondPush = now + m_options.secondPush;
+    m_pushes.repeatLater(now);
 }
 
 void gossip_protocol::setContacts(const std::vector<std::string>& addresses, time_point now)
@@ -227,8 +223,7 @@
     // What an exchange brings is old to most others; only little of it is passed on.
     if (!m_merging || ++m_newsOfExchange <= mostNewsOfExchange) {
         m_news.add(memberId, transmissions());
-        m_pushDue = true;
-        m_secondPush = std::min(m_secondPush, m_now + m_options.secondPush);
+        m_pushes.newsCame(m_now);
     }
 }
 
@@ -260,14 +255,12 @@
 
 void gossip_protocol::ackReceived(const gossip_message& message, time_point now)
 {
-    auto relayed = m_relayed.find(message.sequence);
-    if (relayed != m_relayed.end()) {
+    if (auto relayed = m_relayed.takeAnswered(message.sequence)) {
         gossip_message ack;
         ack.kind = gossip_kind::Ack;
-        ack.sequence = relayed->second.requesterSequence;
+        ack.sequence = relayed->requesterSequence;
         ack.targetId = message.targetId;
-        send(relayed->second.requester, std::move(ack), now);
-        m_relayed.erase(relayed);
+        send(relayed->requester, std::move(ack), now);
     }
     auto ended = m_probes.answered(message.sequence, message.targetId);
     if (ended) {
@@ -290,7 +283,7 @@
     accepted.targetId = message.targetId;
     send(message.senderAddress, std::move(accepted), now);
     auto sequence = m_probes.takeSequence();
-    m_relayed[sequence] = relayed_ping { message.senderAddress, message.sequence, now + m_options.indirectTimeout };
+    m_relayed.add(sequence, { message.senderAddress, message.sequence, now + m_options.indirectTimeout });
     gossip_message ping;
     ping.sequence = sequence;
     ping.targetId = message.targetId;
@@ -331,14 +324,13 @@
     probeOtherZone(now);
     greetContacts(now);
     m_exchange.tick(now);
-    if (m_pushDue || now >= m_secondPush) {
-        m_secondPush = m_pushDue ? m_secondPush : time_point::max();
+    if (m_pushes.takeDue(now)) {
         push(now);
     }
     if (due(m_nextSweep, sweepPeriod, now)) {
         m_table.forgetTombstones(now);
         retireUnreachable(now);
-        forgetRelays(now);
+        m_relayed.forget(now);
     }
 }
 
@@ -513,13 +505,6 @@
     }
 }
 
-void gossip_protocol::forgetRelays(time_point now)
-{
-    for (auto at = m_relayed.begin(); at != m_relayed.end();) {
-        at = at->second.until < now ? m_relayed.erase(at) : std::next(at);
-    }
-}
-
 bool gossip_protocol::alone(time_point now) const
 {
     if (m_table.liveCount() < 2) {
@@ -569,25 +554,11 @@
     return targets;
 }
 
-bool gossip_protocol::mayPush(time_point now)
-{
-    auto seconds = std::chrono::duration<double>(now - m_lastPushRefill).count();
-    m_pushAllowance = std::min(pushBurst, m_pushAllowance + seconds * pushesPerSecond);
-    m_lastPushRefill = now;
-    if (m_pushAllowance < 1) {
-        return false;
-    }
-    m_pushAllowance -= 1;
-    return true;
-}
-
 void gossip_protocol::push(time_point now)
 {
-    if (!mayPush(now)) {
-        m_pushDue = true;
+    if (!m_pushes.take(now)) {
         return;
     }
-    m_pushDue = false;
     gossip_message message;
     message.kind = gossip_kind::Push;
     appendNews(message, now);
--- a/Source/membership/gossip_protocol.h
+++ b/Source/membership/gossip_protocol.h
@@ -7,6 +7,8 @@
 #include "membership/member_table.h"
 #include "membership/membership_options.h"
 #include "membership/probe_schedule.h"
+#include "membership/push_schedule.h"
+#include "membership/relayed_pings.h"
 #include "membership/state_exchange.h"
 #include "membership/suspicion_timers.h"
 #include "membership/zone_reachability.h"
@@ -79,12 +81,6 @@
     bool reachable(const member&) const;
 
 private:
-    struct relayed_ping {
-        std::string requester;
-        std::uint32_t requesterSequence = 0;
-        time_point until;
-    };
-
     exchange_hooks exchangeHooks();
     void noteTime(time_point now);
     void mergeUpdates(const gossip_message&, time_point now);
@@ -106,7 +102,6 @@
     void probeFailed(const probe&, time_point now);
     void expireSuspicions(time_point now);
     void retireUnreachable(time_point now);
-    void forgetRelays(time_point now);
     void greetContacts(time_point now);
     // Whether this node may declare the member dead.
     bool judges(const member&) const;
@@ -114,7 +109,6 @@
     void push(time_point now);
     void appendNews(gossip_message&, time_point now);
     std::vector<std::uint64_t> pushTargets() const;
-    bool mayPush(time_point now);
     void send(const std::string& address, gossip_message, time_point now);
     void sendNews(std::uint64_t memberId, const std::string& address, gossip_message, time_point now);
     std::vector<std::uint64_t> otherLive(const std::string& zone) const;
@@ -130,12 +124,13 @@
     zone_reachability m_zones;
     state_exchange m_exchange;
     probe_schedule m_schedule;
+    push_schedule m_pushes;
     time_point m_started;
     time_point m_selfStarted;
     time_point m_now;
     // How many probes in a row each member has not answered.
     std::unordered_map<std::uint64_t, std::uint32_t> m_unanswered;
-    std::unordered_map<std::uint32_t, relayed_ping> m_relayed;
+    relayed_pings m_relayed;
     std::set<std::string> m_contacts;
     std::vector<std::string> m_zoneRound;
     std::uint64_t m_changes = 1;
@@ -143,12 +138,8 @@
     std::uint64_t m_suspicionsRaised = 0;
     bool m_left = false;
     bool m_joining = true;
-    bool m_pushDue = false;
     bool m_merging = false;
     std::uint32_t m_newsOfExchange = 0;
-    double m_pushAllowance = 10;
-    time_point m_lastPushRefill;
-    time_point m_secondPush;
     time_point m_nextOwnProbe;
     time_point m_nextZoneProbe;
     time_point m_nextGreeting;
