--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -203,6 +203,37 @@
     EXPECT_EQ(node.getUntil("503").substr(9, 3), "503");
 }
 
+// The load: every process is killed at the same moment, and the servers go on.
+TEST(RoutedNodes, ServeAgainAfterAllOfThemWereKilled)
+{
+    platform_world world;
+    world.configure(3, "desk");
+    for (int round = 0; round < 2; ++round) {
+        routed_node server(world, "desk-1", "desk");
+        routed_node entry(world, "threads-1", "threads", server.port("peer"));
+        server.report("ready", round + 1, "desk");
+        EXPECT_NE(entry.getUntil("200").find("the server's bytes"), std::string::npos);
+        server.process->kill();
+        entry.process->kill();
+    }
+}
+
+// The same while the store is away: the routes come from a node that lives.
+TEST(RoutedNodes, ServeAgainAfterAKillWhileTheStoreIsAway)
+{
+    platform_world world;
+    world.configure(3, "desk");
+    routed_node server(world, "desk-1", "desk");
+    server.report("ready", 1, "desk");
+    EXPECT_EQ(server.getUntil("200").substr(9, 3), "200");
+    world.setStoreDown(true);
+    for (int round = 0; round < 2; ++round) {
+        routed_node entry(world, "threads-1", "threads", server.port("peer"));
+        EXPECT_NE(entry.getUntil("200").find("the server's bytes"), std::string::npos);
+        entry.process->kill();
+    }
+}
+
 // The commands that operators know read these nodes, too.
 TEST(RoutedNodes, TellOperatorsWhatTheyKnowAndDecided)
 {
