Break routed nodes at random, by seeds, and check the promises from what clients and servers see

RoutedSoak runs four nodes as real processes, each with a server that refuses and is late at times, a store, and ten clients that never stop; kills, stops, freezes, replaced servers, a store that goes away and changes of the routes follow each other by a seed. Each request's id tells how often it ran. The platform stand-in and the node as a process move to RoutedWorld, which two tests share.

--- /dev/null
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -0,0 +1,77 @@
+#include "RoutedSoak/soak_run.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Every seed that ever failed stays here, with its cause.
+    //   3: fails where the rule is off that nothing is sent again that may have run and may
+    //      not run twice; with the rule it never failed.
+    const std::vector<std::uint64_t> keptSeeds { 3 };
+
+    constexpr int faultsOfARun = 12;
+
+    // Seeds of one's own: SOAK_SEEDS=FIRST:COUNT.
+    std::vector<std::uint64_t> seeds()
+    {
+        const char* wanted = std::getenv("SOAK_SEEDS");
+        if (!wanted) {
+            return keptSeeds;
+        }
+        char* rest = nullptr;
+        auto first = std::strtoull(wanted, &rest, 10);
+        auto count = *rest == ':' ? std::strtoull(rest + 1, nullptr, 10) : 1;
+        std::vector<std::uint64_t> result;
+        for (std::uint64_t seed = first; seed < first + count; ++seed) {
+            result.push_back(seed);
+        }
+        return result;
+    }
+
+    // The promises, from what clients and servers saw.
+    void checkPromises(soak_run& run, std::uint64_t seed)
+    {
+        auto outcomes = run.outcomes();
+        auto runs = run.runs();
+        int served = 0;
+        for (const auto& told : outcomes) {
+            auto ran = runs.count(told.requestId) != 0 ? runs.at(told.requestId) : 0;
+            auto about = "seed " + std::to_string(seed) + ", request " + told.requestId + ", status " + std::to_string(told.status) + ", runs " + std::to_string(ran);
+            if (!told.idempotent) {
+                EXPECT_LE(ran, 1) << about;
+            }
+            if (!told.idempotent && told.status == 503) {
+                EXPECT_EQ(ran, 0) << "said not to have run: " << about;
+            }
+            if (told.status == 200) {
+                ++served;
+                EXPECT_GE(ran, 1) << about;
+                EXPECT_EQ(told.body, "ran " + told.requestId) << about;
+            }
+            bool known = told.status == 0 || told.status == 200 || told.status == 502 || told.status == 503 || told.status == 504;
+            EXPECT_TRUE(known) << about;
+        }
+        EXPECT_GT(served, static_cast<int>(outcomes.size()) / 4) << "seed " << seed << ", " << outcomes.size() << " requests";
+        ::testing::Test::RecordProperty("requests", static_cast<int>(outcomes.size()));
+        ::testing::Test::RecordProperty("served", served);
+    }
+
+}
+
+// The load: clients that never stop, and kills, stops, freezes, replaced servers, a store
+// that goes away, and changes of the routes, one upon the other.
+TEST(RoutedSoak, KeepsThePromisesWhileThingsBreak)
+{
+    for (auto seed : seeds()) {
+        soak_run run(seed);
+        run.breakThings(faultsOfARun);
+        EXPECT_TRUE(run.allServe()) << "seed " << seed;
+        checkPromises(run, seed);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -0,0 +1,201 @@
+#include "RoutedSoak/soak_run.h"
+
+#include <csignal>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr int clientCount = 10;
+    constexpr const char* service = "desk";
+
+    std::string routeText(const std::string& name, const std::string& prefix, const std::string& kind)
+    {
+        return R"({"type":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"a.example","prefix":")" + prefix + R"(","kind":")" + kind
+            + R"(","timeout_s":1,"target_latency_s":1,"priority":0,"service":")" + service + R"(","max_attempts":2}})";
+    }
+
+}
+
+soak_run::soak_run(std::uint64_t seed)
+    : m_random(seed)
+    , m_places(nodeCount)
+{
+    configure();
+    for (std::size_t which = 0; which < nodeCount; ++which) {
+        m_places[which].server = std::make_unique<soak_server>(seed * nodeCount + which);
+        startNode(which);
+    }
+    for (int client = 0; client < clientCount; ++client) {
+        m_clients.emplace_back([this, clientSeed = m_random()] { serveClient(clientSeed); });
+    }
+}
+
+soak_run::~soak_run()
+{
+    m_ends = true;
+    for (auto& client : m_clients) {
+        client.join();
+    }
+}
+
+void soak_run::configure()
+{
+    m_world.putConfiguration(R"({"version":"r)" + std::to_string(++m_version) + R"(","resources":[)" + routeText("reads", "/x/", "idempotent") + "," + routeText("replies", "/y/", "non_idempotent") + "]}");
+}
+
+void soak_run::startNode(std::size_t which)
+{
+    auto& here = m_places[which];
+    routed_node_plan plan { "desk-" + std::to_string(which), service, m_world.storeAddress(), here.server->address(), {} };
+    for (const auto& other : m_places) {
+        if (&other != &here && other.node) {
+            plan.join.push_back(other.node->port("peer"));
+        }
+    }
+    here.node = std::make_unique<routed_node>(plan);
+    report(which, "ready");
+    std::lock_guard<std::mutex> lock(m_mutex);
+    here.callerPort = here.node->port("caller");
+}
+
+void soak_run::report(std::size_t which, const std::string& state)
+{
+    auto& here = m_places[which];
+    here.node->report(state, ++here.sequence, service, here.server->instance());
+}
+
+void soak_run::kill(std::size_t which)
+{
+    m_places[which].node->process->kill();
+    startNode(which);
+}
+
+// The clients stay until the process is gone.
+void soak_run::stop(std::size_t which)
+{
+    auto& process = *m_places[which].node->process;
+    process.signal(SIGTERM);
+    process.wait();
+    startNode(which);
+}
+
+void soak_run::freeze(std::size_t which)
+{
+    auto& process = *m_places[which].node->process;
+    process.signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(100 + m_random() % 900));
+    process.signal(SIGCONT);
+}
+
+// The next start of the server knows nothing of the last one.
+void soak_run::replaceServer(std::size_t which)
+{
+    report(which, "draining");
+    m_places[which].server->startAgain();
+    report(which, "ready");
+}
+
+void soak_run::takeStoreAway()
+{
+    m_world.setStoreDown(true);
+    std::this_thread::sleep_for(milliseconds(m_random() % 500));
+    m_world.setStoreDown(false);
+}
+
+void soak_run::breakThings(int faults)
+{
+    for (int fault = 0; fault < faults; ++fault) {
+        auto which = m_random() % nodeCount;
+        switch (m_random() % 6) {
+        case 0:
+            kill(which);
+            break;
+        case 1:
+            stop(which);
+            break;
+        case 2:
+            freeze(which);
+            break;
+        case 3:
+            replaceServer(which);
+            break;
+        case 4:
+            takeStoreAway();
+            break;
+        default:
+            // A node that is killed right after a change has to learn it again.
+            configure();
+            kill(which);
+        }
+    }
+}
+
+soak_outcome soak_run::ask(const std::string& address, const std::string& requestId, bool idempotent) const
+{
+    soak_outcome result { requestId, idempotent, 0, {} };
+    try {
+        auto socket = raw_socket::connectTo(address);
+        socket.send(std::string(idempotent ? "GET /x/1" : "POST /y/1") + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: " + requestId
+            + "\r\nVanillashunt-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        auto answer = socket.readToEnd();
+        auto body = answer.find("\r\n\r\n");
+        if (body != std::string::npos) {
+            result.status = std::stoi(answer.substr(9, 3));
+            result.body = answer.substr(body + 4);
+        }
+    } catch (const boost::system::system_error&) {
+        // The process is gone: no answer, as far as a client can tell.
+    }
+    return result;
+}
+
+void soak_run::serveClient(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    for (int number = 0; !m_ends; ++number) {
+        std::string address;
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            address = m_places[random() % nodeCount].callerPort;
+        }
+        auto outcome = ask(address, "c" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0);
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_outcomes.push_back(std::move(outcome));
+    }
+}
+
+std::vector<soak_outcome> soak_run::outcomes()
+{
+    m_ends = true;
+    for (auto& client : m_clients) {
+        client.join();
+    }
+    m_clients.clear();
+    return m_outcomes;
+}
+
+std::map<std::string, int> soak_run::runs()
+{
+    std::map<std::string, int> all;
+    for (auto& each : m_places) {
+        for (const auto& [id, count] : each.server->runs()) {
+            all[id] += count;
+        }
+    }
+    return all;
+}
+
+bool soak_run::allServe()
+{
+    for (auto& each : m_places) {
+        if (each.node->getUntil("200").substr(9, 3) != "200") {
+            return false;
+        }
+    }
+    return true;
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedSoak/soak_run.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "RoutedSoak/soak_server.h"
+#include "RoutedWorld/platform_world.h"
+#include "RoutedWorld/routed_node.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// What a client of the soak was told of one request.
+struct soak_outcome {
+    std::string requestId;
+    bool idempotent = true;
+    // 0 where the connection ended without an answer.
+    int status = 0;
+    std::string body;
+};
+
+// Some nodes as real processes, each with a server, beside a store; clients that never
+// stop; and faults that overlap, all by one seed.
+class soak_run {
+public:
+    explicit soak_run(std::uint64_t seed);
+    ~soak_run();
+
+    // Brings about so many faults, one after the other, while the clients go on.
+    void breakThings(int faults);
+
+    // Ends the clients; what they were told.
+    std::vector<soak_outcome> outcomes();
+
+    // How often each request ran, at all servers together.
+    std::map<std::string, int> runs();
+
+    // Whether every node serves a request again; asks each until it does.
+    bool allServe();
+
+private:
+    static constexpr std::size_t nodeCount = 4;
+
+    struct place {
+        std::unique_ptr<soak_server> server;
+        std::unique_ptr<routed_node> node;
+        // Where clients reach the node; empty while it is not there.
+        std::string callerPort;
+        int sequence = 0;
+    };
+
+    void configure();
+    void startNode(std::size_t which);
+    void report(std::size_t which, const std::string& state);
+    void kill(std::size_t which);
+    void stop(std::size_t which);
+    void freeze(std::size_t which);
+    void replaceServer(std::size_t which);
+    void takeStoreAway();
+    void serveClient(std::uint64_t seed);
+    soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
+
+    std::mt19937_64 m_random;
+    platform_world m_world;
+    int m_version = 0;
+    std::vector<place> m_places;
+    std::mutex m_mutex;
+    std::vector<soak_outcome> m_outcomes;
+    std::atomic<bool> m_ends = false;
+    std::vector<std::thread> m_clients;
+};
+
+}
--- /dev/null
+++ b/Tests/RoutedSoak/soak_server.cpp
@@ -0,0 +1,82 @@
+#include "RoutedSoak/soak_server.h"
+
+#include <future>
+
+namespace vanillashunt {
+
+namespace {
+
+    // One request in so many is refused, and one runs for longer than its route allows.
+    constexpr std::uint64_t refusedOneIn = 12;
+    constexpr std::uint64_t slowOneIn = 25;
+    constexpr std::chrono::milliseconds usualRun { 5 };
+    constexpr std::chrono::milliseconds slowRun { 1500 };
+
+}
+
+soak_server::soak_server(std::uint64_t seed)
+    : m_random(seed)
+    , m_number(seed)
+{
+    m_server = std::make_unique<http_server>(m_loop.context, "127.0.0.1:0", http_server_limits {},
+        [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { called(request, exchange); });
+}
+
+soak_server::~soak_server()
+{
+    std::promise<void> done;
+    boost::asio::post(m_loop.context, [&] {
+        m_server.reset();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+std::string soak_server::startAgain()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        ++m_starts;
+    }
+    return instance();
+}
+
+std::string soak_server::instance()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return "i-" + std::to_string(m_number) + "-" + std::to_string(m_starts);
+}
+
+std::map<std::string, int> soak_server::runs()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_runs;
+}
+
+void soak_server::called(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    auto id = fieldValue(request.fields, "Vanillashunt-Request-Id");
+    auto own = instance();
+    if (fieldValue(request.fields, "Vanillashunt-Expect-Instance") != own) {
+        exchange->respond({ 421, { { "Vanillashunt-Instance-Id", own }, { "Vanillashunt-Request-Id", id } }, "" });
+        return;
+    }
+    std::unique_lock<std::mutex> lock(m_mutex);
+    if (m_random() % refusedOneIn == 0) {
+        lock.unlock();
+        exchange->respond({ 503, { { "Vanillashunt-Not-Executed", "1" }, { "Vanillashunt-Request-Id", id } }, "" });
+        return;
+    }
+    ++m_runs[id];
+    auto time = m_random() % slowOneIn == 0 ? slowRun : usualRun;
+    lock.unlock();
+    answerLater(time, exchange, { 200, { { "Vanillashunt-Request-Id", id }, { "Vanillashunt-Server-Seal", "seal-" + own } }, "ran " + id });
+}
+
+void soak_server::answerLater(std::chrono::milliseconds time, const std::shared_ptr<http_exchange>& exchange, http_response response)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_loop.context, time);
+    timer->async_wait([timer, exchange, response = std::move(response)](boost::system::error_code) { exchange->respond(response); });
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedSoak/soak_server.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "RawSocket/raw_socket.h"
+#include "http/http_server.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+namespace vanillashunt {
+
+// One application server that answers as the platform's servers do: it runs a request
+// only if the request names this start of it, and at times refuses, or runs for longer
+// than its route allows. It remembers what it has run.
+class soak_server {
+public:
+    explicit soak_server(std::uint64_t seed);
+    ~soak_server();
+
+    std::string address() const { return m_server->address(); }
+
+    // Another start of the server, at the same address.
+    std::string startAgain();
+    std::string instance();
+
+    // How often each request ran, by its id.
+    std::map<std::string, int> runs();
+
+private:
+    void called(const http_request&, const std::shared_ptr<http_exchange>&);
+    void answerLater(std::chrono::milliseconds, const std::shared_ptr<http_exchange>&, http_response);
+
+    std::mutex m_mutex;
+    std::mt19937_64 m_random;
+    int m_starts = 1;
+    std::uint64_t m_number;
+    std::map<std::string, int> m_runs;
+    context_thread m_loop;
+    std::unique_ptr<http_server> m_server;
+};
+
+}
--- a/Tests/RoutedNodes/platform_world.cpp
+++ b/Tests/RoutedWorld/platform_world.cpp
@@ -1,4 +1,4 @@
-#include "RoutedNodes/platform_world.h"
+#include "RoutedWorld/platform_world.h"
 
 #include "http/json_text.h"
 
@@ -64,6 +64,11 @@
 {
     auto document = R"({"version":"r)" + std::to_string(version) + R"(","resources":[{"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":")"
         + kind + R"(","timeout_s":20,"target_latency_s":1,"priority":0,"service":")" + service + R"(","max_attempts":2}}]})";
+    putConfiguration(document);
+}
+
+void platform_world::putConfiguration(const std::string& document)
+{
     std::lock_guard<std::mutex> lock(m_mutex);
     m_items[configurationKey] = { document, ++m_revision };
 }
--- a/Tests/RoutedNodes/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -25,6 +25,9 @@
     // Puts a version of the routes there: one route, to the service.
     void configure(int version, const std::string& service, const std::string& kind = "idempotent");
 
+    // The same with a whole document.
+    void putConfiguration(const std::string& document);
+
     // Lets the store turn every call away, or serve again.
     void setStoreDown(bool);
 
--- /dev/null
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -0,0 +1,104 @@
+#include "RoutedWorld/routed_node.h"
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace vanillashunt {
+
+namespace {
+
+    std::string settingsFile(const routed_node_plan& plan)
+    {
+        static std::atomic<int> number = 0;
+        auto name = "routed-" + plan.name + "-" + std::to_string(getpid()) + "-" + std::to_string(++number) + ".toml";
+        return std::filesystem::temp_directory_path() / name;
+    }
+
+    std::string quotedList(const std::vector<std::string>& words)
+    {
+        std::string text;
+        for (const auto& word : words) {
+            text += (text.empty() ? "\"" : ", \"") + word + "\"";
+        }
+        return "[" + text + "]";
+    }
+
+}
+
+routed_node::routed_node(const routed_node_plan& plan)
+    : m_file(settingsFile(plan))
+{
+    std::ofstream(m_file) << "[node]\nname = \"" << plan.name << "\"\navailability_zone = \"a\"\n[peer]\njoin = " << quotedList(plan.join)
+                          << "\n[platform]\nendpoints = [\"" << plan.storeAddress << "\"]\n[routes]\nservice = \"" << plan.service
+                          << "\"\nserver = \"" << plan.serverAddress << "\"\n";
+    process = std::make_unique<child_process>(std::vector<std::string> { VANILLASHUNT_PATH, "routed-node", m_file });
+    m_started = waitForLine("VS100");
+}
+
+routed_node::~routed_node()
+{
+    std::filesystem::remove(m_file);
+}
+
+std::string routed_node::waitForLine(const std::string& text)
+{
+    while (true) {
+        auto line = process->readLine(longest);
+        if (std::holds_alternative<child_failure>(line)) {
+            throw std::runtime_error("no line with " + text);
+        }
+        auto& words = std::get<std::string>(line);
+        if (words.find(text) != std::string::npos) {
+            return words;
+        }
+    }
+}
+
+std::string routed_node::port(const std::string& which) const
+{
+    auto place = m_started.find(' ' + which + "=\"") + which.size() + 3;
+    return m_started.substr(place, m_started.find('"', place) - place);
+}
+
+void routed_node::report(const std::string& state, int sequence, const std::string& service, const std::string& instance)
+{
+    auto body = R"({"service":")" + service + R"(","address":"x","zone":"a","capacity":8,"state":")" + state + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
+    auto socket = raw_socket::connectTo(port("backend"));
+    socket.send("POST /Instances.Heartbeat/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    if (socket.readUntil("\r\n\r\n").find("200") == std::string::npos) {
+        throw std::runtime_error("the report of " + instance + " was not acknowledged");
+    }
+}
+
+std::string routed_node::ready()
+{
+    auto socket = raw_socket::connectTo(port("ready"));
+    socket.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    return socket.readUntil("\r\n\r\n").substr(9, 3);
+}
+
+raw_socket routed_node::begin(const std::string& path)
+{
+    auto socket = raw_socket::connectTo(port("caller"));
+    socket.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: r" + std::to_string(++m_requests)
+        + "\r\nVanillashunt-Deadline-Ms: 20000\r\nVanillashunt-Caller-Service: forged\r\nConnection: close\r\n\r\n");
+    return socket;
+}
+
+std::string routed_node::getUntil(const std::string& status)
+{
+    std::string answer;
+    for (int tries = 0; tries < 600; ++tries) {
+        answer = get();
+        if (answer.substr(9, 3) == status) {
+            return answer;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return answer;
+}
+
+}
--- /dev/null
+++ b/Tests/RoutedWorld/routed_node.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Harness/child_process.h"
+#include "RawSocket/raw_socket.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// What one node is started with.
+struct routed_node_plan {
+    std::string name;
+    std::string service;
+    std::string storeAddress;
+    std::string serverAddress;
+    // Peer ports of nodes that it joins.
+    std::vector<std::string> join;
+};
+
+// One node as a real process, with ports that it takes itself.
+class routed_node {
+public:
+    static constexpr std::chrono::seconds longest { 30 };
+
+    // Returns once the node serves.
+    explicit routed_node(const routed_node_plan&);
+    ~routed_node();
+
+    routed_node(const routed_node&) = delete;
+    routed_node& operator=(const routed_node&) = delete;
+
+    // Throws std::runtime_error where no such line comes in time.
+    std::string waitForLine(const std::string& text);
+
+    // The address of a port, by the line that tells of the start.
+    std::string port(const std::string& which) const;
+
+    // What the server beside the node reports.
+    void report(const std::string& state, int sequence, const std::string& service, const std::string& instance = "i-1");
+
+    // Status of the answer to whether it is ready.
+    std::string ready();
+
+    raw_socket begin(const std::string& path = "/x/1");
+    std::string get(const std::string& path = "/x/1") { return begin(path).readToEnd(); }
+
+    // Asks again until the answer has the status; what is known spreads by itself.
+    std::string getUntil(const std::string& status);
+
+    std::unique_ptr<child_process> process;
+
+private:
+    std::string m_file;
+    std::string m_started;
+    int m_requests = 0;
+};
+
+}
