--- a/Source/decision/queue_bounds.cpp
+++ b/Source/decision/queue_bounds.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     // Waiting calls for each call of the limit, at most; more would wait longer
-    // than they are worth.
+    // than the answer is of use to the caller.
     constexpr std::size_t queueFactor = 6;
     // What the backend server ends in this time may wait.
     constexpr std::chrono::duration<double> queueTime { 0.05 };
--- a/Source/routes/route_configuration.h
+++ b/Source/routes/route_configuration.h
@@ -27,7 +27,7 @@
     bool idempotent = false;
     // Longest time that a request is kept waiting.
     std::chrono::milliseconds timeout { 0 };
-    // Time within which an answer is worth most to its caller.
+    // Time within which its caller wants an answer; a later one is of less use.
     std::chrono::milliseconds targetLatency { 0 };
     // Servers to which one request may be sent, at most.
     std::uint32_t maxAttempts = 1;
