--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -1,6 +1,7 @@
 #include "backend/instance_client.h"
 
 #include "http/connection_pool.h"
+#include "http/message_parser.h"
 #include "http/pooled_socket.h"
 
 #include <boost/asio.hpp>
@@ -12,7 +13,6 @@
 namespace vanillashunt {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
@@ -33,18 +33,26 @@
 
     class instance_connection;
 
+    // Room for a request line and the usual fields.
+    constexpr std::size_t usualHeaderBytes = 768;
+
+    // Closed by the server within this time after an answer, a connection is hardly ever:
+    // only one that was idle for longer is looked at before it takes a request.
+    constexpr std::chrono::milliseconds surelyOpen { 20 };
+
     std::string requestText(const http_request& request)
     {
-        std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+        std::string text;
+        text.reserve(usualHeaderBytes + request.body.size());
+        text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
         for (const auto& field : request.fields) {
-            text += field.name + ": " + field.value + "\r\n";
+            text.append(field.name).append(": ").append(field.value).append("\r\n");
         }
         bool bodyExpected = request.method != "GET" && request.method != "HEAD";
         if (bodyExpected || !request.body.empty()) {
-            text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+            text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
         }
-        text += "\r\n";
-        text += request.body;
+        text.append("\r\n").append(request.body);
         return text;
     }
 
@@ -79,6 +87,8 @@
 
 namespace {
 
+    using time_point = std::chrono::steady_clock::time_point;
+
     // One connection to the server, with at most one request in progress.
     class instance_connection : public std::enable_shared_from_this<instance_connection> {
     public:
@@ -92,13 +102,19 @@
 
         std::uint64_t startedId = 0;
 
-        // Whether an idle connection may take a request: nothing came on it, not even its end.
-        bool isClean()
+        time_point idleUntil() const { return m_connection.idleUntil(); }
+
+        // Whether an idle connection may take a request: nothing came on it, not even its
+        // end, that waits to be told.
+        bool isClean(time_point now)
         {
+            if (now - m_connection.idleSince() < surelyOpen) {
+                return true;
+            }
             char byte = 0;
             error_code error;
-            m_connection.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            return error == asio::error::would_block && m_buffer.size() == 0;
+            m_connection.stream().socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            return error == asio::error::would_block;
         }
 
         void start(const std::string& requestId, const http_request& request)
@@ -109,22 +125,16 @@
             m_written = false;
             m_sent = false;
             m_foreign = 0;
+            beginAnswer();
             m_connection.use();
-            if (m_connection.socket().is_open()) {
-                exchange();
+            if (m_connection.isOpen()) {
+                write();
                 return;
             }
             connect();
         }
 
-        void becomeIdle()
-        {
-            m_connection.becomeIdle(m_keptFor, [self = shared_from_this()] {
-                if (auto client = self->m_client.lock()) {
-                    client->pool.dropIdle(self);
-                }
-            });
-        }
+        void becomeIdle() { m_connection.becomeIdle(std::chrono::steady_clock::now(), m_keptFor); }
 
         void close() { m_connection.close(); }
 
@@ -141,18 +151,16 @@
                     self->fail(error.message());
                     return;
                 }
-                error_code ignored;
-                self->m_connection.socket().non_blocking(true, ignored);
-                self->exchange();
+                // It reads while it writes: the server may answer before it has the whole body.
+                self->read();
+                self->write();
             });
         }
 
-        // Reads while it writes: the server may answer before it has the whole body.
-        void exchange()
+        void write()
         {
             m_sent = true;
-            auto self = shared_from_this();
-            asio::async_write(m_connection.socket(), asio::buffer(m_outgoing), [self](error_code error, std::size_t count) {
+            m_written = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t count) {
                 self->m_written = !error;
                 // Nothing has left if even the first byte was refused.
                 self->m_sent = self->m_sent && !(error && count == 0);
@@ -160,10 +168,14 @@
                     self->fail(error.message());
                 }
             });
-            readAnswer();
         }
 
-        void readAnswer()
+        void read()
+        {
+            m_connection.stream().read([self = shared_from_this()](const error_code& error) { self->bytesArrived(error); });
+        }
+
+        void beginAnswer()
         {
             m_parser.emplace();
             m_parser->header_limit(maxHeaderBytes);
@@ -171,34 +183,92 @@
                 m_parser->body_limit(client->settings.maxBodyBytes);
             }
             m_parser->skip(m_isHead);
-            http::async_read(m_connection.socket(), m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-                self->answerRead(error);
-            });
         }
 
-        void answerRead(const error_code& error)
+        void bytesArrived(const error_code& error)
         {
-            auto client = m_client.lock();
-            if (m_connection.isClosed() || !client) {
+            if (m_connection.isClosed()) {
+                return;
+            }
+            if (m_connection.isIdle()) {
+                endIdle();
                 return;
             }
             if (error) {
-                fail(error.message());
+                connectionEnded(error);
+                return;
+            }
+            parse();
+            if (!m_connection.isClosed()) {
+                read();
+            }
+        }
+
+        void endIdle()
+        {
+            m_connection.close();
+            if (auto client = m_client.lock()) {
+                client->counts.extraBytes += m_connection.stream().received().size();
+                client->pool.dropIdle(shared_from_this());
+            }
+        }
+
+        // An answer without a length is whole when the server has ended the connection; one
+        // that was reset is not.
+        void connectionEnded(const error_code& error)
+        {
+            error_code refused;
+            if (error == asio::error::eof && m_parser->got_some()) {
+                m_parser->put_eof(refused);
+            }
+            if (error == asio::error::eof && !refused && m_parser->is_done()) {
+                answerRead();
+                return;
+            }
+            fail(error.message());
+        }
+
+        void parse()
+        {
+            auto& received = m_connection.stream().received();
+            while (received.size() > 0 && !m_connection.isClosed() && !m_connection.isIdle()) {
+                error_code error;
+                received.consume(m_parser->put(received.data(), error));
+                if (error == http::error::need_more) {
+                    return;
+                }
+                if (error) {
+                    fail(error.message());
+                    return;
+                }
+                if (!m_parser->is_done()) {
+                    continue;
+                }
+                answerRead();
+            }
+        }
+
+        void answerRead()
+        {
+            auto client = m_client.lock();
+            if (!client) {
+                close();
                 return;
             }
-            if (m_parser->get().result_int() < firstFinalStatus) {
-                readAnswer();
+            if (m_parser->status < firstFinalStatus) {
+                beginAnswer();
                 return;
             }
-            bool mayGoOn = m_parser->get().keep_alive() && !m_parser->get().need_eof();
+            bool mayGoOn = m_parser->keep_alive() && !m_parser->need_eof();
             auto response = takeResponse();
             if (!client->settings.belongs(response, m_requestId)) {
                 ++client->counts.foreignAnswers;
                 passOver(mayGoOn);
                 return;
             }
-            client->counts.extraBytes += m_buffer.size();
-            bool reusable = mayGoOn && m_written && m_foreign == 0 && m_buffer.size() == 0 && m_keptFor.count() > 0;
+            auto extraBytes = m_connection.stream().received().size();
+            client->counts.extraBytes += extraBytes;
+            bool reusable = mayGoOn && m_written && m_foreign == 0 && extraBytes == 0 && m_keptFor.count() > 0;
             end(std::move(response), reusable);
         }
 
@@ -210,23 +280,13 @@
                 fail("an answer of another request came");
                 return;
             }
-            readAnswer();
+            beginAnswer();
         }
 
         http_response takeResponse()
         {
-            auto message = m_parser->release();
-            http_response response;
-            response.status = message.result_int();
-            m_keptFor = keptFor(std::string(message[http::field::keep_alive]));
-            for (const auto& field : message) {
-                auto name = std::string(field.name_string());
-                if (!isHopByHop(name)) {
-                    response.fields.push_back({ name, std::string(field.value()) });
-                }
-            }
-            response.body = std::move(message.body());
-            return response;
+            m_keptFor = keptFor(m_parser->keepAlive);
+            return { m_parser->status, std::move(m_parser->fields), std::move(m_parser->body) };
         }
 
         void fail(const std::string& message)
@@ -247,8 +307,7 @@
         pooled_socket m_connection;
         std::string m_requestId;
         std::string m_outgoing;
-        beast::flat_buffer m_buffer;
-        std::optional<http::response_parser<http::string_body>> m_parser;
+        std::optional<message_parser<false>> m_parser;
         std::chrono::milliseconds m_keptFor { defaultIdleTimeout };
         int m_foreign = 0;
         bool m_isHead = false;
@@ -267,10 +326,11 @@
 
 std::uint64_t instance_client::send(const std::string& address, const std::string& requestId, const http_request& request, instance_result_handler handler)
 {
-    auto connection = m_state->pool.takeIdle(address);
-    while (connection && !connection->isClean()) {
+    auto now = std::chrono::steady_clock::now();
+    auto connection = m_state->pool.takeIdle(address, now);
+    while (connection && !connection->isClean(now)) {
         connection->close();
-        connection = m_state->pool.takeIdle(address);
+        connection = m_state->pool.takeIdle(address, now);
     }
     if (!connection) {
         connection = std::make_shared<instance_connection>(m_state, address);
--- a/Source/call/http_field.cpp
+++ b/Source/call/http_field.cpp
@@ -1,18 +1,25 @@
 #include "call/http_field.h"
 
 #include <algorithm>
-#include <cctype>
 
 namespace vanillashunt {
 
-bool equalIgnoringCase(const std::string& a, const std::string& b)
+namespace {
+
+    // Field names are ASCII; the library's function asks for the locale at each byte.
+    constexpr char lowered(char byte)
+    {
+        return byte >= 'A' && byte <= 'Z' ? static_cast<char>(byte - 'A' + 'a') : byte;
+    }
+
+}
+
+bool equalIgnoringCase(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lowered(x) == lowered(y); });
 }
 
-std::string fieldValue(const http_fields& fields, const std::string& name)
+std::string fieldValue(const http_fields& fields, std::string_view name)
 {
     for (const auto& field : fields) {
         if (equalIgnoringCase(field.name, name)) {
--- a/Source/call/http_field.h
+++ b/Source/call/http_field.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace vanillashunt {
@@ -14,8 +15,9 @@
 using http_fields = std::vector<http_field>;
 
 // Returns the value of the first field of that name, in any case; empty if there is none.
-std::string fieldValue(const http_fields&, const std::string& name);
+std::string fieldValue(const http_fields&, std::string_view name);
 
-bool equalIgnoringCase(const std::string&, const std::string&);
+// For names of fields, which are ASCII.
+bool equalIgnoringCase(std::string_view, std::string_view);
 
 }
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -21,33 +21,20 @@
 
     // Requests of one connection that are worked on at once; the others wait in the socket.
     constexpr std::size_t mostExchanges = 32;
-    constexpr std::size_t readBytes = 16384;
 
     // How long a client may leave an answer unread, and its end of the connection open.
     constexpr std::chrono::milliseconds longestUnread { 10000 };
     constexpr std::chrono::milliseconds longestLeaving { 2000 };
 
-    // Names that the Connection field declares to be of this connection only.
-    bool isNamedBy(const std::string& connectionField, const std::string& name)
+    // Drops what the Connection field declares to be of this connection only; a Host it
+    // cannot take away.
+    void removeNamed(http_fields& fields, const std::string& connectionField)
     {
         for (const auto& token : http::token_list { connectionField }) {
-            if (equalIgnoringCase(std::string(token), name)) {
-                return true;
-            }
+            auto name = std::string(token);
+            auto isNamed = [&name](const http_field& each) { return equalIgnoringCase(each.name, name) && !equalIgnoringCase(name, "Host"); };
+            fields.erase(std::remove_if(fields.begin(), fields.end(), isNamed), fields.end());
         }
-        return false;
-    }
-
-    // Anything but plain chunks would leave the end of the body to be guessed.
-    bool isFramedPlainly(const http::fields& message)
-    {
-        auto encodings = message.equal_range(http::field::transfer_encoding);
-        for (auto each = encodings.first; each != encodings.second; ++each) {
-            if (!beast::iequals(each->value(), "chunked")) {
-                return false;
-            }
-        }
-        return message.count(http::field::transfer_encoding) <= 1;
     }
 
 }
@@ -95,7 +82,7 @@
 };
 
 pipeline_session::pipeline_session(tcp::socket socket, std::shared_ptr<pipeline_server::state> server)
-    : m_socket(std::move(socket))
+    : m_stream(std::move(socket))
     , m_server(std::move(server))
 {
     m_server->sessions.insert(this);
@@ -160,13 +147,13 @@
         return;
     }
     m_reading = true;
-    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t count) {
+    m_stream.read([self = shared_from_this()](const error_code& error) {
         self->m_reading = false;
-        self->bytesArrived(error, count);
+        self->bytesArrived(error);
     });
 }
 
-void pipeline_session::bytesArrived(const error_code& error, std::size_t count)
+void pipeline_session::bytesArrived(const error_code& error)
 {
     if (m_closed) {
         return;
@@ -175,21 +162,20 @@
         clientGone();
         return;
     }
-    m_buffer.commit(count);
     parse();
     read();
 }
 
 void pipeline_session::parse()
 {
-    while (!m_closed && !m_closing && m_exchanges.size() < mostExchanges && m_buffer.size() > 0) {
+    while (!m_closed && !m_closing && m_exchanges.size() < mostExchanges && m_stream.received().size() > 0) {
         if (!parseOne()) {
             break;
         }
     }
     if (m_closing) {
         // What came behind the last request that is answered counts as not read.
-        m_buffer.consume(m_buffer.size());
+        m_stream.received().consume(m_stream.received().size());
     }
 }
 
@@ -199,10 +185,10 @@
     if (!m_parser) {
         beginParser();
     }
-    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+    while (m_stream.received().size() > 0 && !m_parser->is_done()) {
         error_code error;
-        auto used = m_parser->put(m_buffer.data(), error);
-        m_buffer.consume(used);
+        auto used = m_parser->put(m_stream.received().data(), error);
+        m_stream.received().consume(used);
         if (error == http::error::need_more) {
             break;
         }
@@ -234,26 +220,18 @@
 
 void pipeline_session::requestArrived()
 {
-    auto message = m_parser->release();
-    m_parser.reset();
-    if (!isFramedPlainly(message) || message.count(http::field::host) != 1) {
+    bool readable = m_parser->framedPlainly && m_parser->hosts == 1;
+    if (!readable) {
         ++m_server->counts.malformed;
         refuse(statusBadRequest, "the request needs one Host and a body of known length or in chunks");
         return;
     }
-    auto connectionField = std::string(message[http::field::connection]);
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-        auto name = std::string(field.name_string());
-        bool isHost = field.name() == http::field::host;
-        if (isHost || !(isHopByHop(name) || isNamedBy(connectionField, name))) {
-            request.fields.push_back({ name, std::string(field.value()) });
-        }
+    http_request request { std::move(m_parser->method), std::move(m_parser->target), std::move(m_parser->fields), std::move(m_parser->body) };
+    if (!m_parser->connection.empty()) {
+        removeNamed(request.fields, m_parser->connection);
     }
-    request.body = std::move(message.body());
-    auto next = std::make_shared<exchange>(shared_from_this(), message.keep_alive(), request.method == "HEAD");
+    auto next = std::make_shared<exchange>(shared_from_this(), m_parser->keep_alive(), request.method == "HEAD");
+    m_parser.reset();
     m_closing = m_closing || next->closes;
     m_exchanges.push_back(next);
     enter(stage::Answering);
@@ -318,7 +296,7 @@
         auto each = m_exchanges.front();
         m_exchanges.pop_front();
         // A connection is closed early only where nothing that was read goes unanswered.
-        bool last = m_exchanges.empty() && m_buffer.size() == 0 && !m_parser;
+        bool last = m_exchanges.empty() && m_stream.received().size() == 0 && !m_parser;
         bool closes = each->closes || (m_server->closingAfterAnswers && last);
         m_closing = m_closing || closes;
         m_outgoing += answerText(*each, closes);
@@ -330,10 +308,14 @@
     if (m_exchanges.empty()) {
         enter(stage::Reading);
     }
-    asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
+    bool whole = m_stream.send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
         self->m_writing = false;
         self->written(error);
     });
+    if (whole) {
+        m_writing = false;
+        written({});
+    }
 }
 
 void pipeline_session::written(const error_code& error)
@@ -374,7 +356,7 @@
 void pipeline_session::leave()
 {
     error_code ignored;
-    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     enter(stage::Leaving);
     read();
 }
@@ -394,7 +376,7 @@
 {
     error_code error;
     bool isIdle = m_stage == stage::Idle && m_exchanges.empty() && !m_writing;
-    if (isIdle && m_socket.available(error) == 0) {
+    if (isIdle && m_stream.socket().available(error) == 0) {
         close();
     }
 }
@@ -403,7 +385,7 @@
 {
     m_closed = true;
     error_code ignored;
-    m_socket.close(ignored);
+    m_stream.socket().close(ignored);
 }
 
 }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -2,6 +2,8 @@
 
 #include "caller/pipeline_server.h"
 #include "http/connection_acceptor.h"
+#include "http/message_parser.h"
+#include "http/socket_stream.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -44,7 +46,7 @@
 
 private:
     class exchange;
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = message_parser<true>;
 
     // What the client is to do next, within a bound of time.
     enum class stage {
@@ -57,7 +59,7 @@
     };
 
     void read();
-    void bytesArrived(const boost::system::error_code&, std::size_t count);
+    void bytesArrived(const boost::system::error_code&);
     void parse();
     bool parseOne();
     void beginParser();
@@ -74,9 +76,8 @@
     void enterNextStage();
     std::chrono::milliseconds longest(stage) const;
 
-    boost::asio::ip::tcp::socket m_socket;
+    socket_stream m_stream;
     std::shared_ptr<pipeline_server::state> m_server;
-    boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::deque<std::shared_ptr<exchange>> m_exchanges;
     std::string m_outgoing;
--- a/Source/http/connection_pool.h
+++ b/Source/http/connection_pool.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,12 +16,13 @@
 
 // The connections of a client that has one request in progress on each: which
 // are busy and for whom, and which are idle and may be used again. A Connection
-// has startedId, address(), close() and becomeIdle().
+// has startedId, address(), close(), becomeIdle() and idleUntil().
 template <typename Connection, typename Result>
 class connection_pool {
 public:
     using connection_ptr = std::shared_ptr<Connection>;
     using result_handler = std::function<void(Result)>;
+    using time_point = std::chrono::steady_clock::time_point;
 
     ~connection_pool()
     {
@@ -33,16 +36,25 @@
         }
     }
 
-    // Returns an idle connection to the address; null if there is none.
-    connection_ptr takeIdle(const std::string& address)
+    // Returns an idle connection to the address, the one that was used last; null if
+    // there is none. Connections whose time as idle ones is over are closed.
+    connection_ptr takeIdle(const std::string& address, time_point now)
     {
+        closeLate(now);
         auto found = m_idle.find(address);
-        if (found == m_idle.end()) {
-            return nullptr;
+        connection_ptr connection;
+        while (found != m_idle.end() && !connection) {
+            connection = found->second.back();
+            found->second.pop_back();
+            if (connection->idleUntil() <= now) {
+                connection->close();
+                connection = nullptr;
+            }
+            if (found->second.empty()) {
+                m_idle.erase(found);
+                break;
+            }
         }
-        auto connection = found->second.back();
-        found->second.pop_back();
-        dropEmpty(found);
         return connection;
     }
 
@@ -100,8 +112,28 @@
         result_handler handler;
     };
 
+    // How often idle connections are looked through. One that is late is not used in
+    // between, since whoever takes it looks at its time.
+    static constexpr std::chrono::milliseconds checkPeriod { 500 };
+
     using idle_map = std::map<std::string, std::vector<connection_ptr>>;
 
+    void closeLate(time_point now)
+    {
+        if (now < m_nextCheck) {
+            return;
+        }
+        m_nextCheck = now + checkPeriod;
+        for (auto each = m_idle.begin(); each != m_idle.end();) {
+            auto& kept = each->second;
+            auto isLate = [now](const connection_ptr& connection) { return connection->idleUntil() <= now; };
+            auto late = std::stable_partition(kept.begin(), kept.end(), [&](const connection_ptr& connection) { return !isLate(connection); });
+            std::for_each(late, kept.end(), [](const connection_ptr& connection) { connection->close(); });
+            kept.erase(late, kept.end());
+            each = kept.empty() ? m_idle.erase(each) : std::next(each);
+        }
+    }
+
     void dropEmpty(typename idle_map::iterator place)
     {
         if (place->second.empty()) {
@@ -110,6 +142,7 @@
     }
 
     std::uint64_t m_lastId = 0;
+    time_point m_nextCheck;
     std::unordered_map<std::uint64_t, busy_entry> m_busy;
     idle_map m_idle;
 };
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -82,6 +82,9 @@
             });
         }
 
+        // The server says when: it closes what it no longer keeps.
+        static std::chrono::steady_clock::time_point idleUntil() { return std::chrono::steady_clock::time_point::max(); }
+
         void close()
         {
             m_cancelled = true;
@@ -214,7 +217,7 @@
 
 std::uint64_t http_client::send(const std::string& address, const http_request& request, std::chrono::milliseconds timeout, http_result_handler handler)
 {
-    auto connection = m_state->pool.takeIdle(address);
+    auto connection = m_state->pool.takeIdle(address, std::chrono::steady_clock::now());
     if (!connection) {
         connection = std::make_shared<client_connection>(m_state, address);
     }
--- a/Source/http/http_message.cpp
+++ b/Source/http/http_message.cpp
@@ -6,11 +6,11 @@
 
 bool isHopByHop(const std::string& fieldName)
 {
-    constexpr std::array<const char*, 10> names {
+    constexpr std::array<std::string_view, 10> names {
         "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding",
         "Upgrade", "Host", "Content-Length", "Expect"
     };
-    for (const char* name : names) {
+    for (auto name : names) {
         if (equalIgnoringCase(fieldName, name)) {
             return true;
         }
--- /dev/null
+++ b/Source/http/message_parser.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "http/http_message.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/optional.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace vanillashunt {
+
+// Takes the parts of an HTTP message from the library's parser straight into the types
+// that the nodes use. The library's own message keeps each field in a node of a list
+// and a tree, from which it would have to be copied.
+template <bool isRequest>
+class message_parser : public boost::beast::http::basic_parser<isRequest> {
+public:
+    using error_code = boost::beast::error_code;
+    using string_view = boost::beast::string_view;
+
+    message_parser() { this->eager(true); }
+
+    std::string method;
+    std::string target;
+    unsigned status = 0;
+    // Without those that concern one connection only; Host is among a request's.
+    http_fields fields;
+    std::string body;
+
+    // Values of the fields left out.
+    std::string connection;
+    std::string keepAlive;
+    std::size_t hosts = 0;
+    std::size_t transferEncodings = 0;
+    // The body, if there is one, has a length or comes in plain chunks: anything else
+    // would leave its end to be guessed.
+    bool framedPlainly = true;
+
+private:
+    using field = boost::beast::http::field;
+
+    // More is taken for a body when it comes: a length that is announced costs nothing.
+    static constexpr std::uint64_t mostReserved = 65536;
+
+    void on_request_impl(boost::beast::http::verb, string_view methodText, string_view targetText, int, error_code& error) override
+    {
+        error = {};
+        method.assign(methodText.data(), methodText.size());
+        target.assign(targetText.data(), targetText.size());
+    }
+
+    void on_response_impl(int code, string_view, int, error_code& error) override
+    {
+        error = {};
+        status = static_cast<unsigned>(code);
+        fields.reserve(usualFields);
+    }
+
+    void on_field_impl(field name, string_view nameText, string_view value, error_code& error) override
+    {
+        error = {};
+        switch (name) {
+        case field::connection:
+            connection.append(connection.empty() ? "" : ",").append(value.data(), value.size());
+            return;
+        case field::keep_alive:
+            keepAlive.assign(value.data(), value.size());
+            return;
+        case field::transfer_encoding:
+            ++transferEncodings;
+            framedPlainly = transferEncodings == 1 && boost::beast::iequals(value, "chunked");
+            return;
+        case field::host:
+            ++hosts;
+            break;
+        case field::proxy_connection:
+        case field::te:
+        case field::trailer:
+        case field::upgrade:
+        case field::content_length:
+        case field::expect:
+            return;
+        default:
+            break;
+        }
+        if (isRequest || name != field::host) {
+            fields.push_back({ std::string(nameText), std::string(value) });
+        }
+    }
+
+    void on_header_impl(error_code& error) override { error = {}; }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override
+    {
+        error = {};
+        body.reserve(static_cast<std::size_t>(std::min(length.value_or(0), mostReserved)));
+    }
+
+    std::size_t on_body_impl(string_view bytes, error_code& error) override
+    {
+        error = {};
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code& error) override { error = {}; }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code& error) override { return on_body_impl(bytes, error); }
+
+    void on_finish_impl(error_code& error) override { error = {}; }
+
+    static constexpr std::size_t usualFields = 8;
+};
+
+}
--- a/Source/http/pooled_socket.cpp
+++ b/Source/http/pooled_socket.cpp
@@ -11,7 +11,7 @@
 using boost::system::error_code;
 
 pooled_socket::pooled_socket(asio::io_context& context, std::string address)
-    : m_socket(context)
+    : m_stream(context)
     , m_timer(context)
     , m_address(std::move(address))
 {
@@ -23,7 +23,7 @@
     error_code error = asio::error::invalid_argument;
     if (endpoint) {
         error = {};
-        openOutgoing(m_socket, *endpoint, outgoingAddress, error);
+        openOutgoing(m_stream.socket(), *endpoint, outgoingAddress, error);
     }
     m_connecting = true;
     auto finish = [this, handler](const error_code& result) {
@@ -34,7 +34,7 @@
         handler(result);
     };
     if (error) {
-        asio::post(m_socket.get_executor(), [finish, error] { finish(error); });
+        asio::post(m_stream.socket().get_executor(), [finish, error] { finish(error); });
         return;
     }
     m_timer.expires_after(longest);
@@ -43,37 +43,14 @@
             finish(asio::error::timed_out);
         }
     });
-    m_socket.async_connect(*endpoint, [finish](error_code connectError) { finish(connectError); });
+    m_stream.socket().async_connect(*endpoint, [finish](error_code connectError) { finish(connectError); });
 }
 
-void pooled_socket::becomeIdle(std::chrono::milliseconds longest, const std::function<void()>& ended)
+void pooled_socket::becomeIdle(time_point now, std::chrono::milliseconds longest)
 {
     m_idle = true;
-    m_socket.async_wait(tcp::socket::wait_read, [this, ended](error_code error) {
-        if (!error) {
-            endIdle(ended);
-        }
-    });
-    m_timer.expires_after(longest);
-    m_timer.async_wait([this, ended](error_code error) {
-        if (!error) {
-            endIdle(ended);
-        }
-    });
-}
-
-void pooled_socket::endIdle(const std::function<void()>& ended)
-{
-    if (m_idle && !m_closed) {
-        close();
-        ended();
-    }
-}
-
-void pooled_socket::use()
-{
-    m_idle = false;
-    m_timer.cancel();
+    m_idleSince = now;
+    m_idleUntil = now + longest;
 }
 
 void pooled_socket::close()
@@ -81,7 +58,7 @@
     m_closed = true;
     error_code ignored;
     m_timer.cancel();
-    m_socket.close(ignored);
+    m_stream.socket().close(ignored);
 }
 
 }
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -12,12 +12,6 @@
 
 namespace vanillashunt {
 
-template <class Inspector>
-typename Inspector::result_type inspect(Inspector& f, shortened_text& x)
-{
-    return f(caf::meta::type_name("shortened_text"), x.shared, x.rest);
-}
-
 namespace {
 
     // "VS3", little-endian, below the byte of the kind; the digit is the version of the format.
@@ -39,8 +33,8 @@
         return f.begin_sequence(x.value);
     }
 
-    // The wire form of a request: numbers and strings only.
-    struct request_payload {
+    // The numbers of a request; its texts and its body follow.
+    struct request_numbers {
         std::uint64_t callId = 0;
         short_number attempt;
         std::uint8_t level = 0;
@@ -50,9 +44,6 @@
         short_number retryTokens;
         short_number depth;
         short_number remainingMicroseconds;
-        // Texts of the context and the request line, then names and values of the fields.
-        std::vector<shortened_text> texts;
-        std::string body;
     };
 
     // Follows a request that has a ticket.
@@ -64,7 +55,8 @@
         bool claimed = false;
     };
 
-    struct answer_payload {
+    // The numbers of an answer; its texts and its body follow.
+    struct answer_numbers {
         std::uint64_t callId = 0;
         short_number attempt;
         std::uint8_t run = 0;
@@ -78,16 +70,13 @@
         short_number limit;
         short_number costMicroseconds;
         short_number zoneCrossings;
-        // The service of the cost, then names and values of the fields.
-        std::vector<shortened_text> texts;
-        std::string body;
     };
 
     template <class Inspector>
-    typename Inspector::result_type inspect(Inspector& f, request_payload& x)
+    typename Inspector::result_type inspect(Inspector& f, request_numbers& x)
     {
-        return f(caf::meta::type_name("request_payload"), x.callId, x.attempt, x.level, x.position, x.idempotent,
-            x.hasPermit, x.retryTokens, x.depth, x.remainingMicroseconds, x.texts, x.body);
+        return f(caf::meta::type_name("request_numbers"), x.callId, x.attempt, x.level, x.position, x.idempotent,
+            x.hasPermit, x.retryTokens, x.depth, x.remainingMicroseconds);
     }
 
     template <class Inspector>
@@ -97,73 +86,154 @@
     }
 
     template <class Inspector>
-    typename Inspector::result_type inspect(Inspector& f, answer_payload& x)
+    typename Inspector::result_type inspect(Inspector& f, answer_numbers& x)
     {
-        return f(caf::meta::type_name("answer_payload"), x.callId, x.attempt, x.run, x.reason, x.retryAfterMilliseconds,
-            x.status, x.nextUse, x.retryTokens, x.cut, x.inFlight, x.limit, x.costMicroseconds, x.zoneCrossings, x.texts, x.body);
+        return f(caf::meta::type_name("answer_numbers"), x.callId, x.attempt, x.run, x.reason, x.retryAfterMilliseconds,
+            x.status, x.nextUse, x.retryTokens, x.cut, x.inFlight, x.limit, x.costMicroseconds, x.zoneCrossings);
     }
 
-    // The texts of a frame in their order, shortened by those of the frame before.
-    class text_writer {
+    // Texts of a request before its fields: those of the context and the request line.
+    constexpr std::size_t requestTexts = 7;
+    // Texts of an answer before its fields: the service of the cost.
+    constexpr std::size_t answerTexts = 1;
+    constexpr std::size_t textsOfField = 2;
+
+    // Writes the payload of a frame; texts go straight from where they are, as their
+    // difference from those of the frame before.
+    class frame_writer {
     public:
         // The id is empty where the frame itself tells it.
-        text_writer(std::vector<shortened_text>& texts, frame_history& history, const std::string& requestId)
-            : m_texts(texts)
+        frame_writer(frame_history& history, const std::string& requestId)
+            : m_bytes(frameHeadBytes)
+            , m_sink(nullptr, m_bytes)
             , m_history(history)
         {
+            m_bytes.reserve(usualBytes);
+            m_sink.seek(frameHeadBytes);
             m_history.beginFrame(requestId);
         }
 
-        void add(const std::string& text) { m_texts.push_back(m_history.shorten(text)); }
+        template <class Numbers>
+        void numbers(Numbers& values)
+        {
+            note(m_sink(values));
+        }
+
+        void beginTexts(std::size_t count) { note(m_sink.begin_sequence(count)); }
+
+        void text(const std::string& value)
+        {
+            auto shortened = m_history.shorten(value);
+            note(m_sink(shortened.shared));
+            bytes(shortened.rest);
+        }
 
-        void add(const http_fields& fields)
+        void fields(const http_fields& values)
         {
-            for (const auto& field : fields) {
-                add(field.name);
-                add(field.value);
+            for (const auto& field : values) {
+                text(field.name);
+                text(field.value);
             }
         }
 
+        void bytes(std::string_view value)
+        {
+            auto size = value.size();
+            note(m_sink.begin_sequence(size));
+            // The library reads from what it takes by a pointer to changeable bytes.
+            note(m_sink.apply_raw(size, const_cast<char*>(value.data())));
+        }
+
+        // The whole frame; empty if the library failed.
+        byte_vector finish(frame_kind);
+
     private:
-        std::vector<shortened_text>& m_texts;
+        static constexpr std::size_t usualBytes = 512;
+
+        void note(const caf::error& error) { m_failed = m_failed || error; }
+
+        byte_vector m_bytes;
+        caf::binary_serializer m_sink;
         frame_history& m_history;
+        bool m_failed = false;
     };
 
-    // Gives back what a text_writer has written.
-    class text_reader {
+    // Gives back what a frame_writer has written.
+    class frame_reader {
     public:
-        text_reader(const std::vector<shortened_text>& texts, frame_history& history, const std::string& requestId)
-            : m_texts(texts)
+        frame_reader(std::string_view payload, frame_history& history)
+            : m_source(nullptr, payload.data(), payload.size())
             , m_history(history)
+        {
+        }
+
+        template <class Numbers>
+        void numbers(Numbers& values)
+        {
+            note(m_source(values));
+        }
+
+        // The id is empty where the frame itself tells it.
+        void beginTexts(const std::string& requestId)
         {
             m_history.beginFrame(requestId);
+            note(m_source.begin_sequence(m_textsLeft));
         }
 
-        std::string next()
+        std::string text()
         {
-            auto text = m_next < m_texts.size() ? m_history.restore(m_texts[m_next]) : std::nullopt;
-            ++m_next;
-            m_damaged = m_damaged || !text;
-            return text.value_or("");
+            if (m_damaged || m_textsLeft == 0) {
+                m_damaged = true;
+                return {};
+            }
+            --m_textsLeft;
+            shortened_text shortened;
+            note(m_source(shortened.shared));
+            shortened.rest = bytes();
+            auto restored = m_damaged ? std::nullopt : m_history.restore(shortened);
+            m_damaged = m_damaged || !restored;
+            return std::move(restored).value_or("");
         }
 
         // The rest of the texts.
         http_fields fields()
         {
             http_fields result;
-            while (m_next < m_texts.size()) {
-                auto name = next();
-                result.push_back({ std::move(name), next() });
+            result.reserve(std::min(m_textsLeft / textsOfField, mostReserved));
+            while (m_textsLeft > 0 && !m_damaged) {
+                auto name = text();
+                result.push_back({ std::move(name), text() });
             }
             return result;
         }
 
-        bool damaged() const { return m_damaged; }
+        std::string_view bytes()
+        {
+            std::size_t size = 0;
+            if (!m_damaged) {
+                note(m_source.begin_sequence(size));
+            }
+            if (m_damaged || size > m_source.remaining()) {
+                m_damaged = true;
+                return {};
+            }
+            std::string_view result(reinterpret_cast<const char*>(m_source.remainder().data()), size);
+            m_source.skip(size);
+            return result;
+        }
+
+        // Whether all was read, and nothing is left.
+        bool isWhole() const { return !m_damaged && m_textsLeft == 0 && m_source.remaining() == 0; }
+        bool isDamaged() const { return m_damaged; }
 
     private:
-        const std::vector<shortened_text>& m_texts;
+        static constexpr std::size_t mostReserved = 32;
+
+        void note(const caf::error& error) { m_damaged = m_damaged || error; }
+
+        caf::binary_deserializer m_source;
         frame_history& m_history;
-        std::size_t m_next = 0;
+        std::size_t m_textsLeft = 0;
         bool m_damaged = false;
     };
 
@@ -177,21 +247,17 @@
         return XXH3_64bits(bytes, size);
     }
 
-    template <class... Payload>
-    byte_vector frame(frame_kind kind, const Payload&... payload)
+    byte_vector frame_writer::finish(frame_kind kind)
     {
-        byte_vector bytes(frameHeadBytes);
-        caf::binary_serializer sink(nullptr, bytes);
-        sink.seek(frameHeadBytes);
-        if (sink(payload...)) {
+        if (m_failed) {
             return {};
         }
-        auto length = bytes.size() - frameHeadBytes;
-        auto* head = reinterpret_cast<unsigned char*>(bytes.data());
+        auto length = m_bytes.size() - frameHeadBytes;
+        auto* head = reinterpret_cast<unsigned char*>(m_bytes.data());
         boost::endian::store_little_u32(head, magic | static_cast<std::uint32_t>(kind) << kindShift);
         boost::endian::store_little_u32(head + lengthOffset, static_cast<std::uint32_t>(length));
-        boost::endian::store_little_u64(head + checksumOffset, checksum(bytes.data() + frameHeadBytes, length));
-        return bytes;
+        boost::endian::store_little_u64(head + checksumOffset, checksum(m_bytes.data() + frameHeadBytes, length));
+        return std::move(m_bytes);
     }
 
 }
@@ -212,134 +278,155 @@
     return head;
 }
 
-bool checksumMatches(const frame_head& head, const byte_vector& payload)
+bool checksumMatches(const frame_head& head, std::string_view payload)
 {
     return head.checksum == checksum(payload.data(), payload.size());
 }
 
+frame_search findFrame(std::string_view bytes, frame_kind kind, std::uint64_t maxBodyBytes, found_frame& found)
+{
+    if (bytes.size() < frameHeadBytes) {
+        return frame_search::Incomplete;
+    }
+    auto head = decodeHead(bytes.data());
+    if (!head || head->kind != kind || head->length > maxBodyBytes + frameOverheadBytes) {
+        return frame_search::Damaged;
+    }
+    if (bytes.size() < frameHeadBytes + head->length) {
+        return frame_search::Incomplete;
+    }
+    found = { *head, bytes.substr(frameHeadBytes, head->length) };
+    return checksumMatches(found.head, found.payload) ? frame_search::Found : frame_search::Damaged;
+}
+
 byte_vector encodeFrame(const call_request& request, std::chrono::steady_clock::time_point now, frame_history& history)
 {
     const auto& context = request.context;
     auto remaining = std::chrono::duration_cast<std::chrono::microseconds>(context.deadline - now);
-    request_payload payload;
-    payload.callId = request.callId;
-    payload.attempt.value = request.attempt;
-    payload.level = static_cast<std::uint8_t>(context.level);
-    payload.position.value = context.position;
-    payload.idempotent = context.idempotent;
-    payload.hasPermit = request.permit.has_value();
-    payload.retryTokens.value = context.retryTokens;
-    payload.depth.value = context.depth;
-    payload.remainingMicroseconds.value = static_cast<std::size_t>(std::clamp(remaining, std::chrono::microseconds(0), longestRemaining).count());
-    text_writer texts(payload.texts, history, {});
-    texts.add(context.requestId);
+    request_numbers numbers;
+    numbers.callId = request.callId;
+    numbers.attempt.value = request.attempt;
+    numbers.level = static_cast<std::uint8_t>(context.level);
+    numbers.position.value = context.position;
+    numbers.idempotent = context.idempotent;
+    numbers.hasPermit = request.permit.has_value();
+    numbers.retryTokens.value = context.retryTokens;
+    numbers.depth.value = context.depth;
+    numbers.remainingMicroseconds.value = static_cast<std::size_t>(std::clamp(remaining, std::chrono::microseconds(0), longestRemaining).count());
+    frame_writer writer(history, {});
+    writer.numbers(numbers);
+    writer.beginTexts(requestTexts + textsOfField * request.fields.size());
+    writer.text(context.requestId);
     history.learnRequestId(context.requestId);
-    texts.add(context.customer);
-    texts.add(context.requestClass);
-    texts.add(request.service);
-    texts.add(request.callerService);
-    texts.add(request.method);
-    texts.add(request.path);
-    texts.add(request.fields);
-    payload.body = request.body;
-    if (!request.permit) {
-        return frame(frame_kind::Request, payload);
+    writer.text(context.customer);
+    writer.text(context.requestClass);
+    writer.text(request.service);
+    writer.text(request.callerService);
+    writer.text(request.method);
+    writer.text(request.path);
+    writer.fields(request.fields);
+    writer.bytes(request.body);
+    if (request.permit) {
+        const auto& permit = *request.permit;
+        permit_payload payload { permit.home, permit.validUntil.count(), permit.nonce, permit.use, permit.claimed };
+        writer.numbers(payload);
     }
-    const auto& permit = *request.permit;
-    return frame(frame_kind::Request, payload, permit_payload { permit.home, permit.validUntil.count(), permit.nonce, permit.use, permit.claimed });
+    return writer.finish(frame_kind::Request);
 }
 
 byte_vector encodeFrame(const call_answer& answer, const std::string& requestId, frame_history& history)
 {
-    answer_payload payload;
-    payload.callId = answer.callId;
-    payload.attempt.value = answer.attempt;
-    payload.run = static_cast<std::uint8_t>(answer.outcome.run);
-    payload.reason = static_cast<std::uint8_t>(answer.outcome.reason);
-    payload.retryAfterMilliseconds.value = static_cast<std::size_t>(std::clamp(answer.outcome.retryAfter, std::chrono::milliseconds(0), longestRetryAfter).count());
-    payload.status.value = answer.status;
-    payload.nextUse.value = answer.nextUse;
-    payload.retryTokens.value = answer.retryTokens;
-    payload.cut.value = answer.cut;
-    payload.inFlight.value = answer.inFlight;
-    payload.limit.value = answer.limit;
-    payload.costMicroseconds.value = static_cast<std::size_t>(std::clamp(answer.cost.slotTime, std::chrono::microseconds(0), longestRemaining).count());
-    payload.zoneCrossings.value = answer.zoneCrossings;
-    text_writer texts(payload.texts, history, requestId);
-    texts.add(answer.cost.service);
-    texts.add(answer.fields);
-    payload.body = answer.body;
-    return frame(frame_kind::Answer, payload);
+    answer_numbers numbers;
+    numbers.callId = answer.callId;
+    numbers.attempt.value = answer.attempt;
+    numbers.run = static_cast<std::uint8_t>(answer.outcome.run);
+    numbers.reason = static_cast<std::uint8_t>(answer.outcome.reason);
+    numbers.retryAfterMilliseconds.value = static_cast<std::size_t>(std::clamp(answer.outcome.retryAfter, std::chrono::milliseconds(0), longestRetryAfter).count());
+    numbers.status.value = answer.status;
+    numbers.nextUse.value = answer.nextUse;
+    numbers.retryTokens.value = answer.retryTokens;
+    numbers.cut.value = answer.cut;
+    numbers.inFlight.value = answer.inFlight;
+    numbers.limit.value = answer.limit;
+    numbers.costMicroseconds.value = static_cast<std::size_t>(std::clamp(answer.cost.slotTime, std::chrono::microseconds(0), longestRemaining).count());
+    numbers.zoneCrossings.value = answer.zoneCrossings;
+    frame_writer writer(history, requestId);
+    writer.numbers(numbers);
+    writer.beginTexts(answerTexts + textsOfField * answer.fields.size());
+    writer.text(answer.cost.service);
+    writer.fields(answer.fields);
+    writer.bytes(answer.body);
+    return writer.finish(frame_kind::Answer);
 }
 
-std::optional<call_request> decodeRequest(const byte_vector& bytes, std::chrono::steady_clock::time_point now, frame_history& history)
+std::optional<call_request> decodeRequest(std::string_view bytes, std::chrono::steady_clock::time_point now, frame_history& history)
 {
-    caf::binary_deserializer source(nullptr, bytes);
-    request_payload payload;
-    if (source(payload) || payload.level >= importanceCount || payload.position.value >= sheddingPositionCount) {
+    frame_reader reader(bytes, history);
+    request_numbers numbers;
+    reader.numbers(numbers);
+    if (reader.isDamaged() || numbers.level >= importanceCount || numbers.position.value >= sheddingPositionCount) {
         return std::nullopt;
     }
     call_request request;
-    if (payload.hasPermit) {
-        permit_payload permit;
-        if (source(permit)) {
-            return std::nullopt;
-        }
-        request.permit = ticket { permit.home, std::chrono::milliseconds(permit.validUntilMilliseconds), permit.nonce, permit.use, permit.claimed };
-    }
     auto& context = request.context;
-    request.callId = payload.callId;
-    request.attempt = static_cast<std::uint32_t>(payload.attempt.value);
-    context.level = static_cast<importance>(payload.level);
-    context.position = static_cast<shedding_position>(payload.position.value);
-    context.idempotent = payload.idempotent;
-    context.retryTokens = static_cast<std::uint32_t>(payload.retryTokens.value);
-    context.depth = static_cast<std::uint32_t>(payload.depth.value);
-    auto remaining = std::chrono::microseconds(payload.remainingMicroseconds.value);
+    request.callId = numbers.callId;
+    request.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
+    context.level = static_cast<importance>(numbers.level);
+    context.position = static_cast<shedding_position>(numbers.position.value);
+    context.idempotent = numbers.idempotent;
+    context.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
+    context.depth = static_cast<std::uint32_t>(numbers.depth.value);
+    auto remaining = std::chrono::microseconds(numbers.remainingMicroseconds.value);
     context.deadline = now + std::min(remaining, longestRemaining);
-    text_reader texts(payload.texts, history, {});
-    context.requestId = texts.next();
+    reader.beginTexts({});
+    context.requestId = reader.text();
     history.learnRequestId(context.requestId);
-    context.customer = texts.next();
-    context.requestClass = texts.next();
-    request.service = texts.next();
-    request.callerService = texts.next();
-    request.method = texts.next();
-    request.path = texts.next();
-    request.fields = texts.fields();
-    request.body = std::move(payload.body);
-    if (texts.damaged() || source.remaining() != 0) {
+    context.customer = reader.text();
+    context.requestClass = reader.text();
+    request.service = reader.text();
+    request.callerService = reader.text();
+    request.method = reader.text();
+    request.path = reader.text();
+    request.fields = reader.fields();
+    request.body = std::string(reader.bytes());
+    if (numbers.hasPermit) {
+        permit_payload permit;
+        reader.numbers(permit);
+        request.permit = ticket { permit.home, std::chrono::milliseconds(permit.validUntilMilliseconds), permit.nonce, permit.use, permit.claimed };
+    }
+    if (!reader.isWhole()) {
         return std::nullopt;
     }
     return request;
 }
 
-std::optional<call_answer> decodeAnswer(const byte_vector& bytes, const std::string& requestId, frame_history& history)
+std::optional<call_answer> decodeAnswer(std::string_view bytes, const std::string& requestId, frame_history& history)
 {
-    caf::binary_deserializer source(nullptr, bytes);
-    answer_payload payload;
-    if (source(payload) || source.remaining() != 0 || payload.run > static_cast<std::uint8_t>(execution::Ran) || payload.reason >= verdictReasonCount) {
+    frame_reader reader(bytes, history);
+    answer_numbers numbers;
+    reader.numbers(numbers);
+    if (reader.isDamaged() || numbers.run > static_cast<std::uint8_t>(execution::Ran) || numbers.reason >= verdictReasonCount) {
         return std::nullopt;
     }
     call_answer answer;
-    answer.callId = payload.callId;
-    answer.attempt = static_cast<std::uint32_t>(payload.attempt.value);
-    answer.outcome.run = static_cast<execution>(payload.run);
-    answer.outcome.reason = static_cast<verdict_reason>(payload.reason);
-    answer.outcome.retryAfter = std::chrono::milliseconds(payload.retryAfterMilliseconds.value);
-    answer.status = static_cast<std::uint32_t>(payload.status.value);
-    answer.nextUse = static_cast<std::uint32_t>(payload.nextUse.value);
-    answer.retryTokens = static_cast<std::uint32_t>(payload.retryTokens.value);
-    answer.cut = static_cast<shedding_position>(payload.cut.value);
-    answer.inFlight = static_cast<std::uint32_t>(payload.inFlight.value);
-    answer.limit = static_cast<std::uint32_t>(payload.limit.value);
-    answer.cost.slotTime = std::chrono::microseconds(payload.costMicroseconds.value);
-    answer.zoneCrossings = static_cast<std::uint32_t>(payload.zoneCrossings.value);
-    text_reader texts(payload.texts, history, requestId);
-    answer.cost.service = texts.next();
-    answer.fields = texts.fields();
-    answer.body = std::move(payload.body);
-    if (texts.damaged()) {
+    answer.callId = numbers.callId;
+    answer.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
+    answer.outcome.run = static_cast<execution>(numbers.run);
+    answer.outcome.reason = static_cast<verdict_reason>(numbers.reason);
+    answer.outcome.retryAfter = std::chrono::milliseconds(numbers.retryAfterMilliseconds.value);
+    answer.status = static_cast<std::uint32_t>(numbers.status.value);
+    answer.nextUse = static_cast<std::uint32_t>(numbers.nextUse.value);
+    answer.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
+    answer.cut = static_cast<shedding_position>(numbers.cut.value);
+    answer.inFlight = static_cast<std::uint32_t>(numbers.inFlight.value);
+    answer.limit = static_cast<std::uint32_t>(numbers.limit.value);
+    answer.cost.slotTime = std::chrono::microseconds(numbers.costMicroseconds.value);
+    answer.zoneCrossings = static_cast<std::uint32_t>(numbers.zoneCrossings.value);
+    reader.beginTexts(requestId);
+    answer.cost.service = reader.text();
+    answer.fields = reader.fields();
+    answer.body = std::string(reader.bytes());
+    if (!reader.isWhole()) {
         return std::nullopt;
     }
     return answer;
--- a/Source/peer/call_codec.h
+++ b/Source/peer/call_codec.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace vanillashunt {
@@ -37,7 +38,7 @@
 // Returns nothing for bytes that are not a frame's head.
 std::optional<frame_head> decodeHead(const char* bytes);
 
-bool checksumMatches(const frame_head&, const byte_vector& payload);
+bool checksumMatches(const frame_head&, std::string_view payload);
 
 // The history is that of the connection and of the direction in which the frame goes;
 // every frame is to be sent. An answer's request id is the one of the request before it
@@ -47,7 +48,23 @@
 
 // Both return nothing for a payload that the encoder cannot have made; nothing that
 // comes behind it on the connection can be read then.
-std::optional<call_request> decodeRequest(const byte_vector& payload, std::chrono::steady_clock::time_point now, frame_history&);
-std::optional<call_answer> decodeAnswer(const byte_vector& payload, const std::string& requestId, frame_history&);
+std::optional<call_request> decodeRequest(std::string_view payload, std::chrono::steady_clock::time_point now, frame_history&);
+std::optional<call_answer> decodeAnswer(std::string_view payload, const std::string& requestId, frame_history&);
+
+// The first frame that stands whole in some bytes.
+struct found_frame {
+    frame_head head;
+    std::string_view payload;
+};
+
+enum class frame_search {
+    Found,
+    // The bytes are the beginning of a frame.
+    Incomplete,
+    // They are no frame of the kind, or one that is longer than it may be or damaged.
+    Damaged,
+};
+
+frame_search findFrame(std::string_view bytes, frame_kind, std::uint64_t maxBodyBytes, found_frame&);
 
 }
--- a/Source/peer/frame_history.cpp
+++ b/Source/peer/frame_history.cpp
@@ -21,13 +21,17 @@
     return m_next < m_texts.size() ? m_texts[m_next] : nothing;
 }
 
-void frame_history::remember(const std::string& text)
+// What is remembered keeps its first bytes: most texts are the same as in the frame
+// before, and nothing is copied for them.
+void frame_history::remember(std::size_t shared, std::string_view rest)
 {
     if (m_next == m_texts.size() && m_next < mostTexts) {
         m_texts.emplace_back();
     }
     if (m_next < m_texts.size()) {
-        m_texts[m_next].assign(text, 0, longestRemembered);
+        auto& known = m_texts[m_next];
+        known.resize(shared);
+        known.append(rest.substr(0, longestRemembered - shared));
     }
     ++m_next;
 }
@@ -35,7 +39,7 @@
 shortened_text frame_history::shorten(const std::string& text)
 {
     if (!m_requestId.empty() && text == m_requestId) {
-        remember(text);
+        remember(0, text);
         return { shortened_text::isRequestId, {} };
     }
     const auto& known = previous();
@@ -43,23 +47,26 @@
     auto end = static_cast<std::ptrdiff_t>(length);
     auto firstOther = std::mismatch(known.begin(), known.begin() + end, text.begin()).first;
     auto shared = static_cast<std::size_t>(firstOther - known.begin());
-    shortened_text result { static_cast<std::uint8_t>(shared), text.substr(shared) };
-    remember(text);
+    shortened_text result { static_cast<std::uint8_t>(shared), std::string_view(text).substr(shared) };
+    remember(shared, result.rest);
     return result;
 }
 
 std::optional<std::string> frame_history::restore(const shortened_text& shortened)
 {
     if (shortened.shared == shortened_text::isRequestId) {
-        remember(m_requestId);
+        remember(0, m_requestId);
         return m_requestId.empty() ? std::nullopt : std::optional(m_requestId);
     }
     const auto& known = previous();
     if (shortened.shared > known.size()) {
         return std::nullopt;
     }
-    auto text = known.substr(0, shortened.shared) + shortened.rest;
-    remember(text);
+    std::string text;
+    text.reserve(shortened.shared + shortened.rest.size());
+    text.append(known, 0, shortened.shared);
+    text.append(shortened.rest);
+    remember(shortened.shared, shortened.rest);
     return text;
 }
 
--- a/Source/peer/frame_history.h
+++ b/Source/peer/frame_history.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace vanillashunt {
@@ -15,7 +16,8 @@
     static constexpr std::uint8_t isRequestId = 255;
 
     std::uint8_t shared = 0;
-    std::string rest;
+    // Part of the text that was shortened, or of the frame that was read.
+    std::string_view rest;
 };
 
 // The texts of the last frame that went one way over a connection, in their order.
@@ -43,7 +45,7 @@
 
 private:
     const std::string& previous() const;
-    void remember(const std::string& text);
+    void remember(std::size_t shared, std::string_view rest);
 
     std::vector<std::string> m_texts;
     // Of the present frame; empty before it is known.
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +37,8 @@
 
 namespace {
 
+    using time_point = std::chrono::steady_clock::time_point;
+
     // One connection to one peer, with at most one call in progress.
     class peer_connection : public std::enable_shared_from_this<peer_connection> {
     public:
@@ -52,29 +53,23 @@
 
         std::uint64_t startedId = 0;
 
-        void start(const call_request& request)
+        time_point idleUntil() const { return m_connection.idleUntil(); }
+
+        void start(const call_request& request, time_point now)
         {
             m_callId = request.callId;
             m_attempt = request.attempt;
             m_requestId = request.context.requestId;
-            m_outgoing = encodeFrame(request, std::chrono::steady_clock::now(), m_sentFrames);
+            m_outgoing = encodeFrame(request, now, m_sentFrames);
             m_connection.use();
-            if (m_connection.socket().is_open()) {
+            if (m_connection.isOpen()) {
                 write();
                 return;
             }
             connect();
         }
 
-        // A peer that closes an idle connection is noticed before a call is lost on it.
-        void becomeIdle()
-        {
-            m_connection.becomeIdle(m_idleTimeout, [self = shared_from_this()] {
-                if (auto client = self->m_client.lock()) {
-                    client->pool.dropIdle(self);
-                }
-            });
-        }
+        void becomeIdle() { m_connection.becomeIdle(std::chrono::steady_clock::now(), m_idleTimeout); }
 
         void close() { m_connection.close(); }
 
@@ -90,6 +85,7 @@
                     self->connectFailed();
                     return;
                 }
+                self->read();
                 self->write();
             });
         }
@@ -104,67 +100,82 @@
 
         void write()
         {
-            asio::async_write(m_connection.socket(), asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
+            m_written = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
+                self->m_written = !error;
                 // A peer that refuses early may have answered before it closed.
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
                     self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
-                    return;
                 }
-                self->readHead();
             });
         }
 
-        void readHead()
+        void read()
         {
-            asio::async_read(m_connection.socket(), asio::buffer(m_head), [self = shared_from_this()](error_code error, std::size_t) {
-                if (error) {
-                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
-                    return;
-                }
-                self->readPayload();
-            });
+            m_connection.stream().read([self = shared_from_this()](const error_code& error) { self->bytesArrived(error); });
         }
 
-        void readPayload()
+        void bytesArrived(const error_code& error)
         {
-            auto client = m_client.lock();
-            auto head = decodeHead(m_head.data());
-            if (!client || !head || head->kind != frame_kind::Answer
-                || head->length > client->settings.maxBodyBytes + frameOverheadBytes) {
-                failDamaged();
+            if (m_connection.isClosed()) {
                 return;
             }
-            m_payload.resize(head->length);
-            asio::async_read(m_connection.socket(), asio::buffer(m_payload), [self = shared_from_this(), head = *head](error_code error, std::size_t) {
-                if (error) {
-                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
-                    return;
-                }
-                self->answerArrived(head);
-            });
+            if (m_connection.isIdle()) {
+                // A peer that closes an idle connection is noticed before a call is lost on it.
+                endIdle();
+                return;
+            }
+            if (error) {
+                fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                return;
+            }
+            findAnswer();
+            if (!m_connection.isClosed()) {
+                read();
+            }
         }
 
-        void answerArrived(const frame_head& head)
+        void endIdle()
         {
-            if (!checksumMatches(head, m_payload)) {
-                failDamaged();
+            m_connection.close();
+            if (auto client = m_client.lock()) {
+                client->pool.dropIdle(shared_from_this());
+            }
+        }
+
+        void findAnswer()
+        {
+            auto client = m_client.lock();
+            if (!client) {
+                close();
                 return;
             }
-            auto answer = decodeAnswer(m_payload, m_requestId, m_receivedFrames);
-            if (!answer) {
-                failDamaged();
+            auto& received = m_connection.stream().received();
+            found_frame found;
+            auto search = findFrame({ static_cast<const char*>(received.data().data()), received.size() }, frame_kind::Answer, client->settings.maxBodyBytes, found);
+            if (search == frame_search::Incomplete) {
                 return;
             }
-            auto client = m_client.lock();
-            if (!client || m_connection.isClosed()) {
+            std::optional<call_answer> answer;
+            if (search == frame_search::Found) {
+                answer = decodeAnswer(found.payload, m_requestId, m_receivedFrames);
+            }
+            if (!answer) {
+                failDamaged();
                 return;
             }
-            if (answer->callId != m_callId || answer->attempt != m_attempt) {
-                ++client->counts.crossedAnswers;
+            received.consume(frameHeadBytes + found.payload.size());
+            answerArrived(*client, std::move(*answer));
+        }
+
+        void answerArrived(peer_client::state& client, call_answer answer)
+        {
+            if (answer.callId != m_callId || answer.attempt != m_attempt) {
+                ++client.counts.crossedAnswers;
                 fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
                 return;
             }
-            end(*client, std::move(*answer), true);
+            bool nothingFollows = m_connection.stream().received().size() == 0;
+            end(client, std::move(answer), nothingFollows && m_written);
         }
 
         void end(peer_client::state& client, call_answer answer, bool reusable)
@@ -198,8 +209,7 @@
         frame_history m_sentFrames;
         frame_history m_receivedFrames;
         byte_vector m_outgoing;
-        std::array<char, frameHeadBytes> m_head {};
-        byte_vector m_payload;
+        bool m_written = false;
     };
 
 }
@@ -213,12 +223,13 @@
 
 std::uint64_t peer_client::start(const std::string& address, const call_request& request, answer_handler handler)
 {
-    auto connection = m_state->pool.takeIdle(address);
+    auto now = std::chrono::steady_clock::now();
+    auto connection = m_state->pool.takeIdle(address, now);
     if (!connection) {
         connection = std::make_shared<peer_connection>(m_state, address);
     }
     auto id = m_state->pool.begin(connection, std::move(handler));
-    connection->start(request);
+    connection->start(request, now);
     return id;
 }
 
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -2,12 +2,11 @@
 
 #include "http/connection_acceptor.h"
 #include "http/socket_address.h"
+#include "http/socket_stream.h"
 #include "peer/call_codec.h"
 
 #include <boost/asio.hpp>
 
-#include <array>
-
 namespace vanillashunt {
 
 namespace asio = boost::asio;
@@ -34,44 +33,39 @@
     class peer_session : public std::enable_shared_from_this<peer_session> {
     public:
         peer_session(tcp::socket socket, std::shared_ptr<peer_server::state> server)
-            : m_socket(std::move(socket))
+            : m_stream(std::move(socket))
             , m_server(std::move(server))
         {
         }
 
-        void readHead()
+        // A peer sends nothing while it waits, so that anything but the next frame, and
+        // the end of the connection above all, means that it gave up.
+        void read()
         {
-            asio::async_read(m_socket, asio::buffer(m_head), [self = shared_from_this()](error_code error, std::size_t) {
-                if (error) {
-                    self->close();
-                    return;
-                }
-                self->readPayload();
-            });
+            m_stream.read([self = shared_from_this()](const error_code& error) { self->bytesArrived(error); });
         }
 
     private:
         class exchange;
 
-        void readPayload();
-        void requestArrived(const frame_head&);
-        void watchPeer();
-        void peerReadable(const error_code&, std::uint64_t exchangeNumber);
+        void bytesArrived(const error_code&);
+        void findRequest();
+        void requestArrived(std::string_view payload);
         void send(const call_answer&);
+        void sent();
         void closeDamaged();
         void close();
 
-        tcp::socket m_socket;
+        socket_stream m_stream;
         std::shared_ptr<peer_server::state> m_server;
         frame_history m_receivedFrames;
         frame_history m_sentFrames;
         // Of the request in progress.
         std::string m_requestId;
-        std::array<char, frameHeadBytes> m_head {};
-        byte_vector m_payload;
         byte_vector m_outgoing;
         std::shared_ptr<exchange> m_exchange;
-        std::uint64_t m_exchangeNumber = 0;
+        bool m_answering = false;
+        bool m_closed = false;
     };
 
     class peer_session::exchange : public peer_exchange {
@@ -109,74 +103,77 @@
         std::function<void()> m_whenCancelled;
     };
 
-    void peer_session::readPayload()
+    void peer_session::bytesArrived(const error_code& error)
     {
-        auto head = decodeHead(m_head.data());
-        if (!head || head->kind != frame_kind::Request || head->length > m_server->maxBodyBytes + frameOverheadBytes) {
-            closeDamaged();
+        if (m_closed) {
             return;
         }
-        m_payload.resize(head->length);
-        asio::async_read(m_socket, asio::buffer(m_payload), [self = shared_from_this(), head = *head](error_code error, std::size_t) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->requestArrived(head);
-        });
+        if (error || m_exchange) {
+            close();
+            return;
+        }
+        // The next request may be here before the system has told that the answer left.
+        if (!m_answering) {
+            findRequest();
+        }
+        if (!m_closed) {
+            read();
+        }
     }
 
-    void peer_session::requestArrived(const frame_head& head)
+    void peer_session::findRequest()
     {
-        if (!checksumMatches(head, m_payload)) {
+        auto& received = m_stream.received();
+        found_frame found;
+        auto search = findFrame({ static_cast<const char*>(received.data().data()), received.size() }, frame_kind::Request, m_server->maxBodyBytes, found);
+        if (search == frame_search::Incomplete) {
+            return;
+        }
+        bool isOnlyOne = frameHeadBytes + found.payload.size() == received.size();
+        if (search == frame_search::Damaged || !isOnlyOne) {
             closeDamaged();
             return;
         }
-        auto request = decodeRequest(m_payload, std::chrono::steady_clock::now(), m_receivedFrames);
+        requestArrived(found.payload);
+    }
+
+    void peer_session::requestArrived(std::string_view payload)
+    {
+        auto request = decodeRequest(payload, std::chrono::steady_clock::now(), m_receivedFrames);
         if (!request) {
             closeDamaged();
             return;
         }
+        auto& received = m_stream.received();
+        received.consume(received.size());
         m_requestId = request->context.requestId;
         m_exchange = std::make_shared<exchange>(shared_from_this());
         ++m_server->inProgress;
-        ++m_exchangeNumber;
-        watchPeer();
         m_server->handler(std::move(*request), m_exchange);
     }
 
-    // A peer sends nothing while it waits, so a readable socket means that it gave up.
-    void peer_session::watchPeer()
-    {
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), number = m_exchangeNumber](error_code error) {
-            self->peerReadable(error, number);
-        });
-    }
-
-    void peer_session::peerReadable(const error_code& error, std::uint64_t exchangeNumber)
-    {
-        if (error || exchangeNumber != m_exchangeNumber || !m_exchange) {
-            return;
-        }
-        auto gone = std::exchange(m_exchange, nullptr);
-        --m_server->inProgress;
-        close();
-        gone->cancelled();
-    }
-
     void peer_session::send(const call_answer& answer)
     {
         m_exchange.reset();
-        ++m_exchangeNumber;
+        m_answering = true;
         m_outgoing = encodeFrame(answer, m_requestId, m_sentFrames);
-        asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](error_code error, std::size_t) {
-            --self->m_server->inProgress;
+        bool whole = m_stream.send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
+            self->sent();
             if (error) {
                 self->close();
-                return;
+            } else if (!self->m_closed) {
+                self->findRequest();
             }
-            self->readHead();
         });
+        if (whole) {
+            sent();
+        }
+    }
+
+    void peer_session::sent()
+    {
+        m_answering = false;
+        --m_server->inProgress;
     }
 
     void peer_session::closeDamaged()
@@ -187,8 +184,13 @@
 
     void peer_session::close()
     {
+        m_closed = true;
         error_code ignored;
-        m_socket.close(ignored);
+        m_stream.socket().close(ignored);
+        if (auto gone = std::exchange(m_exchange, nullptr)) {
+            --m_server->inProgress;
+            gone->cancelled();
+        }
     }
 
 }
@@ -200,7 +202,7 @@
     m_state->acceptor = std::make_unique<connection_acceptor>(context, listenAddress, [server](tcp::socket socket) {
         if (auto known = server.lock()) {
             watchLiveness(socket);
-            std::make_shared<peer_session>(std::move(socket), known)->readHead();
+            std::make_shared<peer_session>(std::move(socket), known)->read();
         }
     });
 }
--- a/Tests/Measure/main.cpp
+++ b/Tests/Measure/main.cpp
@@ -1,3 +1,4 @@
+#include "Measure/call_cost.h"
 #include "Measure/membership_figures.h"
 #include "Measure/path_cost.h"
 #include "Measure/scenario_report.h"
@@ -18,6 +19,9 @@
     // More nodes do not run beside each other on one machine without being slow by that alone.
     constexpr std::size_t mostNodes = 150;
 
+    // Of the scenario "call-cost": what one node of a deep service with few servers carries.
+    constexpr double defaultCallsPerSecond = 2000;
+
     struct measure_options {
         std::string scenarioName;
         // Empty for all.
@@ -66,7 +70,7 @@
             }
         }
         if (optind + 1 != argc) {
-            std::string names = " path membership configuration";
+            std::string names = " path call-cost membership configuration";
             for (const auto& name : scenarioNames()) {
                 names += " " + name;
             }
@@ -90,6 +94,10 @@
             std::cout << oneLine(measurePathCost(options.seed)) << std::endl;
             return;
         }
+        if (options.scenarioName == "call-cost") {
+            std::cout << oneLine(measureCallCost(options.load.value_or(defaultCallsPerSecond))) << std::endl;
+            return;
+        }
         if (options.scenarioName == "membership") {
             std::cout << oneLine(measureMembership(options.nodes)) << std::endl;
             return;
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -34,6 +34,11 @@
         return text;
     }
 
+    std::string_view payloadOf(const byte_vector& frame)
+    {
+        return std::string_view(frame.data(), frame.size()).substr(frameHeadBytes);
+    }
+
     call_request sampleRequest()
     {
         call_request request;
@@ -62,7 +67,7 @@
     auto bytes = encodeFrame(request, now, sent);
     auto head = decodeHead(bytes.data());
     ASSERT_TRUE(head);
-    byte_vector payload(bytes.begin() + frameHeadBytes, bytes.end());
+    auto payload = payloadOf(bytes);
     EXPECT_TRUE(checksumMatches(*head, payload));
     auto read = decodeRequest(payload, now, received);
     ASSERT_TRUE(read);
@@ -95,7 +100,7 @@
         auto bytes = encodeFrame(request, now, sent);
         frame_history ofNewConnection;
         auto whole = encodeFrame(request, now, ofNewConnection);
-        auto read = decodeRequest({ bytes.begin() + frameHeadBytes, bytes.end() }, now, received);
+        auto read = decodeRequest(payloadOf(bytes), now, received);
         ASSERT_TRUE(read);
         EXPECT_EQ(read->context.requestId, request.context.requestId);
         EXPECT_EQ(read->path, request.path);
@@ -126,7 +131,7 @@
         answer.fields = { { "X-Request-Id", echoed }, { "Content-Type", "text/plain" } };
         answer.cost = { "notices", std::chrono::milliseconds(120) };
         auto bytes = encodeFrame(answer, id, sent);
-        auto read = decodeAnswer({ bytes.begin() + frameHeadBytes, bytes.end() }, id, received);
+        auto read = decodeAnswer(payloadOf(bytes), id, received);
         ASSERT_TRUE(read);
         ASSERT_EQ(read->fields.size(), 2U);
         EXPECT_EQ(read->fields[0].value, echoed);
@@ -143,7 +148,7 @@
     encodeFrame(sampleRequest(), now, sent);
     auto second = encodeFrame(sampleRequest(), now, sent);
     frame_history ofAnotherConnection;
-    EXPECT_FALSE(decodeRequest({ second.begin() + frameHeadBytes, second.end() }, now, ofAnotherConnection));
+    EXPECT_FALSE(decodeRequest(payloadOf(second), now, ofAnotherConnection));
 }
 
 TEST(OutsideBytes, DamagedFramesNeverCrashAndNeverPassTheChecksum)
@@ -156,7 +161,7 @@
     auto head = *decodeHead(request.data());
     for (int i = 0; i < rounds; ++i) {
         auto text = damage(original, random);
-        byte_vector payload(text.begin(), text.end());
+        std::string_view payload = text;
         frame_history received;
         decodeRequest(payload, now, received);
         decodeAnswer(payload, "0123456789abcdef", received);
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -64,7 +64,7 @@
 
         void respond()
         {
-            auto request = decodeRequest(m_payload, std::chrono::steady_clock::now(), m_received);
+            auto request = decodeRequest({ m_payload.data(), m_payload.size() }, std::chrono::steady_clock::now(), m_received);
             m_bytes = m_answer(*request);
             asio::async_write(m_socket, asio::buffer(m_bytes), [this](boost::system::error_code, std::size_t) { m_socket.close(); });
         }
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -63,9 +63,9 @@
     return m_started.substr(place, m_started.find('"', place) - place);
 }
 
-void routed_node::report(const std::string& state, int sequence, const std::string& service, const std::string& instance)
+void routed_node::report(const std::string& state, int sequence, const std::string& service, const std::string& instance, std::uint32_t slots)
 {
-    auto body = R"({"service":")" + service + R"(","address":"x","zone":"a","capacity":8,"state":")" + state + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
+    auto body = R"({"service":")" + service + R"(","address":"x","zone":"a","capacity":)" + std::to_string(slots) + R"(,"state":")" + state + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
     auto socket = raw_socket::connectTo(port("backend"));
     socket.send("POST /Instances.Heartbeat/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     if (socket.readUntil("\r\n\r\n").find("200") == std::string::npos) {
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -4,6 +4,7 @@
 #include "RawSocket/raw_socket.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,7 +40,7 @@
     std::string port(const std::string& which) const;
 
     // What the server beside the node reports.
-    void report(const std::string& state, int sequence, const std::string& service, const std::string& instance = "i-1");
+    void report(const std::string& state, int sequence, const std::string& service, const std::string& instance = "i-1", std::uint32_t slots = 8);
 
     // Status of the answer to whether it is ready.
     std::string ready();
