Let whole requests that the cut lets in wait among the calls of begun ones

Hypothesis: a service that is called for others and has clients of its own starts its whole requests only when none of the others' calls waits.

Change: whole requests above the cut have their place in the same queue, by the same order, where the service got calls of begun requests in the last second. A begun call counts for the order of shedding by the importance of its request, not as a confirmed one: its refusal used to bar all lesser whole requests. Found on the way: a barred request at the head of the queue kept free slots from begun calls behind it (2.4 of 30 slots idle with 67 calls waiting, in the test's model).

Ruled out: placing them behind, with a longer queue (the wait is the harm); giving them a part of the slots of their own (a constant nobody can observe).

Measured: test WholeRequestsBesideCalls, 0.31 -> 0.94 in time, calls 0.998 -> 0.991.

--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -27,6 +27,21 @@
     // Part of a window during which all slots must be in use to measure the drain.
     constexpr double fullPart = 0.25;
 
+    // The place of a call of a begun request in the queue.
+    constexpr shedding_position amongBegun(shedding_position position)
+    {
+        return position / importanceCount + confirmedBase;
+    }
+
+    constexpr bool isWholeAmongBegun(const waiting_call& call)
+    {
+        return !call.begun && call.position != call.shedAt;
+    }
+
+    // A service that got a call of a begun request within this time is one that runs of
+    // other services call: such calls come many times in a second or not at all.
+    constexpr std::chrono::milliseconds begunMemory { 1000 };
+
     constexpr std::chrono::milliseconds leastRetryAfter { 100 };
     constexpr std::chrono::milliseconds mostRetryAfter { 1000 };
     // Time over which refusals are counted.
@@ -64,6 +79,7 @@
     waiting_call call;
     call.callId = request.callId;
     call.position = std::min(request.position, sheddingPositionCount - 1);
+    call.shedAt = call.position;
     call.begun = request.begun;
     call.customer = m_shares.indexOf(request.customer);
     call.deadline = request.deadline;
@@ -99,11 +115,15 @@
     m_cut.arrived(call.customer, call.position);
     if (call.begun) {
         // Refusing it would waste what was done; the cut keeps the next ones out.
+        m_lastBegun = now;
         return arriveBegun(call, now);
     }
     if (call.position < m_cut.get(call.customer) && mayRefuse(call, now)) {
         return refuseForOverload(call, overloadReason(call), now);
     }
+    if (now - m_lastBegun < begunMemory && mayStart(call, now)) {
+        return arriveAmongBegun(call, now);
+    }
     const auto* first = m_waiting.next();
     bool goesFirst = !first || first->position / positionsPerImportance < call.position / positionsPerImportance;
     if (slotFree() && goesFirst && mayStart(call, now)) {
@@ -118,25 +138,47 @@
 
 admission_decision admission_gate::arriveBegun(waiting_call call, std::chrono::steady_clock::time_point now)
 {
-    // Ordered among themselves as before, and ahead of whatever is not begun.
-    call.position = call.position / importanceCount + confirmedBase;
-    if (slotFree() && (!m_waiting.next() || m_waiting.next()->position < confirmedBase)) {
+    // Ordered among themselves as before, and ahead of what is neither begun nor let in by the cut.
+    call.position = amongBegun(call.position);
+    return waitAmongBegun(call, now);
+}
+
+// A whole request at a service that runs of other services call, too. It waits among
+// their calls, by the same order: behind all of them it would be started only when none
+// of them waits, hence hardly ever under overload, though the cut has let it in. Where
+// calls of 22 ms alone fill 0.95 of 30 slots, 0.94 of the whole requests of 72 ms are so
+// answered within 250 ms and 0.31 otherwise, and 0.99 of the calls either way (the test
+// WholeRequestsBesideCalls).
+admission_decision admission_gate::arriveAmongBegun(waiting_call call, std::chrono::steady_clock::time_point now)
+{
+    call.position = amongBegun(call.position);
+    return waitAmongBegun(call, now);
+}
+
+admission_decision admission_gate::waitAmongBegun(const waiting_call& call, std::chrono::steady_clock::time_point now)
+{
+    const auto* first = m_waiting.next();
+    if (slotFree() && (!first || first->position < confirmedBase)) {
         return run(call, now);
     }
-    if (waitsTooLong(call, now)) {
+    if (waitsTooLong(call, now) && mayShed(call, now)) {
         noteNoRoom();
         return refuseForOverload(call, verdict_reason::Overload, now);
     }
     m_waiting.add(call);
-    if (m_waiting.sizeOf(importance::Confirmed) > begunQueueBound(m_limitNow, m_drainRate)) {
-        noteNoRoom();
-        auto worst = *m_waiting.worst(importance::Confirmed, call.customer);
-        if (worst.callId == call.callId) {
-            m_waiting.remove(call.callId);
-            return refuseForOverload(call, verdict_reason::Overload, now);
-        }
-        evict(worst, now);
+    if (m_waiting.sizeOf(importance::Confirmed) <= begunQueueBound(m_limitNow, m_drainRate)) {
+        return { admission_outcome::Wait, {} };
+    }
+    noteNoRoom();
+    auto worst = *m_waiting.worst(importance::Confirmed, call.customer);
+    if (!mayShed(worst, now)) {
+        return { admission_outcome::Wait, {} };
     }
+    if (worst.callId == call.callId) {
+        m_waiting.remove(call.callId);
+        return refuseForOverload(call, verdict_reason::Overload, now);
+    }
+    evict(worst, now);
     return { admission_outcome::Wait, {} };
 }
 
@@ -185,7 +227,9 @@
         m_runningOf.resize(call.customer + 1);
     }
     ++m_runningOf[call.customer];
-    m_order.admitted(call.position, now);
+    if (!call.begun) {
+        m_order.admitted(call.shedAt, now);
+    }
     ++m_counters.admitted;
     return { admission_outcome::Run, {} };
 }
@@ -202,8 +246,8 @@
 
 admission_decision admission_gate::refuseForOverload(const waiting_call& call, verdict_reason reason, std::chrono::steady_clock::time_point now)
 {
-    m_order.refused(call.position, now);
-    ++m_counters.shed[call.position / positionsPerImportance];
+    m_order.refused(call.shedAt, now);
+    ++m_counters.shed[call.shedAt / positionsPerImportance];
     return refuse(reason);
 }
 
@@ -220,12 +264,18 @@
 
 bool admission_gate::mayRefuse(const waiting_call& call, std::chrono::steady_clock::time_point now) const
 {
-    return !m_settings.rules.confirmedLast || m_order.mayRefuse(call.position, now);
+    return !m_settings.rules.confirmedLast || m_order.mayRefuse(call.shedAt, now);
+}
+
+// The promise on the order of shedding is one about whole requests.
+bool admission_gate::mayShed(const waiting_call& call, std::chrono::steady_clock::time_point now) const
+{
+    return call.begun || mayRefuse(call, now);
 }
 
 bool admission_gate::mayStart(const waiting_call& call, std::chrono::steady_clock::time_point now) const
 {
-    if (m_settings.rules.confirmedLast && !m_order.mayAdmit(call.position, now)) {
+    if (m_settings.rules.confirmedLast && !call.begun && !m_order.mayAdmit(call.shedAt, now)) {
         return false;
     }
     if (m_settings.rules.lendUnusedShares || call.customer >= m_runningOf.size()) {
@@ -351,9 +401,17 @@
 {
     while (slotFree()) {
         const auto* next = m_waiting.next();
-        if (!next || !mayStart(*next, now)) {
+        if (!next) {
             return;
         }
+        if (!mayStart(*next, now)) {
+            if (!isWholeAmongBegun(*next)) {
+                return;
+            }
+            // It would keep the calls of begun requests behind it from free slots.
+            evict(*next, now);
+            continue;
+        }
         auto call = m_waiting.takeNext();
         if (cannotFinish(call, now)) {
             m_released.push_back({ call.callId, refuse(verdict_reason::DeadlineTooShort) });
--- a/Source/decision/admission_gate.h
+++ b/Source/decision/admission_gate.h
@@ -33,7 +33,8 @@
     // The contract's class; the time that a call needs is measured for each.
     std::string requestClass;
     // Whether it is part of a request on which work has been done already. Such a
-    // call is not refused by the cut, and waits before all others.
+    // call is not refused by the cut, and waits before whole requests that the
+    // cut does not let in; among the others it has its place in the order.
     bool begun = false;
 };
 
@@ -164,12 +165,15 @@
     admission_decision arriveHop(const waiting_call&);
     admission_decision arriveFull(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision arriveBegun(waiting_call, std::chrono::steady_clock::time_point now);
+    admission_decision arriveAmongBegun(waiting_call, std::chrono::steady_clock::time_point now);
+    admission_decision waitAmongBegun(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision placeInQueue(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision run(const waiting_call&, std::chrono::steady_clock::time_point now);
     admission_decision refuse(verdict_reason);
     admission_decision refuseForOverload(const waiting_call&, verdict_reason, std::chrono::steady_clock::time_point now);
     verdict_reason overloadReason(const waiting_call&) const;
     bool mayRefuse(const waiting_call&, std::chrono::steady_clock::time_point now) const;
+    bool mayShed(const waiting_call&, std::chrono::steady_clock::time_point now) const;
     bool mayStart(const waiting_call&, std::chrono::steady_clock::time_point now) const;
     bool cannotFinish(const waiting_call&, std::chrono::steady_clock::time_point now) const;
     bool waitsTooLong(const waiting_call&, std::chrono::steady_clock::time_point now) const;
@@ -192,6 +196,8 @@
     std::uint32_t m_limitNow = 0;
     customer_shares m_shares;
     waiting_calls m_waiting { m_shares };
+    // When the last call of a begun request came.
+    std::chrono::steady_clock::time_point m_lastBegun;
     // First-in-first-out; only with the policy Hop.
     std::deque<waiting_call> m_line;
     shedding_cut m_cut { m_shares };
--- a/Source/decision/waiting_calls.h
+++ b/Source/decision/waiting_calls.h
@@ -20,7 +20,10 @@
 
 struct waiting_call {
     std::uint64_t callId = 0;
+    // Where it waits; for a call that is ranked among those of begun requests this is
+    // another position than the one by which it is shed.
     shedding_position position = 0;
+    shedding_position shedAt = 0;
     customer_index customer = 0;
     std::chrono::steady_clock::time_point deadline;
     class_index requestClass = 0;
