--- /dev/null
+++ b/Tests/SocketStream/socket_stream_test.cpp
@@ -0,0 +1,184 @@
+#include "http/message_parser.h"
+#include "http/socket_stream.h"
+
+#include <boost/asio.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace vanillashunt {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+    using boost::system::error_code;
+
+    // Both ends of one connection.
+    class connected_pair {
+    public:
+        connected_pair()
+            : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+            , other(context)
+            , stream(context)
+        {
+            stream.socket().connect(m_acceptor.local_endpoint());
+            m_acceptor.accept(other);
+        }
+
+        asio::io_context context;
+
+    private:
+        tcp::acceptor m_acceptor;
+
+    public:
+        tcp::socket other;
+        socket_stream stream;
+    };
+
+    std::string take(socket_stream& stream)
+    {
+        auto bytes = stream.received().data();
+        std::string text(static_cast<const char*>(bytes.data()), bytes.size());
+        stream.received().consume(text.size());
+        return text;
+    }
+
+    // What the parser finds in the text, given to it byte by byte.
+    template <bool isRequest>
+    message_parser<isRequest> parsed(const std::string& text)
+    {
+        message_parser<isRequest> parser;
+        boost::beast::flat_buffer buffer;
+        for (char byte : text) {
+            *static_cast<char*>(buffer.prepare(1).data()) = byte;
+            buffer.commit(1);
+            error_code error;
+            while (buffer.size() > 0 && !error && !parser.is_done()) {
+                buffer.consume(parser.put(buffer.data(), error));
+            }
+        }
+        return parser;
+    }
+
+}
+
+TEST(SocketStream, TellsWhatComesAndThenTheEnd)
+{
+    connected_pair pair;
+    asio::write(pair.other, asio::buffer(std::string("first")));
+    error_code seen = asio::error::would_block;
+    pair.stream.read([&](const error_code& error) { seen = error; });
+    pair.context.run();
+    EXPECT_FALSE(seen);
+    EXPECT_EQ(take(pair.stream), "first");
+    pair.other.close();
+    pair.stream.read([&](const error_code& error) { seen = error; });
+    pair.context.restart();
+    pair.context.run();
+    EXPECT_EQ(seen, asio::error::eof);
+}
+
+// A body of a machine's file is some 60 KB, and the first read takes 2 KB.
+TEST(SocketStream, TakesAMessageThatIsLongerThanARead)
+{
+    connected_pair pair;
+    std::string sent(300000, 'x');
+    std::size_t taken = 0;
+    int reads = 0;
+    std::function<void(const error_code&)> more = [&](const error_code& error) {
+        ASSERT_FALSE(error);
+        ++reads;
+        taken += take(pair.stream).size();
+        if (taken < sent.size()) {
+            pair.stream.read(more);
+        }
+    };
+    pair.stream.read(more);
+    asio::async_write(pair.other, asio::buffer(sent), [](error_code, std::size_t) {});
+    pair.context.run();
+    EXPECT_EQ(taken, sent.size());
+    EXPECT_LT(reads, 100) << "reads grow with what comes";
+}
+
+TEST(SocketStream, SendsAtOnceWhatTheSystemTakes)
+{
+    connected_pair pair;
+    std::string bytes = "an answer";
+    bool told = false;
+    EXPECT_TRUE(pair.stream.send(asio::buffer(bytes), [&](const error_code&, std::size_t) { told = true; }));
+    pair.context.run();
+    EXPECT_FALSE(told);
+    std::string arrived(bytes.size(), ' ');
+    asio::read(pair.other, asio::buffer(arrived));
+    EXPECT_EQ(arrived, bytes);
+}
+
+// The other end reads later: the rest follows, in order and whole, and is told once.
+TEST(SocketStream, SendsTheRestLater)
+{
+    connected_pair pair;
+    std::string bytes(32 * 1024 * 1024, 'x');
+    bytes.back() = 'y';
+    int told = 0;
+    std::size_t count = 0;
+    EXPECT_FALSE(pair.stream.send(asio::buffer(bytes), [&](const error_code& error, std::size_t sent) {
+        EXPECT_FALSE(error);
+        ++told;
+        count = sent;
+    }));
+    std::string arrived(bytes.size(), ' ');
+    asio::async_read(pair.other, asio::buffer(arrived), [](error_code, std::size_t) {});
+    pair.context.run();
+    EXPECT_EQ(told, 1);
+    EXPECT_EQ(count, bytes.size());
+    EXPECT_TRUE(arrived == bytes);
+}
+
+TEST(SocketStream, TellsOfAnEndToWhichNothingCanBeSent)
+{
+    connected_pair pair;
+    pair.stream.socket().shutdown(tcp::socket::shutdown_send);
+    std::string bytes = "an answer";
+    error_code seen;
+    EXPECT_FALSE(pair.stream.send(asio::buffer(bytes), [&](const error_code& error, std::size_t sent) {
+        seen = error;
+        EXPECT_EQ(sent, 0U);
+    }));
+    pair.context.run();
+    EXPECT_EQ(seen, asio::error::broken_pipe);
+}
+
+TEST(MessageParser, LeavesOutWhatConcernsOneConnection)
+{
+    auto parser = parsed<true>("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nX-Own: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody");
+    ASSERT_TRUE(parser.is_done());
+    EXPECT_EQ(parser.method, "POST");
+    EXPECT_EQ(parser.target, "/x/1");
+    EXPECT_EQ(parser.body, "body");
+    EXPECT_EQ(parser.hosts, 1U);
+    EXPECT_EQ(parser.connection, "close");
+    EXPECT_EQ(parser.keepAlive, "timeout=5");
+    ASSERT_EQ(parser.fields.size(), 2U);
+    EXPECT_EQ(fieldValue(parser.fields, "host"), "a.example");
+    EXPECT_EQ(fieldValue(parser.fields, "x-own"), "1");
+}
+
+TEST(MessageParser, TakesABodyInChunks)
+{
+    auto parser = parsed<false>("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n4\r\n and\r\n0\r\n\r\n");
+    ASSERT_TRUE(parser.is_done());
+    EXPECT_EQ(parser.status, 200U);
+    EXPECT_EQ(parser.body, "body and");
+    EXPECT_TRUE(parser.framedPlainly);
+    EXPECT_TRUE(parser.fields.empty());
+}
+
+TEST(MessageParser, TellsOfABodyWhoseEndIsToBeGuessed)
+{
+    EXPECT_FALSE(parsed<true>("GET /x/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n").framedPlainly);
+    EXPECT_EQ(parsed<true>("GET /x/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n").hosts, 2U);
+}
+
+}
