--- a/Source/http/pooled_socket.cpp
+++ b/Source/http/pooled_socket.cpp
@@ -7,7 +7,6 @@
 namespace vanillashunt {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 pooled_socket::pooled_socket(asio::io_context& context, std::string address)
--- a/Tests/SocketStream/socket_stream_test.cpp
+++ b/Tests/SocketStream/socket_stream_test.cpp
@@ -119,7 +119,7 @@
 TEST(SocketStream, SendsTheRestLater)
 {
     connected_pair pair;
-    std::string bytes(32 * 1024 * 1024, 'x');
+    std::string bytes(32UL * 1024 * 1024, 'x');
     bytes.back() = 'y';
     int told = 0;
     std::size_t count = 0;
--- a/Tests/WholeRequestsBesideCalls/whole_requests_beside_calls_test.cpp
+++ b/Tests/WholeRequestsBesideCalls/whole_requests_beside_calls_test.cpp
@@ -72,7 +72,7 @@
             admission_request call;
             call.callId = ++m_lastId;
             auto level = begun ? importance::Deferrable : m_load.requestLevel;
-            call.position = static_cast<shedding_position>(level) * positionsPerImportance + m_random() % positionsPerImportance;
+            call.position = static_cast<shedding_position>(level) * positionsPerImportance + static_cast<shedding_position>(m_random() % positionsPerImportance);
             call.deadline = m_now + milliseconds(begun ? 700 : 1000);
             call.requestClass = begun ? "status" : "register";
             call.begun = begun;
