Let each node's first request of a split follow the weights

Cause: each rotation began at what its first destination was owed, so that with equal weights the first request of every node went to the first part.

Ruled out: a random first destination with the old rotation after it (the second request is biased then); clearing at each version (adds chance to each interval; phases hold for other weights).

--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -53,6 +53,7 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_table(std::make_shared<route_configuration>())
+    , m_rotation([random = m_hooks.random] { return static_cast<double>(random() % chanceSteps) / chanceSteps; })
     , m_router(m_settings.place, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; })
     , m_allowance(m_settings.retries, started)
     , m_entrance({ admission_policy::Full, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; } })
@@ -65,7 +66,7 @@
         return;
     }
     m_table = route_table(std::move(configuration));
-    m_rotation.clear();
+    m_rotation.setRoutes(m_table.configuration().routes);
 }
 
 void routed_entry::setMembers(const member_list& members, time_point now)
@@ -74,6 +75,12 @@
     m_router.setMembers(members, now);
 }
 
+bool routed_entry::knowsService(const std::string& name) const
+{
+    const auto& services = m_table.configuration().services;
+    return std::any_of(services.begin(), services.end(), [&name](const route_service& each) { return each.name == name; });
+}
+
 std::chrono::milliseconds routed_entry::comeBackAfter() const
 {
     return shortestReturn + std::chrono::milliseconds(m_hooks.random() % returnSpread);
@@ -97,7 +104,7 @@
     call.maxAttempts = std::max(1U, found->maxAttempts);
     auto& sent = call.request;
     sent.callId = callId;
-    sent.service = m_rotation.next(*found, static_cast<double>(m_hooks.random() % chanceSteps) / chanceSteps);
+    sent.service = m_rotation.next(*found);
     sent.callerService = m_settings.ownService;
     sent.method = std::move(request.message.method);
     sent.path = std::move(request.message.target);
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -92,6 +92,8 @@
 
     std::size_t inProgress() const { return m_calls.size(); }
     std::int64_t version() const { return m_table.configuration().version; }
+    // Whether the configuration has a service of that name.
+    bool knowsService(const std::string& name) const;
     const client_limits& limits() const { return m_table.configuration().limits; }
 
 private:
--- a/Source/routes/destination_rotation.cpp
+++ b/Source/routes/destination_rotation.cpp
@@ -1,7 +1,7 @@
 #include "routes/destination_rotation.h"
 
-#include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace vanillashunt {
 
@@ -18,25 +18,52 @@
 
 }
 
-const std::string& destination_rotation::next(const route& from, double chance)
+destination_rotation::destination_rotation(chance_hook chance)
+    : m_chance(std::move(chance))
+{
+}
+
+destination_rotation::phases& destination_rotation::phasesOf(const route& from)
+{
+    auto& known = m_byRoute[from.name];
+    if (known.size() + 1 != from.destinations.size()) {
+        known.assign(from.destinations.size() - 1, 0);
+        for (auto& phase : known) {
+            phase = m_chance();
+        }
+    }
+    return known;
+}
+
+const std::string& destination_rotation::next(const route& from)
 {
     if (from.destinations.size() == 1) {
         return from.destinations.front().service;
     }
-    auto total = sumOfWeights(from);
-    auto [found, isNew] = m_byRoute.try_emplace(from.name, from.destinations.size(), 0.0);
-    auto& owed = found->second;
-    if (isNew) {
-        // A beginning within one turn moves no part by more than one request.
-        owed.front() = chance * total;
-        owed.back() -= chance * total;
+    auto& known = phasesOf(from);
+    auto left = sumOfWeights(from);
+    for (std::size_t i = 0; i < known.size() && left > 0; ++i) {
+        const auto& destination = from.destinations[i];
+        known[i] += destination.weight / left;
+        if (known[i] >= 1) {
+            known[i] -= 1;
+            return destination.service;
+        }
+        left -= destination.weight;
     }
-    for (std::size_t i = 0; i < owed.size(); ++i) {
-        owed[i] += from.destinations[i].weight;
+    return from.destinations.back().service;
+}
+
+void destination_rotation::setRoutes(const std::vector<route>& routes)
+{
+    std::unordered_map<std::string, phases> kept;
+    for (const auto& each : routes) {
+        auto known = m_byRoute.extract(each.name);
+        if (known) {
+            kept.insert(std::move(known));
+        }
     }
-    auto most = std::max_element(owed.begin(), owed.end());
-    *most -= total;
-    return from.destinations[static_cast<std::size_t>(most - owed.begin())].service;
+    m_byRoute = std::move(kept);
 }
 
 }
