Name a start of a server by its id and time, and refuse reports that no server wrote

Change: server_start (id, born) in tracker, target, runs; runs of a start that is over are answered at once as may_have_run, and idle connections to it closed.

Seen: with born ignored ServeByAServerThatStartedAgainByItsId and AnswerAtOnceWhatTheLastStartOfAServerRan fail (the second waits 20 s); both pass now.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -345,6 +345,11 @@
     m_state->pool.cancel(id);
 }
 
+void instance_client::closeIdle()
+{
+    m_state->pool.closeIdle();
+}
+
 const instance_client_counts& instance_client::counts() const
 {
     return m_state->counts;
--- a/Source/backend/instance_client.h
+++ b/Source/backend/instance_client.h
@@ -53,6 +53,9 @@
     // Closes the request's connection, by which the server drops it. The handler is not called.
     void cancel(std::uint64_t id);
 
+    // Closes the connections that are kept for later requests.
+    void closeIdle();
+
     const instance_client_counts& counts() const;
     std::size_t inProgress() const;
 
--- a/Source/backend/server_report.h
+++ b/Source/backend/server_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "backend/server_start.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -14,8 +16,7 @@
 
 // What the server beside the node tells of itself, time and again.
 struct server_report {
-    // Names one start of the server; a restarted one has another.
-    std::string instanceId;
+    server_start start;
     server_condition condition = server_condition::Ready;
     // Empty when it says that it ends.
     std::string service;
--- a/Source/backend/server_tracker.h
+++ b/Source/backend/server_tracker.h
@@ -11,10 +11,11 @@
 
 // What a report changed.
 enum class report_effect {
-    Nothing, // It was late, or of a server that has been replaced.
+    Nothing, // It was late, or of a start that is over.
     Updated,
     Replaced, // Another start of the server, which knows nothing of the last one.
     Leaving, // The server takes no new work from now on.
+    Unclear, // It lacks the time of the start, which this server's reports have: not the server's own.
 };
 
 // Knows which start of the server beside the node is there, and whether it takes
@@ -23,9 +24,9 @@
 public:
     report_effect report(const server_report&);
 
-    // The server at the address says that it is another start than this one. If a
-    // late report put this one in the place of another, that one counts again.
-    void misdirected(const std::string& instanceId);
+    // The server at the address says that it is another than this one. If a late
+    // report put this one in the place of another, that one counts again.
+    void misdirected(const server_start&);
 
     // Nothing while no server is known.
     const std::optional<server_report>& current() const { return m_current; }
@@ -34,14 +35,17 @@
     bool takesWork() const;
 
 private:
-    bool wasReplaced(const std::string& instanceId) const;
-    void retire(const std::string& instanceId);
+    bool lacksBorn(const server_start&) const;
+    bool isOver(const server_start&) const;
+    void retire(const server_start&);
+    report_effect replace(const server_report&);
+    report_effect leave(const server_report&);
 
     std::optional<server_report> m_current;
     // The one that the current one has replaced.
     std::optional<server_report> m_previous;
     // Starts that are over, the latest last.
-    std::deque<std::string> m_retired;
+    std::deque<server_start> m_retired;
 };
 
 }
--- a/Source/http/connection_pool.h
+++ b/Source/http/connection_pool.h
@@ -29,11 +29,18 @@
         for (auto& [id, entry] : m_busy) {
             entry.connection->close();
         }
+        closeIdle();
+    }
+
+    // Closes the connections that have no request.
+    void closeIdle()
+    {
         for (auto& [address, connections] : m_idle) {
             for (auto& connection : connections) {
                 connection->close();
             }
         }
+        m_idle.clear();
     }
 
     // Returns an idle connection to the address, the one that was used last; null if
--- a/Source/http/json_text.cpp
+++ b/Source/http/json_text.cpp
@@ -18,6 +18,7 @@
 {
     Json::CharReaderBuilder builder;
     builder["stackLimit"] = 64;
+    builder["failIfExtra"] = true;
     std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value value;
     try {
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -89,8 +89,8 @@
 {
     server_run_hooks hooks;
     hooks.answered = [this](std::uint64_t runId, const call_answer& answer) { m_target.serverAnswered(runId, answer, std::chrono::steady_clock::now()); };
-    hooks.misdirected = [this](const std::string& instanceId) {
-        m_hooks.misdirected(instanceId);
+    hooks.misdirected = [this](const server_start& start) {
+        m_hooks.misdirected(start);
     };
     return hooks;
 }
@@ -157,6 +157,15 @@
     exchange->whenCancelled([this, id] { m_target.cancel(id, std::chrono::steady_clock::now()); });
 }
 
+void routed_calls::setServer(const std::optional<server_report>& server, bool takesWork, time_point now)
+{
+    if (server && m_server && isLaterStart(server->start, *m_server)) {
+        m_runs.closeIdle();
+    }
+    m_server = server ? std::optional(server->start) : std::nullopt;
+    m_target.setServer(server, takesWork, now);
+}
+
 void routed_calls::tick(time_point now)
 {
     m_entry.tick(now);
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -25,8 +26,8 @@
     std::function<void()> begins;
     // Whether anything came back from a member.
     std::function<void(std::uint64_t memberId, bool answered)> ended;
-    // The server beside this node is another start than the one that was meant.
-    std::function<void(const std::string& instanceId)> misdirected;
+    // The server beside this node is another one than was meant.
+    std::function<void(const server_start&)> misdirected;
     call_observer observed;
 };
 
@@ -45,6 +46,9 @@
     // A call that another node sends to the server beside this one.
     void peerCallArrived(call_request, const std::shared_ptr<peer_exchange>&);
 
+    // What is beside this node now, and whether it takes new work.
+    void setServer(const std::optional<server_report>&, bool takesWork, time_point now);
+
     void tick(time_point now);
 
     bool idle() const { return m_entry.inProgress() == 0 && m_target.inProgress() == 0; }
@@ -77,6 +81,7 @@
     routed_target m_target;
     routed_entry m_entry;
     std::unordered_map<std::uint64_t, attempt_path> m_paths;
+    std::optional<server_start> m_server;
 };
 
 }
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -1,19 +1,18 @@
 #include "node/routed_process.h"
 
-#include "backend/server_tracker.h"
 #include "caller/pipeline_server.h"
 #include "events/event_catalogue.h"
 #include "node/membership_service.h"
 #include "node/planned_stop.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
+#include "node/server_reports.h"
 #include "node/settings_watch.h"
 #include "operator/call_log.h"
 #include "operator/node_metrics.h"
 #include "operator/operator_port.h"
 #include "operator/operator_state.h"
 #include "operator/request_journal.h"
-#include "platform/server_report.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
@@ -32,7 +31,6 @@
 
     constexpr int exitCannotListen = 2;
     constexpr unsigned statusOk = 200;
-    constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusUnavailable = 503;
 
     // How often deadlines and queues are looked at, with and without calls in
@@ -67,7 +65,6 @@
         int run();
 
     private:
-        void reportArrived(const http_request&, http_exchange&);
         void serverChanged();
         bool isReady() const;
         void tick();
@@ -82,6 +79,7 @@
         routed_call_hooks callHooks();
         pipeline_server_hooks serverHooks();
         membership_hooks membershipHooks();
+        server_report_hooks reportHooks();
         operator_hooks operatorHooks();
         Json::Value dumpCalls() const;
         void collectState(state_receiver);
@@ -99,7 +97,7 @@
         key_value_store m_store;
         http_client m_controlClient;
         peer_rpc m_peerRpc { m_controlClient };
-        server_tracker m_tracker;
+        server_reports m_server { reportHooks() };
         std::unique_ptr<membership_service> m_membership;
         member m_self;
         routed_calls m_calls;
@@ -166,7 +164,7 @@
         m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.joinAddresses, membershipHooks());
         m_clients = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
         m_reports = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
-            [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { reportArrived(request, *exchange); });
+            [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { exchange->respond(m_server.take(request, std::chrono::steady_clock::now())); });
         m_readiness = std::make_unique<http_server>(m_context, settings.routes->readyListen, http_server_limits {},
             [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
                 exchange->respond({ isReady() ? statusOk : statusUnavailable, {}, {} });
@@ -187,10 +185,7 @@
         hooks.random = [this] { return m_random(); };
         hooks.begins = [this] { workBegins(); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
-        hooks.misdirected = [this](const std::string& instanceId) {
-            m_tracker.misdirected(instanceId);
-            serverChanged();
-        };
+        hooks.misdirected = [this](const server_start& start) { m_server.misdirected(start); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
@@ -220,33 +215,22 @@
         return hooks;
     }
 
-    void routed_process::reportArrived(const http_request& request, http_exchange& exchange)
+    server_report_hooks routed_process::reportHooks()
     {
-        auto parsed = parseServerReport(request);
-        if (const auto* problem = std::get_if<server_report_problem>(&parsed)) {
-            exchange.respond({ statusBadRequest, {}, problem->message });
-            return;
-        }
-        const auto& report = std::get<server_report>(parsed);
-        auto effect = m_tracker.report(report);
-        if (effect == report_effect::Replaced) {
-            logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.instanceId } });
-        } else if (effect == report_effect::Leaving) {
-            logEvent(events::backendServerLeaves, { { "instance", report.instanceId } });
-        }
-        // The acknowledgement binds: nothing new goes to a server that leaves from here on.
-        serverChanged();
-        exchange.respond({ statusOk, { { "Content-Type", "application/json" } }, "{}" });
+        server_report_hooks hooks;
+        hooks.knowsService = [this](const std::string& service) { return service == m_settings.routes->service || m_calls.entry().knowsService(service); };
+        hooks.changed = [this] { serverChanged(); };
+        return hooks;
     }
 
     // Tells the target what is beside it, and the other nodes what they may send here.
     void routed_process::serverChanged()
     {
-        bool takesWork = m_tracker.takesWork();
-        m_calls.target().setServer(m_tracker.current(), takesWork, std::chrono::steady_clock::now());
+        bool takesWork = m_server.takesWork();
+        m_calls.setServer(m_server.current(), takesWork, std::chrono::steady_clock::now());
         bool offered = takesWork && !m_stop.refusesWork(std::chrono::steady_clock::now());
-        auto service = offered ? m_tracker.current()->service : "";
-        auto slots = offered ? m_tracker.current()->slots : 0;
+        auto service = offered ? m_server.current()->service : "";
+        auto slots = offered ? m_server.current()->slots : 0;
         if (service == m_self.service && slots == m_self.slots) {
             return;
         }
@@ -386,6 +370,7 @@
         inbound["draining"] = m_stop.draining();
         calls["outbound"]["in_progress"] = Json::UInt64(m_calls.entry().inProgress());
         calls["server"]["connections_opened"] = Json::UInt64(m_calls.serverCounts().connectionsOpened);
+        calls["server"]["reports_refused"] = Json::UInt64(m_server.refused());
         calls["server"]["foreign_answers"] = Json::UInt64(m_calls.serverCounts().foreignAnswers);
         return calls;
     }
@@ -414,6 +399,7 @@
         gauges.damagedAnswers = m_calls.peerCounts().damagedAnswers;
         gauges.connectsFailed = m_calls.peerCounts().connectsFailed;
         gauges.damagedFrames = m_peerServer->damagedFrames();
+        gauges.refusedReports = m_server.refused();
         m_metrics.set(gauges);
         receiver(m_metrics.text());
     }
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -25,17 +25,37 @@
 
 void routed_target::setServer(const std::optional<server_report>& server, bool takesWork, time_point now)
 {
-    bool replaced = m_server && server && m_server->instanceId != server->instanceId;
+    bool replaced = m_server && server && m_server->start != server->start;
     if (replaced) {
         // Another start: what the gate has learnt of the last one does not hold.
         m_gate.setSlots(0, now);
     }
+    bool startedAgain = replaced && isLaterStart(server->start, m_server->start);
     m_server = server;
+    if (startedAgain) {
+        endRuns(now);
+    }
     m_takesWork = takesWork;
     m_gate.setSlots(takesWork ? usableSlots(server->slots) : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
     startReleased(now);
 }
 
+// The runs ended with the start that had them. Another id at the address is no proof of
+// that: its report may be the late one.
+void routed_target::endRuns(time_point now)
+{
+    std::vector<std::uint64_t> ended;
+    for (const auto& [id, entry] : m_arrivals) {
+        if (entry.running) {
+            ended.push_back(id);
+        }
+    }
+    for (auto id : ended) {
+        m_hooks.cancelRun(id);
+        serverAnswered(id, answerWithout(0, 0, verdict::mayHaveRun(verdict_reason::AnswerLost)), now);
+    }
+}
+
 void routed_target::setStopping(time_point now)
 {
     m_stopping = true;
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -50,7 +50,8 @@
 
     explicit routed_target(target_hooks);
 
-    // The server that is there now, and whether it takes new work.
+    // The server that is there now, and whether it takes new work. Where the same one has
+    // started again, its runs are over, and are answered as such.
     void setServer(const std::optional<server_report>&, bool takesWork, time_point now);
 
     // The node itself leaves: nothing new is begun.
@@ -99,6 +100,7 @@
         std::uint32_t zoneCrossings = 0;
     };
 
+    void endRuns(time_point now);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
--- /dev/null
+++ b/Source/node/server_reports.cpp
@@ -0,0 +1,82 @@
+#include "node/server_reports.h"
+
+#include "events/event_catalogue.h"
+#include "platform/server_report.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusBadRequest = 400;
+
+    // An operator looks for who writes such reports; a line every few seconds is enough.
+    constexpr std::uint32_t mostLines = 2;
+    constexpr std::chrono::seconds lineInterval { 10 };
+
+    std::string bornText(const server_start& start)
+    {
+        if (!start.born) {
+            return "";
+        }
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(start.born->time_since_epoch()).count());
+    }
+
+}
+
+server_reports::server_reports(server_report_hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_limiter(mostLines, lineInterval)
+{
+}
+
+http_response server_reports::take(const http_request& request, time_point now)
+{
+    auto parsed = parseServerReport(request);
+    if (const auto* problem = std::get_if<server_report_problem>(&parsed)) {
+        return refuse(problem->message, now);
+    }
+    const auto& report = std::get<server_report>(parsed);
+    if (!namesAService(report)) {
+        return refuse("no service is named " + report.service, now);
+    }
+    switch (m_tracker.report(report)) {
+    case report_effect::Unclear:
+        return refuse("the report does not say when its server started, and others of that server do", now);
+    case report_effect::Replaced:
+        logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.start.instanceId }, { "born", bornText(report.start) } });
+        break;
+    case report_effect::Leaving:
+        logEvent(events::backendServerLeaves, { { "instance", report.start.instanceId }, { "born", bornText(report.start) } });
+        break;
+    case report_effect::Nothing:
+    case report_effect::Updated:
+        break;
+    }
+    m_hooks.changed();
+    return { statusOk, { { "Content-Type", "application/json" } }, "{}" };
+}
+
+// A deregistration names no service, and what is known already need not be known anew.
+bool server_reports::namesAService(const server_report& report) const
+{
+    bool isCurrents = current() && current()->service == report.service;
+    return report.condition == server_condition::Left || isCurrents || m_hooks.knowsService(report.service);
+}
+
+void server_reports::misdirected(const server_start& start)
+{
+    m_tracker.misdirected(start);
+    m_hooks.changed();
+}
+
+http_response server_reports::refuse(const std::string& why, time_point now)
+{
+    ++m_refused;
+    if (auto leftOut = m_limiter.take(events::serverReportRefused, now)) {
+        logEvent(events::serverReportRefused, { { "reason", why }, { "left_out", std::to_string(*leftOut) } });
+    }
+    return { statusBadRequest, { { "Content-Type", "text/plain" } }, why + "\n" };
+}
+
+}
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -35,9 +35,9 @@
 {
     auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
     http_request message { request.method, request.path, request.fields, request.body };
-    writeServerTerms(message.fields, { std::max(left, leastTime), server.instanceId, request.callerService });
+    writeServerTerms(message.fields, { std::max(left, leastTime), server.start.instanceId, request.callerService });
     m_sent[runId] = m_client.send(m_address, request.context.requestId, message,
-        [this, runId, instanceId = server.instanceId](instance_result result) { ended(runId, instanceId, std::move(result)); });
+        [this, runId, start = server.start](instance_result result) { ended(runId, start, std::move(result)); });
 }
 
 void server_runs::cancel(std::uint64_t runId)
@@ -47,14 +47,14 @@
     }
 }
 
-void server_runs::ended(std::uint64_t runId, const std::string& instanceId, instance_result result)
+void server_runs::ended(std::uint64_t runId, const server_start& start, instance_result result)
 {
     m_sent.erase(runId);
     answer_marks marks;
     if (const auto* response = std::get_if<http_response>(&result)) {
         marks = readAnswerMarks(response->fields);
         if (response->status == statusMisdirected) {
-            m_hooks.misdirected(instanceId);
+            m_hooks.misdirected(start);
         }
     }
     m_hooks.answered(runId, judgeAnswer(std::move(result), marks));
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -18,8 +18,8 @@
 struct server_run_hooks {
     // What came of a run; called once for each that is not cancelled.
     std::function<void(std::uint64_t runId, const call_answer&)> answered;
-    // The server at the address is another start than the one that was meant.
-    std::function<void(const std::string& instanceId)> misdirected;
+    // The server at the address is another one than was meant.
+    std::function<void(const server_start&)> misdirected;
 };
 
 // The requests that are with the server beside this node, in the headers that the
@@ -34,10 +34,13 @@
 
     void cancel(std::uint64_t runId);
 
+    // Closes the connections that no run is on: the server that had them is gone.
+    void closeIdle() { m_client.closeIdle(); }
+
     const instance_client_counts& counts() const { return m_client.counts(); }
 
 private:
-    void ended(std::uint64_t runId, const std::string& instanceId, instance_result);
+    void ended(std::uint64_t runId, const server_start&, instance_result);
 
     std::string m_address;
     server_run_hooks m_hooks;
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -125,6 +125,7 @@
     counter& crossedAnswers = oneCounter("vanillashunt_peer_answers_crossed_total", "Answers of peers that were for another call, and were dropped.");
     counter& damagedAnswers = oneCounter("vanillashunt_peer_answers_damaged_total", "Answers of peers that could not be read, and were dropped.");
     counter& damagedFrames = oneCounter("vanillashunt_peer_frames_damaged_total", "Connections of peers closed because of bytes that were no frame.");
+    counter& refusedReports = oneCounter("vanillashunt_server_reports_refused_total", "Reports to the backend port that no server wrote.");
     counter& connectsFailed = oneCounter("vanillashunt_peer_connects_failed_total", "Connections to peers that could not be opened.");
 };
 
@@ -198,6 +199,7 @@
     raiseTo(all.damagedAnswers, gauges.damagedAnswers);
     raiseTo(all.damagedFrames, gauges.damagedFrames);
     raiseTo(all.connectsFailed, gauges.connectsFailed);
+    raiseTo(all.refusedReports, gauges.refusedReports);
 }
 
 std::string node_metrics::text() const
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -28,6 +28,7 @@
     std::uint64_t damagedAnswers = 0;
     std::uint64_t damagedFrames = 0;
     std::uint64_t connectsFailed = 0;
+    std::uint64_t refusedReports = 0;
 };
 
 // Reads the gauges that the call actor's part of the dump holds.
--- a/Tests/PlatformWire/platform_wire_test.cpp
+++ b/Tests/PlatformWire/platform_wire_test.cpp
@@ -72,10 +72,11 @@
 
 TEST(ServerReport, IsReadFromHeartbeatAndDeregistration)
 {
-    auto parsed = parseServerReport(heartbeat(R"({"service":"a","address":"192.0.2.1:80","capacity":53,"state":"draining","warmup_left_s":1.5,"sequence":4})"));
+    auto parsed = parseServerReport(heartbeat(R"({"service":"a","address":"192.0.2.1:80","zone":"z","version":"v1","capacity":53,"state":"draining","warmup_left_s":1.5,"sequence":4})"));
     ASSERT_TRUE(std::holds_alternative<server_report>(parsed));
     const auto& report = std::get<server_report>(parsed);
-    EXPECT_EQ(report.instanceId, "i-1");
+    EXPECT_EQ(report.start.instanceId, "i-1");
+    EXPECT_FALSE(report.start.born);
     EXPECT_EQ(report.condition, server_condition::Draining);
     EXPECT_EQ(report.slots, 53U);
     EXPECT_EQ(report.warmupLeft, std::chrono::milliseconds(1500));
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -172,4 +172,34 @@
     EXPECT_NE(metrics.readToEnd().find("vanillashunt_contract_revision 5"), std::string::npos);
 }
 
+// The load: a server crashes without a word and starts again by the id that it had; then
+// a report comes that its last start sent before, and says that it drains. Where the id
+// alone names a start, the server is out for good.
+TEST(RoutedNodes, ServeByAServerThatStartedAgainByItsId)
+{
+    served_node served;
+    auto& node = *served.node;
+    node.reportOfStart(1000, "ready", 900, "desk", "i-1");
+    EXPECT_EQ(node.get().substr(9, 3), "200");
+    node.reportOfStart(2000, "ready", 1, "desk", "i-1");
+    node.reportOfStart(1000, "draining", 901, "desk", "i-1");
+    EXPECT_EQ(node.get().substr(9, 3), "200");
+}
+
+// Whoever waits for the last start's answer is told at once that the request may have run.
+TEST(RoutedNodes, AnswerAtOnceWhatTheLastStartOfAServerRan)
+{
+    served_node served(1, "non_idempotent");
+    auto& node = *served.node;
+    node.reportOfStart(1000, "ready", 1, "desk", "i-1");
+    EXPECT_EQ(node.get().substr(9, 3), "200");
+    auto before = served.world.runs();
+    served.world.hold(true);
+    auto waiting = node.begin();
+    served.world.waitForRuns(before + 1);
+    node.reportOfStart(2000, "ready", 1, "desk", "i-1");
+    EXPECT_EQ(waiting.readToEnd().substr(9, 3), "502");
+    served.world.hold(false);
+}
+
 }
--- a/Tests/RoutedSoak/routed_soak_test.cpp
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -74,4 +74,16 @@
     }
 }
 
+// The same where a server that starts again keeps its id, crashes without a word, and a
+// late report of the start before says that it drains.
+TEST(RoutedSoak, KeepsThePromisesWhileServersStartAgainByTheirId)
+{
+    for (auto seed : seeds()) {
+        soak_run run(seed, server_restarts::ByOldId);
+        run.breakThings(faultsOfARun);
+        EXPECT_TRUE(run.allServe()) << "seed " << seed;
+        checkPromises(run, seed);
+    }
+}
+
 }
--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -19,8 +19,9 @@
 
 }
 
-soak_run::soak_run(std::uint64_t seed)
+soak_run::soak_run(std::uint64_t seed, server_restarts restarts)
     : m_random(seed)
+    , m_restarts(restarts)
     , m_places(nodeCount)
 {
     configure();
@@ -64,7 +65,12 @@
 void soak_run::report(std::size_t which, const std::string& state)
 {
     auto& here = m_places[which];
-    here.node->report(state, ++here.sequence, service, here.server->instance());
+    ++here.sequence;
+    if (m_restarts == server_restarts::ByOldId) {
+        here.node->reportOfStart(here.server->born(), state, here.sequence, service, here.server->instance());
+        return;
+    }
+    here.node->report(state, here.sequence, service, here.server->instance());
 }
 
 void soak_run::kill(std::size_t which)
@@ -90,9 +96,26 @@
     process.signal(SIGCONT);
 }
 
+// A server that crashes says nothing, counts anew, and is followed by a late word of the
+// start before.
+void soak_run::restartServer(std::size_t which)
+{
+    auto& here = m_places[which];
+    auto last = here.server->born();
+    here.server->startAgainById();
+    here.sequence = 0;
+    report(which, "ready");
+    constexpr int lateSequence = 1000;
+    here.node->reportOfStart(last, "draining", lateSequence, service, here.server->instance());
+}
+
 // The next start of the server knows nothing of the last one.
 void soak_run::replaceServer(std::size_t which)
 {
+    if (m_restarts == server_restarts::ByOldId) {
+        restartServer(which);
+        return;
+    }
     report(which, "draining");
     m_places[which].server->startAgain();
     report(which, "ready");
--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -22,11 +22,17 @@
     std::string body;
 };
 
+// How the servers of a soak start again.
+enum class server_restarts {
+    ByNewId, // Each start has another id, and no time.
+    ByOldId, // The id stays; each start has its time.
+};
+
 // Some nodes as real processes, each with a server, beside a store; clients that never
 // stop; and faults that overlap, all by one seed.
 class soak_run {
 public:
-    explicit soak_run(std::uint64_t seed);
+    explicit soak_run(std::uint64_t seed, server_restarts = server_restarts::ByNewId);
     ~soak_run();
 
     // Brings about so many faults, one after the other, while the clients go on.
@@ -59,11 +65,13 @@
     void stop(std::size_t which);
     void freeze(std::size_t which);
     void replaceServer(std::size_t which);
+    void restartServer(std::size_t which);
     void takeStoreAway();
     void serveClient(std::uint64_t seed);
     soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
 
     std::mt19937_64 m_random;
+    server_restarts m_restarts;
     platform_world m_world;
     int m_version = 0;
     std::vector<place> m_places;
--- a/Tests/RoutedSoak/soak_server.cpp
+++ b/Tests/RoutedSoak/soak_server.cpp
@@ -36,6 +36,18 @@
     return instance();
 }
 
+void soak_server::startAgainById()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_born;
+}
+
+std::int64_t soak_server::born()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_born;
+}
+
 std::string soak_server::instance()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/Tests/RoutedSoak/soak_server.h
+++ b/Tests/RoutedSoak/soak_server.h
@@ -3,6 +3,7 @@
 #include "RawSocket/raw_socket.h"
 #include "http/http_server.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,6 +26,11 @@
     std::string startAgain();
     std::string instance();
 
+    // The same, by the id that it has.
+    void startAgainById();
+    // When it started, in milliseconds since some moment.
+    std::int64_t born();
+
     // How often each request ran, by its id.
     std::map<std::string, int> runs();
 
@@ -35,6 +41,7 @@
     std::mutex m_mutex;
     std::mt19937_64 m_random;
     int m_starts = 1;
+    std::int64_t m_born = 1;
     std::uint64_t m_number;
     std::map<std::string, int> m_runs;
     context_thread m_loop;
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -21,7 +21,7 @@
         target_world()
             : m_target(hooks())
         {
-            server.instanceId = "i-1";
+            server.start.instanceId = "i-1";
             server.service = "notices";
             server.slots = announcedSlots;
             m_target.setServer(server, true, now);
@@ -209,4 +209,40 @@
     EXPECT_FALSE(world.target().findParent("request-" + std::to_string(first), world.now + milliseconds(700)));
 }
 
+// A server that starts again under its id has forgotten what it ran. Whoever waits is told
+// at once, and not at the deadline.
+TEST(RoutedTarget, AnswersAtOnceWhatAStartThatIsOverRan)
+{
+    target_world world;
+    world.server.start.born = std::chrono::system_clock::time_point(std::chrono::seconds(10));
+    world.target().setServer(world.server, true, world.now);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        world.arrive();
+    }
+    auto begun = world.running;
+    world.server.start.born = std::chrono::system_clock::time_point(std::chrono::seconds(20));
+    world.target().setServer(world.server, true, world.now);
+    ASSERT_EQ(world.answers.size(), 3U);
+    for (const auto& answer : world.answers) {
+        EXPECT_EQ(answer.outcome.run, execution::MayHaveRun);
+        EXPECT_EQ(answer.outcome.reason, verdict_reason::AnswerLost);
+    }
+    EXPECT_EQ(world.cancelled.size(), begun.size());
+    EXPECT_EQ(world.target().inProgress(), 0U);
+    world.running.clear();
+    world.arrive();
+    EXPECT_EQ(world.running.size(), 1U);
+}
+
+// Its report may be the late one: what runs goes on until the server itself has spoken.
+TEST(RoutedTarget, LeavesTheRunsWhereAnotherServerIsReported)
+{
+    target_world world;
+    world.arrive();
+    world.server.start.instanceId = "i-2";
+    world.target().setServer(world.server, true, world.now);
+    EXPECT_TRUE(world.answers.empty());
+    EXPECT_TRUE(world.cancelled.empty());
+}
+
 }
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -63,9 +63,29 @@
     return m_started.substr(place, m_started.find('"', place) - place);
 }
 
+namespace {
+
+    std::string reportBody(const std::string& state, int sequence, const std::string& service, std::uint32_t slots, const std::string& more)
+    {
+        return R"({"service":")" + service + R"(","address":"x","zone":"a","version":"v1","capacity":)" + std::to_string(slots) + R"(,"state":")" + state
+            + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + more + "}";
+    }
+
+}
+
 void routed_node::report(const std::string& state, int sequence, const std::string& service, const std::string& instance, std::uint32_t slots)
 {
-    auto body = R"({"service":")" + service + R"(","address":"x","zone":"a","capacity":)" + std::to_string(slots) + R"(,"state":")" + state + R"(","warmup_left_s":0,"sequence":)" + std::to_string(sequence) + "}";
+    sendReport(instance, reportBody(state, sequence, service, slots, ""));
+}
+
+void routed_node::reportOfStart(std::int64_t born, const std::string& state, int sequence, const std::string& service, const std::string& instance)
+{
+    constexpr std::uint32_t slots = 8;
+    sendReport(instance, reportBody(state, sequence, service, slots, R"(,"born":)" + std::to_string(born)));
+}
+
+void routed_node::sendReport(const std::string& instance, const std::string& body)
+{
     auto socket = raw_socket::connectTo(port("backend"));
     socket.send("POST /Instances.Heartbeat/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     if (socket.readUntil("\r\n\r\n").find("200") == std::string::npos) {
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -42,6 +42,9 @@
     // What the server beside the node reports.
     void report(const std::string& state, int sequence, const std::string& service, const std::string& instance = "i-1", std::uint32_t slots = 8);
 
+    // The same by a server that tells when it started, in milliseconds since 1970.
+    void reportOfStart(std::int64_t born, const std::string& state, int sequence, const std::string& service, const std::string& instance);
+
     // Status of the answer to whether it is ready.
     std::string ready();
 
@@ -54,6 +57,8 @@
     std::unique_ptr<child_process> process;
 
 private:
+    void sendReport(const std::string& instance, const std::string& body);
+
     std::string m_file;
     std::string m_started;
     int m_requests = 0;
--- a/Tests/ServerTracker/server_tracker_test.cpp
+++ b/Tests/ServerTracker/server_tracker_test.cpp
@@ -9,7 +9,7 @@
     server_report reportOf(const std::string& instanceId, std::uint64_t sequence, server_condition condition = server_condition::Ready)
     {
         server_report report;
-        report.instanceId = instanceId;
+        report.start.instanceId = instanceId;
         report.sequence = sequence;
         report.condition = condition;
         report.service = "threads";
@@ -17,6 +17,14 @@
         return report;
     }
 
+    // Of the start of the server i-1 that came so many seconds after some moment.
+    server_report reportOfStart(int bornSeconds, std::uint64_t sequence, server_condition condition = server_condition::Ready)
+    {
+        auto report = reportOf("i-1", sequence, condition);
+        report.start.born = std::chrono::system_clock::time_point(std::chrono::seconds(bornSeconds));
+        return report;
+    }
+
 }
 
 TEST(ServerTracker, IgnoresAReportThatIsLate)
@@ -44,7 +52,7 @@
     tracker.report(reportOf("i-1", 7));
     EXPECT_EQ(tracker.report(reportOf("i-2", 1)), report_effect::Replaced);
     EXPECT_EQ(tracker.report(reportOf("i-1", 8)), report_effect::Nothing);
-    EXPECT_EQ(tracker.current()->instanceId, "i-2");
+    EXPECT_EQ(tracker.current()->start.instanceId, "i-2");
     EXPECT_TRUE(tracker.takesWork());
 }
 
@@ -54,10 +62,10 @@
     server_tracker tracker;
     tracker.report(reportOf("new", 3));
     tracker.report(reportOf("old", 9));
-    EXPECT_EQ(tracker.current()->instanceId, "old");
-    tracker.misdirected("old");
+    EXPECT_EQ(tracker.current()->start.instanceId, "old");
+    tracker.misdirected({ "old" });
     ASSERT_TRUE(tracker.current());
-    EXPECT_EQ(tracker.current()->instanceId, "new");
+    EXPECT_EQ(tracker.current()->start.instanceId, "new");
     EXPECT_EQ(tracker.report(reportOf("old", 10)), report_effect::Nothing);
     EXPECT_EQ(tracker.report(reportOf("new", 4)), report_effect::Updated);
 }
@@ -66,9 +74,94 @@
 {
     server_tracker tracker;
     tracker.report(reportOf("i-1", 3));
-    tracker.misdirected("i-1");
+    tracker.misdirected({ "i-1" });
     EXPECT_FALSE(tracker.current());
     EXPECT_FALSE(tracker.takesWork());
 }
 
+// A server that starts again under its id begins its counts anew.
+TEST(ServerTracker, TakesALaterStartOfTheSameIdWhateverItsSequence)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 900));
+    EXPECT_EQ(tracker.report(reportOfStart(20, 1)), report_effect::Replaced);
+    EXPECT_EQ(tracker.report(reportOfStart(20, 2)), report_effect::Updated);
+    EXPECT_TRUE(tracker.takesWork());
+}
+
+TEST(ServerTracker, TakesAStartAgainOfAServerThatLeft)
+{
+    for (auto lastWord : { server_condition::Draining, server_condition::Left }) {
+        server_tracker tracker;
+        tracker.report(reportOfStart(10, 5));
+        tracker.report(reportOfStart(10, 6, lastWord));
+        EXPECT_FALSE(tracker.takesWork());
+        EXPECT_EQ(tracker.report(reportOfStart(20, 1)), report_effect::Replaced);
+        EXPECT_TRUE(tracker.takesWork());
+    }
+}
+
+TEST(ServerTracker, IgnoresAllThatAnEarlierStartOfTheIdSays)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(20, 1));
+    for (auto condition : { server_condition::Ready, server_condition::Draining, server_condition::Left }) {
+        EXPECT_EQ(tracker.report(reportOfStart(10, 900, condition)), report_effect::Nothing);
+        EXPECT_TRUE(tracker.takesWork());
+    }
+    EXPECT_EQ(tracker.current()->sequence, 1U);
+}
+
+// The server of another id was there in between.
+TEST(ServerTracker, TakesALaterStartOfAnIdThatWasReplaced)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7));
+    tracker.report(reportOf("i-2", 1));
+    EXPECT_EQ(tracker.report(reportOfStart(10, 8)), report_effect::Nothing);
+    EXPECT_EQ(tracker.report(reportOfStart(20, 1)), report_effect::Replaced);
+    EXPECT_EQ(tracker.current()->start.instanceId, "i-1");
+}
+
+TEST(ServerTracker, TakesADeregistrationOfALaterStartForTheServer)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7));
+    EXPECT_EQ(tracker.report(reportOfStart(20, 0, server_condition::Left)), report_effect::Leaving);
+    EXPECT_EQ(tracker.report(reportOfStart(10, 8)), report_effect::Nothing);
+    EXPECT_EQ(tracker.report(reportOfStart(20, 1)), report_effect::Updated);
+    EXPECT_FALSE(tracker.takesWork());
+}
+
+// It may be the start that is there: to send it nothing is safe.
+TEST(ServerTracker, ObeysADeregistrationThatNamesNoStart)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7));
+    EXPECT_EQ(tracker.report(reportOf("i-1", 0, server_condition::Left)), report_effect::Leaving);
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOfStart(10, 8)), report_effect::Updated);
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOfStart(20, 1)), report_effect::Replaced);
+}
+
+// A server that says when it started says so each time.
+TEST(ServerTracker, TakesNoHeartbeatWithoutAStartFromAServerThatTellsIt)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7));
+    EXPECT_EQ(tracker.report(reportOf("i-1", 900, server_condition::Draining)), report_effect::Unclear);
+    EXPECT_TRUE(tracker.takesWork());
+    EXPECT_EQ(tracker.current()->sequence, 7U);
+}
+
+TEST(ServerTracker, DoesNotReturnToAnEarlierStartOfTheServerThatIsNotThere)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7));
+    tracker.report(reportOfStart(20, 1));
+    tracker.misdirected(reportOfStart(20, 1).start);
+    EXPECT_FALSE(tracker.current());
+}
+
 }
