Read the options of commands that ask nodes in one place, and share worlds of two tests

Seen: messages of dump and status with wrong words as before; CommandMessages, OperatorPort, WaitingConnections and ForeignReports pass. The routed node's path is not touched.

--- a/Source/command/dump_command.cpp
+++ b/Source/command/dump_command.cpp
@@ -23,15 +23,9 @@
     exit_code run(const command& self, const command_arguments& arguments)
     {
         node_options options;
-        auto accepted = optionsOf(options);
-        accepted.push_back(allOption(options));
-        auto read = readCommandLine(self, arguments, accepted);
-        if (auto* ended = std::get_if<exit_code>(&read)) {
+        if (auto ended = readNodeOptions(self, arguments, options)) {
             return *ended;
         }
-        if (auto problem = takeNodes(self, std::get<std::vector<std::string>>(read), options)) {
-            return *problem;
-        }
         auto code = addMembers(self, options);
         auto dumps = askNodes(self, options, "dump", Json::Value(Json::objectValue));
         printJsonLines(dumps);
--- a/Source/command/node_options.cpp
+++ b/Source/command/node_options.cpp
@@ -54,6 +54,17 @@
     return { "all", false, [&options](const std::string&) { return setFlag(options.all); } };
 }
 
+std::optional<exit_code> readNodeOptions(const command& self, const command_arguments& arguments, node_options& options)
+{
+    auto accepted = optionsOf(options);
+    accepted.push_back(allOption(options));
+    auto read = readCommandLine(self, arguments, accepted);
+    if (const auto* ended = std::get_if<exit_code>(&read)) {
+        return *ended;
+    }
+    return takeNodes(self, std::get<std::vector<std::string>>(read), options);
+}
+
 std::optional<exit_code> takeNodes(const command& self, const std::vector<std::string>& words, node_options& options)
 {
     for (const auto& word : words) {
--- a/Source/command/node_options.h
+++ b/Source/command/node_options.h
@@ -24,6 +24,10 @@
 // The option --all.
 command_option allOption(node_options&);
 
+// Reads the words of a command that takes these options, --all among them, and nodes.
+// Returns how the command ends where they are wrong, or ask for help.
+std::optional<exit_code> readNodeOptions(const command&, const command_arguments&, node_options&);
+
 // Takes words that are no options as further nodes; reports one that is no address.
 std::optional<exit_code> takeNodes(const command&, const std::vector<std::string>& words, node_options&);
 
--- a/Source/command/status_command.cpp
+++ b/Source/command/status_command.cpp
@@ -44,15 +44,9 @@
     exit_code run(const command& self, const command_arguments& arguments)
     {
         node_options options;
-        auto accepted = optionsOf(options);
-        accepted.push_back(allOption(options));
-        auto read = readCommandLine(self, arguments, accepted);
-        if (auto* ended = std::get_if<exit_code>(&read)) {
+        if (auto ended = readNodeOptions(self, arguments, options)) {
             return *ended;
         }
-        if (auto problem = takeNodes(self, std::get<std::vector<std::string>>(read), options)) {
-            return *problem;
-        }
         auto code = addMembers(self, options);
         auto found = askNodes(self, options, "status", Json::Value(Json::objectValue));
         if (options.json) {
--- a/Tests/ForeignReports/foreign_reports_test.cpp
+++ b/Tests/ForeignReports/foreign_reports_test.cpp
@@ -68,6 +68,17 @@
         return { Json::Value(Json::nullValue), Json::Value(true), Json::Value(-1), Json::Value(Json::Int64(-9223372036854775807LL)), Json::Value(1e300), Json::Value(-0.5), Json::Value(""), nested(5), object };
     }
 
+    // Some of the bytes changed at random; to be called within a property.
+    std::string damage(std::string text)
+    {
+        auto changes = *rc::gen::inRange(1, 6);
+        for (int change = 0; change < changes; ++change) {
+            auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+            text[place] = *rc::gen::arbitrary<char>();
+        }
+        return text;
+    }
+
     // A port that takes reports beside a node whose configuration has one service.
     struct report_port {
         server_reports reports { { [](const std::string& service) { return service == "threads"; }, [] {} } };
@@ -164,12 +175,7 @@
 {
     auto text = writeJson(heartbeatBody());
     EXPECT_TRUE(rc::check([&text] {
-        auto damaged = text;
-        auto changes = *rc::gen::inRange(1, 6);
-        for (int change = 0; change < changes; ++change) {
-            auto place = *rc::gen::inRange<std::size_t>(0, damaged.size());
-            damaged[place] = *rc::gen::arbitrary<char>();
-        }
+        auto damaged = damage(text);
         damaged.resize(*rc::gen::inRange<std::size_t>(1, damaged.size() + 1));
         auto parsed = parseServerReport(heartbeat(damaged));
         if (const auto* report = std::get_if<server_report>(&parsed)) {
@@ -185,13 +191,7 @@
 {
     const std::string text = R"({"version":"r12","resources":[{"type":"routes","metadata":{"name":"x"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","timeout_s":0.8,"target_latency_s":1.2,"priority":2,"max_attempts":2,"traffic_split":[{"service":"old","weight":90},{"service":"new","weight":10}]}},{"type":"services","metadata":{"name":"old"},"spec":{"health_check_path":"/health","max_connections":934}},{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"idle_timeout_s":15}}]})";
     EXPECT_TRUE(rc::check([&text] {
-        auto damaged = text;
-        auto changes = *rc::gen::inRange(1, 6);
-        for (int change = 0; change < changes; ++change) {
-            auto place = *rc::gen::inRange<std::size_t>(0, damaged.size());
-            damaged[place] = *rc::gen::arbitrary<char>();
-        }
-        auto parsed = parseRouteDocument(damaged);
+        auto parsed = parseRouteDocument(damage(text));
         if (const auto* configuration = std::get_if<route_configuration>(&parsed)) {
             for (const auto& each : configuration->routes) {
                 RC_ASSERT(!each.destinations.empty());
--- a/Tests/WaitingConnections/waiting_connections_test.cpp
+++ b/Tests/WaitingConnections/waiting_connections_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -17,6 +18,21 @@
     // Handlers that a turn of a busy loop has: the system tells of so many sockets at once.
     constexpr int handlersOfATurn = 128;
 
+    // A loop that has not run yet, and connections that wait at its port.
+    struct waiting_callers {
+        waiting_callers()
+        {
+            for (std::size_t i = 0; i < waitingConnections; ++i) {
+                callers.push_back(raw_socket::connectTo(acceptor.address()));
+            }
+        }
+
+        boost::asio::io_context context;
+        std::size_t taken = 0;
+        connection_acceptor acceptor { context, "127.0.0.1:0", [this](const boost::asio::ip::tcp::socket&) { ++taken; } };
+        std::vector<raw_socket> callers;
+    };
+
 }
 
 // The load: a node starts again under a surge, so that every call to it needs a new
@@ -24,13 +40,9 @@
 // turn a call waited for 1.6 s, and was run long after its caller had left.
 TEST(WaitingConnections, AreTakenWithinFewTurnsOfABusyLoop)
 {
-    boost::asio::io_context context;
-    std::size_t taken = 0;
-    connection_acceptor acceptor(context, "127.0.0.1:0", [&taken](const boost::asio::ip::tcp::socket&) { ++taken; });
-    std::vector<raw_socket> callers;
-    for (std::size_t i = 0; i < waitingConnections; ++i) {
-        callers.push_back(raw_socket::connectTo(acceptor.address()));
-    }
+    waiting_callers world;
+    auto& context = world.context;
+    auto& taken = world.taken;
     std::function<void()> work = [&] { boost::asio::post(context, work); };
     for (int i = 0; i < handlersOfATurn; ++i) {
         work();
@@ -45,13 +57,9 @@
 // None of the other sockets waits until a flood of connections has been taken.
 TEST(WaitingConnections, LeaveTurnsToOthers)
 {
-    boost::asio::io_context context;
-    std::size_t taken = 0;
-    connection_acceptor acceptor(context, "127.0.0.1:0", [&taken](const boost::asio::ip::tcp::socket&) { ++taken; });
-    std::vector<raw_socket> callers;
-    for (std::size_t i = 0; i < waitingConnections; ++i) {
-        callers.push_back(raw_socket::connectTo(acceptor.address()));
-    }
+    waiting_callers world;
+    auto& context = world.context;
+    auto& taken = world.taken;
     std::size_t mostInARow = 0;
     while (taken < waitingConnections) {
         auto before = taken;
