Let calls that wait outlive a start of the server

Cause, found by reading the change: a server that starts again under its id had its runs ended while the gate had no slots, and each end released what waits, so that calls that had reached no server were refused for want of one.

Ruled out: ending the runs before the gate forgets (they would then count against the new start).

Seen: RunsAtTheNextStartWhatWaitedForTheLast fails before (3 of 3 waiting calls refused) and passes; 14 of 14 of RoutedTarget.

--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -32,11 +32,12 @@
     }
     bool startedAgain = replaced && isLaterStart(server->start, m_server->start);
     m_server = server;
+    m_takesWork = takesWork;
+    m_gate.setSlots(takesWork ? usableSlots(server->slots) : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
     if (startedAgain) {
+        // Only now that the gate has slots again: what waits is for the new start.
         endRuns(now);
     }
-    m_takesWork = takesWork;
-    m_gate.setSlots(takesWork ? usableSlots(server->slots) : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
     startReleased(now);
 }
 
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -265,4 +265,22 @@
     EXPECT_EQ(world.answers.size(), 2U);
 }
 
+// What waits has not been sent to the start that is over, and runs at the next one.
+TEST(RoutedTarget, RunsAtTheNextStartWhatWaitedForTheLast)
+{
+    target_world world;
+    world.server.start.born = std::chrono::system_clock::time_point(std::chrono::seconds(10));
+    world.target().setServer(world.server, true, world.now);
+    constexpr std::uint32_t waiting = 3;
+    for (std::uint32_t i = 0; i < slots + waiting; ++i) {
+        world.arrive();
+    }
+    world.running.clear();
+    world.server.start.born = std::chrono::system_clock::time_point(std::chrono::seconds(20));
+    world.target().setServer(world.server, true, world.now);
+    EXPECT_EQ(world.answers.size(), slots);
+    EXPECT_EQ(world.refusals(), 0);
+    EXPECT_EQ(world.running.size(), waiting);
+}
+
 }
