Tell that a server has ended, and under which contents of requests

Change: a fingerprint of path and body in the lines of requests; runs whose answers are lost are kept until an open connection, or a probe where none is open, tells whether the server is there; event 113.

Ruled out: who calls as a part of the fingerprint: copies come at machines of other services.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -20,6 +20,9 @@
 namespace {
 
     constexpr std::chrono::milliseconds connectTimeout { 1000 };
+    // A server on the same machine takes a connection within a millisecond, unless its
+    // machine hardly gets the processor.
+    constexpr std::chrono::milliseconds probeTimeout { 400 };
 
     // A server's idle timeout where it names none: shorter than any that is usual.
     constexpr std::chrono::milliseconds defaultIdleTimeout { 4000 };
@@ -104,6 +107,8 @@
 
         time_point idleUntil() const { return m_connection.idleUntil(); }
 
+        bool isEstablished() const { return m_connection.isEstablished(); }
+
         // Whether an idle connection may take a request: nothing came on it, not even its
         // end, that waits to be told.
         bool isClean(time_point now)
@@ -350,6 +355,21 @@
     m_state->pool.closeIdle();
 }
 
+bool instance_client::hasOpenConnection() const
+{
+    return m_state->pool.anyOf([](const instance_connection& connection) { return connection.isEstablished(); });
+}
+
+void instance_client::probe(const std::string& address, std::function<void(bool answered)> handler)
+{
+    ++m_state->counts.connectionsOpened;
+    auto connection = std::make_shared<pooled_socket>(m_state->context, address);
+    connection->connect(m_state->settings.outgoingAddress, probeTimeout, [connection, handler = std::move(handler)](const error_code& error) {
+        connection->close();
+        handler(!error);
+    });
+}
+
 const instance_client_counts& instance_client::counts() const
 {
     return m_state->counts;
--- a/Source/backend/instance_client.h
+++ b/Source/backend/instance_client.h
@@ -56,6 +56,12 @@
     // Closes the connections that are kept for later requests.
     void closeIdle();
 
+    // Whether any connection is open on which the server has answered the opening.
+    bool hasOpenConnection() const;
+
+    // Opens a connection to "IP:port" and closes it again; tells whether that could be done.
+    void probe(const std::string& address, std::function<void(bool answered)>);
+
     const instance_client_counts& counts() const;
     std::size_t inProgress() const;
 
--- /dev/null
+++ b/Source/backend/lost_runs.cpp
@@ -0,0 +1,74 @@
+#include "backend/lost_runs.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // All connections of a server that ends break within this time, so that what is still
+    // open then tells that the server is there.
+    constexpr std::chrono::milliseconds settleTime { 30 };
+
+    // Runs that end their server do so within a second of their start, mostly; whoever
+    // asked for one may have left before that.
+    constexpr std::chrono::milliseconds cancelledTime { 1000 };
+    // Bounds what a storm of cancelled calls can take: the slots of a large server twice over.
+    constexpr std::size_t mostCancelled = 1024;
+
+}
+
+void lost_runs::lost(const server_start& start, request_fingerprint content, time_point now)
+{
+    if (!m_start || *m_start != start) {
+        m_start = start;
+        m_lost.clear();
+        m_asked = false;
+    }
+    if (m_lost.empty()) {
+        m_since = now;
+        m_asked = false;
+    }
+    m_lost.push_back(content);
+}
+
+void lost_runs::cancelled(request_fingerprint content, time_point now)
+{
+    m_cancelled.push_back({ content, now });
+    while (m_cancelled.size() > mostCancelled || m_cancelled.front().at < now - cancelledTime) {
+        m_cancelled.pop_front();
+    }
+}
+
+bool lost_runs::takeDue(time_point now)
+{
+    if (m_lost.empty() || m_asked || now < m_since + settleTime) {
+        return false;
+    }
+    m_asked = true;
+    return true;
+}
+
+void lost_runs::serverLives()
+{
+    m_lost.clear();
+}
+
+std::optional<server_end> lost_runs::serverEnded(time_point now)
+{
+    if (m_lost.empty()) {
+        return std::nullopt;
+    }
+    server_end end { *m_start, std::exchange(m_lost, {}) };
+    for (const auto& run : m_cancelled) {
+        if (run.at >= now - cancelledTime) {
+            end.running.push_back(run.content);
+        }
+    }
+    m_cancelled.clear();
+    std::sort(end.running.begin(), end.running.end());
+    end.running.erase(std::unique(end.running.begin(), end.running.end()), end.running.end());
+    return end;
+}
+
+}
--- a/Source/decision/request_context.h
+++ b/Source/decision/request_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/importance.h"
+#include "decision/request_fingerprint.h"
 #include "decision/shedding_position.h"
 
 #include <chrono>
@@ -14,6 +15,8 @@
     // Names the whole request; every onward call carries the same.
     std::string requestId;
     std::string customer;
+    // What this call asks for. Not on the wire: each node works it out for itself.
+    request_fingerprint content;
     // The contract's class at the entry, for example "desk-reply".
     std::string requestClass;
     importance level = importance::Deferrable;
--- a/Source/http/connection_pool.h
+++ b/Source/http/connection_pool.h
@@ -113,6 +113,15 @@
 
     std::size_t inProgress() const { return m_busy.size(); }
 
+    // Whether any connection, busy or idle, is as the predicate wants.
+    template <typename Predicate>
+    bool anyOf(const Predicate& predicate) const
+    {
+        auto matches = [&predicate](const connection_ptr& connection) { return predicate(*connection); };
+        return std::any_of(m_busy.begin(), m_busy.end(), [&matches](const auto& entry) { return matches(entry.second.connection); })
+            || std::any_of(m_idle.begin(), m_idle.end(), [&matches](const auto& entry) { return std::any_of(entry.second.begin(), entry.second.end(), matches); });
+    }
+
 private:
     struct busy_entry {
         connection_ptr connection;
--- a/Source/http/pooled_socket.cpp
+++ b/Source/http/pooled_socket.cpp
@@ -30,6 +30,7 @@
             return;
         }
         m_timer.cancel();
+        m_established = !result;
         handler(result);
     };
     if (error) {
--- a/Source/http/pooled_socket.h
+++ b/Source/http/pooled_socket.h
@@ -25,6 +25,8 @@
     socket_stream& stream() { return m_stream; }
     bool isOpen() { return m_stream.socket().is_open(); }
     bool isClosed() const { return m_closed; }
+    // Whether the other side has taken the connection, and neither side has ended it.
+    bool isEstablished() const { return m_established && !m_closed; }
 
     // Opens the connection, from the outgoing address if there is one. The handler is
     // called once, later, unless the socket is closed before.
@@ -49,6 +51,7 @@
     time_point m_idleSince;
     time_point m_idleUntil;
     bool m_connecting = false;
+    bool m_established = false;
     bool m_idle = false;
     bool m_closed = false;
 };
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -81,6 +81,10 @@
     };
     hooks.cancelRun = [this](std::uint64_t runId) { m_runs.cancel(runId); };
     hooks.serverStartedAgain = [this] { m_runs.closeIdle(); };
+    hooks.askServer = [this] {
+        m_runs.askWhetherThere([this](bool isThere) { m_target.serverAsked(isThere, std::chrono::steady_clock::now()); });
+    };
+    hooks.serverEnded = [this](const server_end& end) { m_hooks.serverEnded(end); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -119,6 +119,7 @@
     sent.body = std::move(request.message.body);
     auto& context = sent.context;
     context.requestId = std::move(request.requestId);
+    context.content = fingerprintOf(sent.path, sent.body);
     context.requestClass = found->name;
     context.level = importanceOf(found->priority);
     context.position = sheddingPosition(context.level, context.requestId);
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -41,6 +41,9 @@
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
     constexpr std::chrono::milliseconds loadLinePeriod { 1000 };
 
+    // Contents of requests that a line on the end of a server names, so that lines stay bounded.
+    constexpr std::size_t mostContentsLogged = 64;
+
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
 
@@ -139,6 +142,15 @@
         return { std::move(changed), [&random](std::uint64_t bound) { return random() % bound; } };
     }
 
+    void logServerEnd(const server_end& end)
+    {
+        std::string contents;
+        for (std::size_t i = 0; i < std::min(end.running.size(), mostContentsLogged); ++i) {
+            contents += (i == 0 ? "" : " ") + toString(end.running[i]);
+        }
+        logEvent(events::backendServerEnded, { { "instance", end.start.instanceId }, { "running", std::to_string(end.running.size()) }, { "contents", contents } });
+    }
+
     routed_process::routed_process(const node_settings& settings, settings_source source)
         : m_settings(settings)
         , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
@@ -186,6 +198,7 @@
         hooks.begins = [this] { workBegins(); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
         hooks.misdirected = [this](const server_start& start) { m_server.misdirected(start); };
+        hooks.serverEnded = [](const server_end& end) { logServerEnd(end); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -38,6 +38,7 @@
         m_hooks.serverStartedAgain();
         // Only now that the gate has slots again: what waits is for the new start.
         endRuns(now);
+        noteServerEnd(now);
     }
     startReleased(now);
 }
@@ -82,6 +83,7 @@
 std::uint64_t routed_target::arrive(call_request request, call_replier replier, time_point now)
 {
     auto id = m_hooks.random();
+    request.context.content = fingerprintOf(request.path, request.body);
     auto refusal = refusalBeforeGate(request);
     if (!refusal && request.refuseIfFull && !m_gate.hasFreeSlot(now)) {
         refusal = verdict::notRun(verdict_reason::NoFreeSlot);
@@ -107,6 +109,7 @@
 {
     auto& entry = m_arrivals.at(arrivalId);
     entry.running = true;
+    entry.server = m_server->start;
     entry.started = now;
     m_runOfRequest[entry.request.context.requestId] = arrivalId;
     m_hooks.run(arrivalId, *m_server, entry.request, m_deadlines.begin(arrivalId, entry.request.context.deadline));
@@ -133,6 +136,7 @@
     }
     if (node.mapped().running) {
         forgetRun(arrivalId, node.mapped());
+        m_lostRuns.cancelled(node.mapped().request.context.content, now);
         m_hooks.cancelRun(arrivalId);
     }
     m_gate.cancel(arrivalId, now);
@@ -164,6 +168,9 @@
         // refuses for a reason of its own: fewer calls would not make it refuse less.
         m_gate.cancel(runId, now);
     }
+    if (answer.outcome.reason == verdict_reason::AnswerLost) {
+        m_lostRuns.lost(entry.server, entry.request.context.content, now);
+    }
     reply(entry, answer, now);
     startReleased(now);
 }
@@ -241,8 +248,28 @@
     return found == cuts.end() ? nullptr : &*found;
 }
 
+void routed_target::serverAsked(bool isThere, time_point now)
+{
+    if (isThere) {
+        m_lostRuns.serverLives();
+    } else {
+        noteServerEnd(now);
+    }
+}
+
+void routed_target::noteServerEnd(time_point now)
+{
+    auto end = m_lostRuns.serverEnded(now);
+    if (end && m_hooks.serverEnded) {
+        m_hooks.serverEnded(*end);
+    }
+}
+
 void routed_target::tick(time_point now)
 {
+    if (m_hooks.askServer && m_lostRuns.takeDue(now)) {
+        m_hooks.askServer();
+    }
     startReleased(now);
 }
 
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backend/lost_runs.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
@@ -21,6 +22,10 @@
     std::function<void(std::uint64_t runId)> cancelRun;
     // The server has started again: connections that are kept to it are over.
     std::function<void()> serverStartedAgain;
+    // Asks whether the server is there; the answer comes back by serverAsked().
+    std::function<void()> askServer;
+    // The server has ended while it had requests.
+    std::function<void(const server_end&)> serverEnded;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -67,6 +72,9 @@
 
     void serverAnswered(std::uint64_t runId, const call_answer&, time_point now);
 
+    // Whether the server is there, which some lost answers had put in doubt.
+    void serverAsked(bool isThere, time_point now);
+
     void tick(time_point now);
 
     // The run that made a call: the one of that request, or, where the call names
@@ -97,12 +105,15 @@
         call_request request;
         call_replier replier;
         bool running = false;
+        // With a run: the start of the server that has it.
+        server_start server {};
         time_point started {};
         std::vector<met_cut> onwardCuts {};
         std::uint32_t zoneCrossings = 0;
     };
 
     void endRuns(time_point now);
+    void noteServerEnd(time_point now);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
@@ -118,6 +129,7 @@
     bool m_stopping = false;
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
     run_deadlines m_deadlines;
+    lost_runs m_lostRuns;
     // By the request's id.
     std::unordered_map<std::string, std::uint64_t> m_runOfRequest;
 };
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -47,6 +47,15 @@
     }
 }
 
+void server_runs::askWhetherThere(const std::function<void(bool isThere)>& handler)
+{
+    if (m_client.hasOpenConnection()) {
+        handler(true);
+        return;
+    }
+    m_client.probe(m_address, handler);
+}
+
 void server_runs::ended(std::uint64_t runId, const server_start& start, instance_result result)
 {
     m_sent.erase(runId);
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -37,6 +37,9 @@
     // Closes the connections that no run is on: the server that had them is gone.
     void closeIdle() { m_client.closeIdle(); }
 
+    // Tells whether the server is there: by an open connection, or by opening one.
+    void askWhetherThere(const std::function<void(bool isThere)>&);
+
     const instance_client_counts& counts() const { return m_client.counts(); }
 
 private:
--- /dev/null
+++ b/Tests/ServerEnds/server_ends_test.cpp
@@ -0,0 +1,87 @@
+#include "backend/lost_runs.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // More than the time in which all connections of a server that ends break.
+    constexpr milliseconds settled { 50 };
+    constexpr milliseconds longAgo { 5000 };
+
+    struct world {
+        lost_runs runs;
+        server_start server { "i-1" };
+        request_fingerprint first = fingerprintOf("/a", "");
+        request_fingerprint second = fingerprintOf("/b", "");
+        lost_runs::time_point now { longAgo };
+    };
+
+}
+
+TEST(ServerEnds, AreToldWithWhatWasLostOnceTheServerIsGone)
+{
+    world world;
+    world.runs.lost(world.server, world.first, world.now);
+    world.runs.lost(world.server, world.second, world.now);
+    world.runs.lost(world.server, world.first, world.now);
+    EXPECT_FALSE(world.runs.takeDue(world.now));
+    EXPECT_TRUE(world.runs.takeDue(world.now + settled));
+    EXPECT_FALSE(world.runs.takeDue(world.now + settled));
+    auto end = world.runs.serverEnded(world.now + settled);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->start, world.server);
+    EXPECT_EQ(end->running.size(), 2U);
+    EXPECT_FALSE(world.runs.serverEnded(world.now + settled));
+}
+
+TEST(ServerEnds, AreNotTakenFromAnAnswerThatWasLostAlone)
+{
+    world world;
+    world.runs.lost(world.server, world.first, world.now);
+    world.runs.serverLives();
+    EXPECT_FALSE(world.runs.takeDue(world.now + settled));
+    EXPECT_FALSE(world.runs.serverEnded(world.now + settled));
+    world.runs.lost(world.server, world.second, world.now + longAgo);
+    EXPECT_TRUE(world.runs.takeDue(world.now + longAgo + settled));
+    EXPECT_EQ(world.runs.serverEnded(world.now + longAgo + settled)->running, std::vector { world.second });
+}
+
+TEST(ServerEnds, HaveWhatWasCancelledAMomentBefore)
+{
+    world world;
+    world.runs.cancelled(world.first, world.now - longAgo);
+    world.runs.cancelled(world.second, world.now);
+    EXPECT_FALSE(world.runs.takeDue(world.now + settled));
+    auto lost = fingerprintOf("/c", "");
+    world.runs.lost(world.server, lost, world.now);
+    auto end = world.runs.serverEnded(world.now + settled);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->running.size(), 2U);
+    EXPECT_EQ(std::count(end->running.begin(), end->running.end(), world.first), 0);
+}
+
+TEST(ServerEnds, KeepTheStartsOfAServerApart)
+{
+    world world;
+    world.runs.lost({ "i-0" }, world.first, world.now);
+    world.runs.lost(world.server, world.second, world.now);
+    EXPECT_TRUE(world.runs.takeDue(world.now + settled));
+    EXPECT_EQ(world.runs.serverEnded(world.now + settled)->running, std::vector { world.second });
+}
+
+TEST(ServerEnds, NameContentsByPathAndBodyAlone)
+{
+    EXPECT_EQ(fingerprintOf("/a", "b"), fingerprintOf("/a", "b"));
+    EXPECT_NE(fingerprintOf("/a", "b"), fingerprintOf("/a", "c"));
+    EXPECT_NE(fingerprintOf("/a", "b"), fingerprintOf("/ab", ""));
+    auto content = fingerprintOf("/a", "");
+    EXPECT_EQ(parseFingerprint(toString(content)), content);
+    EXPECT_FALSE(parseFingerprint("12"));
+    EXPECT_FALSE(parseFingerprint("000000000000000g"));
+}
+
+}
