Reproduce the incident: copies of a request that ends its servers, after the third end

Seen: red as it should be. Each of 12 copies that come three seconds after the third end reaches a server and ends it, where three may: among nodes that know each other, among two groups that only the store connects, and after all nodes were killed. The stand-in of the store keeps any key now.

Conclusion: reproduced.

--- /dev/null
+++ b/Tests/PoisonRequests/poison_requests_test.cpp
@@ -0,0 +1,68 @@
+// Seen: all four servers of a service ended within half a second, again and again for
+// fifteen seconds, 15 of them under copies of one request; each copy came at another node
+// under an id of its own, and each reached a server, also long after the third end.
+// How: whatever a node remembered of a request went by its id and ended with its answer,
+// so that each copy was a first attempt, at its entry and at its target.
+// Cause: nobody counted the ends of servers by what the servers had been running.
+// Proof: three copies end three servers here, one at a time; a machine counts as in touch
+// three seconds later, and of twelve copies more, four at each side or one at each node,
+// three at most may reach a server.
+
+#include "PoisonRequests/poison_world.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace vanillashunt {
+
+namespace {
+
+    // After it all nodes are bound: the users' stable_window_s.
+    constexpr std::chrono::seconds stableWindow { 3 };
+    constexpr std::size_t deadlyEnds = 3;
+    // What may still reach servers then, by all nodes together.
+    constexpr std::size_t mostRepeats = 3;
+    constexpr std::size_t copies = 12;
+
+    // How many servers end under further copies, which come in at every node in turn.
+    std::size_t endsUnderFurtherCopies(poison_world& world)
+    {
+        std::this_thread::sleep_for(stableWindow);
+        auto before = world.ends();
+        for (std::size_t copy = 0; copy < copies; ++copy) {
+            world.sendCopy(copy % world.nodes());
+        }
+        for (std::size_t entry = 0; entry < world.nodes(); ++entry) {
+            EXPECT_TRUE(world.serves(entry));
+        }
+        return world.ends() - before;
+    }
+
+}
+
+TEST(PoisonRequests, ReachFewServersOnceThreeHaveEndedUnderThem)
+{
+    poison_world world({ 4 });
+    world.endServers(deadlyEnds, { 0, 1, 2, 3 });
+    EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
+}
+
+TEST(PoisonRequests, AreKnownToNodesThatOnlyTheStoreConnects)
+{
+    poison_world world({ 2, 2 });
+    world.endServers(2, { 0, 1 });
+    world.endServers(deadlyEnds, { 2, 3 });
+    EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
+}
+
+TEST(PoisonRequests, AreKnownAfterAllNodesWereKilled)
+{
+    poison_world world({ 3 });
+    world.endServers(deadlyEnds, { 0, 1, 2 });
+    std::this_thread::sleep_for(stableWindow);
+    world.killAllNodes();
+    EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
+}
+
+}
--- /dev/null
+++ b/Tests/PoisonRequests/poison_world.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "RoutedWorld/platform_world.h"
+#include "RoutedWorld/routed_node.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillashunt {
+
+// Nodes as real processes, each beside a server as a real process that a poison request
+// ends, and one store. Requests go one after the other, so that each that reaches a
+// server ends one.
+class poison_world {
+public:
+    // Starts so many nodes for each size. Those of one group know each other; of the other
+    // groups they could only learn by the store, as if they were cut off from them.
+    explicit poison_world(const std::vector<std::size_t>& groupSizes);
+
+    // Sends one more copy of the poison request to the node, and starts the servers again
+    // that have ended by it.
+    void sendCopy(std::size_t entry);
+
+    // The same until so many servers have ended in all, at the nodes in turn.
+    void endServers(std::size_t count, const std::vector<std::size_t>& entries);
+
+    // Servers that have ended so far.
+    std::size_t ends() const { return m_ends; }
+
+    // All nodes are killed and start again.
+    void killAllNodes();
+
+    // Whether the node still answers what is not poison.
+    bool serves(std::size_t entry) { return m_places[entry].node->getUntil("200").substr(9, 3) == "200"; }
+
+    void setStoreDown(bool down) { m_world.setStoreDown(down); }
+
+    std::size_t nodes() const { return m_places.size(); }
+
+private:
+    struct place {
+        std::size_t group = 0;
+        std::string port = "0";
+        int starts = 0;
+        std::unique_ptr<child_process> server;
+        std::unique_ptr<routed_node> node;
+    };
+
+    void startServer(place&);
+    void startNode(std::size_t which);
+    void report(place&);
+    void startEndedServers();
+
+    platform_world m_world;
+    std::vector<place> m_places;
+    std::size_t m_ends = 0;
+};
+
+}
--- a/Tests/RoutedWorld/platform_world.cpp
+++ b/Tests/RoutedWorld/platform_world.cpp
@@ -1,6 +1,7 @@
 #include "RoutedWorld/platform_world.h"
 
 #include "http/json_text.h"
+#include "store/gateway_json.h"
 
 #include <json/value.h>
 
@@ -10,20 +11,18 @@
 
     constexpr const char* configurationKey = "op/config";
 
-    std::string encode(const std::string& bytes)
+    // How long a wait without a change lasts: short, since the node asks again.
+    constexpr std::chrono::milliseconds emptyWait { 50 };
+
+    // The value of one name in the query of a target; the names end with "=".
+    std::string queryValue(const std::string& target, const std::string& name)
     {
-        constexpr const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-        std::string text;
-        for (std::size_t i = 0; i < bytes.size(); i += 3) {
-            unsigned group = 0;
-            for (std::size_t j = 0; j < 3; ++j) {
-                group = group << 8U | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
-            }
-            for (std::size_t j = 0; j < 4; ++j) {
-                text += i + j > bytes.size() ? '=' : digits[group >> (18U - 6U * j) & 63U];
-            }
+        auto place = target.find(name + "=", target.find('?'));
+        if (place == std::string::npos) {
+            return "";
         }
-        return text;
+        place += name.size() + 1;
+        return target.substr(place, target.find('&', place) - place);
     }
 
     http_response json(unsigned status, const Json::Value& body)
@@ -98,7 +97,8 @@
     return m_runs.size();
 }
 
-// A wait for changes is answered at once, with whatever there is: the node asks again.
+// A wait for changes of the configuration is answered at once, with whatever there is: the
+// node asks again. One for another key is answered by a change or, without, a moment later.
 void platform_world::storeCalled(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -106,28 +106,76 @@
         exchange->respond({ 503, {}, "" });
         return;
     }
-    Json::Value body;
-    body["store_revision"] = m_revision;
-    auto found = m_items.find(configurationKey);
-    Json::Value item;
-    if (found != m_items.end()) {
-        item["key"] = configurationKey;
-        item["value"] = encode(found->second.value);
-        item["revision"] = found->second.revision;
-    }
     if (beginsWith(request.target, "/kv-key")) {
-        item["store_revision"] = m_revision;
-        exchange->respond(json(found == m_items.end() ? 404 : 200, item));
+        exchange->respond(readKey(queryValue(request.target, "key")));
     } else if (beginsWith(request.target, "/kv-watch")) {
-        body["events"].append(item);
-        exchange->respond(json(found == m_items.end() ? 503 : 200, body));
+        answerWait(request.target, exchange);
     } else if (beginsWith(request.target, "/kv-range")) {
+        Json::Value body;
+        body["store_revision"] = m_revision;
         body["items"] = Json::Value(Json::arrayValue);
         exchange->respond(json(200, body));
     } else {
-        body["revision"] = ++m_revision;
+        exchange->respond(change(readJson(request.body)));
+    }
+}
+
+Json::Value platform_world::itemOf(const std::string& key) const
+{
+    Json::Value body;
+    auto found = m_items.find(key);
+    if (found != m_items.end()) {
+        body["key"] = key;
+        body["value"] = encodeBase64(found->second.value);
+        body["revision"] = found->second.revision;
+    }
+    return body;
+}
+
+http_response platform_world::readKey(const std::string& key) const
+{
+    auto body = itemOf(key);
+    unsigned status = body.isNull() ? 404 : 200;
+    body["store_revision"] = m_revision;
+    return json(status, body);
+}
+
+void platform_world::answerWait(const std::string& target, const std::shared_ptr<http_exchange>& exchange)
+{
+    auto key = queryValue(target, "prefix");
+    auto item = itemOf(key);
+    Json::Value body;
+    body["store_revision"] = m_revision;
+    body["events"] = Json::Value(Json::arrayValue);
+    if (key == configurationKey) {
+        body["events"].append(item);
+        exchange->respond(json(item.isNull() ? 503 : 200, body));
+        return;
+    }
+    if (!item.isNull() && item["revision"].asInt() > std::stoi(queryValue(target, "after"))) {
+        body["events"].append(item);
         exchange->respond(json(200, body));
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_loop.context, emptyWait);
+    timer->async_wait([timer, exchange, body](boost::system::error_code) { exchange->respond(json(200, body)); });
+}
+
+http_response platform_world::change(const Json::Value& call)
+{
+    Json::Value body;
+    for (const auto& condition : call["precondition"]) {
+        auto item = itemOf(condition["key"].asString());
+        if (item["revision"].asInt() != condition["revision"].asInt()) {
+            body["items"].append(item);
+            return json(412, body);
+        }
+    }
+    body["revision"] = ++m_revision;
+    for (const auto& put : call["puts"]) {
+        m_items[put["key"].asString()] = { decodeBase64(put["value"].asString()).value(), m_revision };
     }
+    return json(200, body);
 }
 
 void platform_world::serverCalled(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
--- a/Tests/RoutedWorld/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -3,6 +3,8 @@
 #include "RawSocket/raw_socket.h"
 #include "http/http_server.h"
 
+#include <json/value.h>
+
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -45,6 +47,10 @@
     };
 
     void storeCalled(const http_request&, const std::shared_ptr<http_exchange>&);
+    Json::Value itemOf(const std::string& key) const;
+    http_response readKey(const std::string& key) const;
+    void answerWait(const std::string& target, const std::shared_ptr<http_exchange>&);
+    http_response change(const Json::Value& call);
     void serverCalled(const http_request&, const std::shared_ptr<http_exchange>&);
     http_response answerOf(const http_request&);
     void answerWaiting();
