--- a/Source/backend/lost_runs.cpp
+++ b/Source/backend/lost_runs.cpp
@@ -23,11 +23,11 @@
     if (!m_start || *m_start != start) {
         m_start = start;
         m_lost.clear();
-        m_asked = false;
     }
     if (m_lost.empty()) {
         m_since = now;
         m_asked = false;
+        m_reachable = false;
     }
     m_lost.push_back(content);
 }
@@ -49,12 +49,34 @@
     return true;
 }
 
-void lost_runs::serverLives()
+std::optional<server_end> lost_runs::asked(server_presence presence, time_point now)
+{
+    if (presence == server_presence::Gone) {
+        return takeEnd(now);
+    }
+    m_reachable = presence == server_presence::Reachable;
+    if (!m_reachable) {
+        m_lost.clear();
+    }
+    return std::nullopt;
+}
+
+// A server may be back before it is asked; its first report tells.
+std::optional<server_end> lost_runs::serverNamed(const server_start& start, time_point now)
 {
-    m_lost.clear();
+    if (m_lost.empty()) {
+        return std::nullopt;
+    }
+    if (*m_start != start) {
+        return takeEnd(now);
+    }
+    if (m_reachable) {
+        m_lost.clear();
+    }
+    return std::nullopt;
 }
 
-std::optional<server_end> lost_runs::serverEnded(time_point now)
+std::optional<server_end> lost_runs::takeEnd(time_point now)
 {
     if (m_lost.empty()) {
         return std::nullopt;
--- a/Source/backend/lost_runs.h
+++ b/Source/backend/lost_runs.h
@@ -4,6 +4,7 @@
 #include "decision/request_fingerprint.h"
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -17,6 +18,13 @@
     std::vector<request_fingerprint> running;
 };
 
+// Whether something serves at the server's address, after some of its answers were lost.
+enum class server_presence : std::uint8_t {
+    Connected, // A connection is open that it had taken before: it is the same start.
+    Reachable, // It takes a new connection: the same start, or the next one already.
+    Gone, // It takes none.
+};
+
 // Tells the end of a server from an answer that was lost. The runs whose answers were
 // lost, or that were cancelled a moment before, are kept until it is known whether the
 // server is still there.
@@ -33,11 +41,13 @@
     // Whether the server is to be asked now; true once for each doubt.
     bool takeDue(time_point now);
 
-    // The server answers: whatever was lost, it has not ended.
-    void serverLives();
+    bool inDoubt() const { return !m_lost.empty(); }
 
-    // The server is gone. Nothing if there was no doubt.
-    std::optional<server_end> serverEnded(time_point now);
+    // What came of asking; returns the end, if it was one.
+    std::optional<server_end> asked(server_presence, time_point now);
+
+    // A start of the server is there: a report, or its answer that it is not another one.
+    std::optional<server_end> serverNamed(const server_start&, time_point now);
 
 private:
     struct cancelled_run {
@@ -45,11 +55,14 @@
         time_point at;
     };
 
+    std::optional<server_end> takeEnd(time_point now);
+
     std::optional<server_start> m_start;
     std::vector<request_fingerprint> m_lost;
     std::deque<cancelled_run> m_cancelled;
     time_point m_since;
     bool m_asked = false;
+    bool m_reachable = false;
 };
 
 }
--- a/Source/backend/server_start.h
+++ b/Source/backend/server_start.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,9 @@
     return !(left == right);
 }
 
+// The same for the same start, on every machine.
+std::uint64_t hashOf(const server_start&);
+
 // Whether both are starts of one server, and the first came after the second. Starts
 // of different ids are not compared: their clocks may differ. A start that is known by
 // its time comes after one of the same id that is not, since a server that tells its
--- /dev/null
+++ b/Source/decision/poison_ledger.cpp
@@ -0,0 +1,157 @@
+#include "decision/poison_ledger.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Bounds the shared document, at some 70 bytes a record, to a seventh of the megabyte
+    // that one key may hold. A server's end brings as many as it has slots, 250 at most.
+    constexpr std::size_t mostRecords = 2048;
+
+    bool addEnd(poison_record& record, std::uint64_t startHash)
+    {
+        auto& ends = record.ends;
+        if (ends.size() >= poisonEnds || std::find(ends.begin(), ends.end(), startHash) != ends.end()) {
+            return false;
+        }
+        ends.push_back(startHash);
+        return true;
+    }
+
+    // Whether both say the same, wherever they were read. Which ends make up the full number
+    // makes no difference.
+    bool isAsMuch(const poison_record& left, const poison_record& right)
+    {
+        if (left.answered != right.answered || left.ends.size() != right.ends.size()) {
+            return false;
+        }
+        return left.ends.size() >= poisonEnds || std::is_permutation(left.ends.begin(), left.ends.end(), right.ends.begin());
+    }
+
+    // Which version of the document has the record that two others were joined to: none, if
+    // both have brought something.
+    std::int64_t versionOf(const poison_record& joined, const poison_record& own, const poison_record& other)
+    {
+        if (isAsMuch(joined, other)) {
+            return std::max(own.version, other.version);
+        }
+        return isAsMuch(joined, own) ? own.version : 0;
+    }
+
+}
+
+void poison_ledger::serverEnded(std::uint64_t startHash, const std::vector<request_fingerprint>& contents, wall_time now)
+{
+    for (auto content : contents) {
+        auto& record = m_records[content];
+        record.content = content;
+        record.lastEnd = std::max(record.lastEnd, now);
+        if (addEnd(record, startHash)) {
+            record.version = 0;
+        }
+    }
+    forget(now);
+}
+
+bool poison_ledger::answered(request_fingerprint content)
+{
+    auto found = m_records.find(content);
+    if (found == m_records.end() || found->second.answered) {
+        return false;
+    }
+    found->second.answered = true;
+    found->second.version = 0;
+    return true;
+}
+
+bool poison_ledger::isPoison(request_fingerprint content, wall_time now) const
+{
+    auto found = m_records.find(content);
+    if (found == m_records.end()) {
+        return false;
+    }
+    const auto& record = found->second;
+    return record.ends.size() >= poisonEnds && !record.answered && !isOver(record, now);
+}
+
+void poison_ledger::merge(const std::vector<poison_record>& others, wall_time now)
+{
+    for (const auto& other : others) {
+        if (isOver(other, now)) {
+            continue;
+        }
+        auto& record = m_records[other.content];
+        auto before = record;
+        record.content = other.content;
+        record.answered = record.answered || other.answered;
+        record.lastEnd = std::max(record.lastEnd, other.lastEnd);
+        for (auto start : other.ends) {
+            addEnd(record, start);
+        }
+        record.version = versionOf(record, before, other);
+    }
+    forget(now);
+}
+
+void poison_ledger::knows(std::int64_t version)
+{
+    m_version = std::max(m_version, version);
+}
+
+bool poison_ledger::hasUnshared(wall_time now) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [now](const auto& entry) { return entry.second.version == 0 && !isOver(entry.second, now); });
+}
+
+std::vector<poison_record> poison_ledger::document(std::int64_t version, wall_time now) const
+{
+    std::vector<poison_record> records;
+    for (const auto& [content, record] : m_records) {
+        if (isOver(record, now)) {
+            continue;
+        }
+        records.push_back(record);
+        if (record.version == 0) {
+            records.back().version = version;
+        }
+    }
+    return records;
+}
+
+std::vector<poison_record> poison_ledger::since(std::int64_t version, wall_time now) const
+{
+    std::vector<poison_record> records;
+    for (const auto& [content, record] : m_records) {
+        if (record.version > version && !isOver(record, now)) {
+            records.push_back(record);
+        }
+    }
+    return records;
+}
+
+// The time of day may jump: what seems to lie ahead is as good as new.
+bool poison_ledger::isOver(const poison_record& record, wall_time now)
+{
+    return record.lastEnd + poisonMemory < now;
+}
+
+// Those with the fewest ends go first, and of these the oldest.
+void poison_ledger::forget(wall_time now)
+{
+    for (auto each = m_records.begin(); each != m_records.end();) {
+        each = isOver(each->second, now) ? m_records.erase(each) : std::next(each);
+    }
+    while (m_records.size() > mostRecords) {
+        auto least = std::min_element(m_records.begin(), m_records.end(), [](const auto& left, const auto& right) {
+            auto weight = [](const poison_record& record) { return record.answered ? 0 : record.ends.size(); };
+            auto leftWeight = weight(left.second);
+            auto rightWeight = weight(right.second);
+            return leftWeight != rightWeight ? leftWeight < rightWeight : left.second.lastEnd < right.second.lastEnd;
+        });
+        m_records.erase(least);
+    }
+}
+
+}
--- a/Source/decision/target_view.cpp
+++ b/Source/decision/target_view.cpp
@@ -97,7 +97,8 @@
     m_failuresInRow = 0;
     m_avoidedUntil = {};
     m_owesSince = now;
-    if (outcome.result.reason != verdict_reason::NoFreeSlot) {
+    bool hasWaited = outcome.result.reason != verdict_reason::NoFreeSlot && outcome.result.reason != verdict_reason::Poison;
+    if (hasWaited) {
         m_usualLatency += latencyWeight * (outcome.latency - m_usualLatency);
     }
     if (outcome.result.run == execution::Ran) {
--- a/Source/decision/verdict.h
+++ b/Source/decision/verdict.h
@@ -37,9 +37,10 @@
     TicketNeeded, // A first attempt is to be repeated with the enclosed ticket.
     AnswerNotKept, // It ran, and its answer is no longer kept for repeats.
     NoFreeSlot, // All slots are in use, and the call was not to wait while others may have one.
+    Poison, // Servers have ended under requests of the same content.
 };
 
-constexpr int verdictReasonCount = static_cast<int>(verdict_reason::NoFreeSlot) + 1;
+constexpr int verdictReasonCount = static_cast<int>(verdict_reason::Poison) + 1;
 
 // The word that callers see, for example "not_run".
 std::string toString(execution);
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -24,6 +24,8 @@
 inline constexpr event routesUnreadable { 132, severity::Error, "a version of the routes cannot be read" };
 inline constexpr event storeLost { 133, severity::Warning, "the platform's store does not answer" };
 inline constexpr event storeBack { 134, severity::Info, "the platform's store answers again" };
+inline constexpr event poisonChanged { 135, severity::Info, "more is known of requests that end servers" };
+inline constexpr event poisonUnreadable { 136, severity::Error, "the document on requests that end servers cannot be read" };
 inline constexpr event settingsReread { 105, severity::Info, "settings file read again" };
 inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
 inline constexpr event attemptFailed { 203, severity::Info, "attempt brought no answer of a backend server" };
@@ -33,6 +35,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
 
 }
--- a/Source/membership/gossip_message.h
+++ b/Source/membership/gossip_message.h
@@ -41,14 +41,23 @@
     std::uint64_t hash = 0;
 };
 
+// How far a node knows what all nodes are to know. Who lacks a version fetches what it
+// brought from whoever told of it.
+struct news_versions {
+    // The highest revision of the contracts, or the version of the routes.
+    std::int64_t contracts = 0;
+    // Of the document on requests that end servers.
+    std::int64_t poison = 0;
+};
+
 // One datagram. Which of the fields go on the wire depends on its kind.
 struct gossip_message {
     gossip_kind kind = gossip_kind::Ping;
     std::uint64_t senderId = 0;
     // Where the sender takes answers, as advertised.
     std::string senderAddress;
-    // The highest contract revision that the sender has.
-    std::int64_t revision = 0;
+    // What the sender has of that which all nodes are to know.
+    news_versions versions;
 
     // Ping, Ack, PingRequest and PingAccepted.
     std::uint32_t sequence = 0;
--- a/Source/membership/gossip_protocol.cpp
+++ b/Source/membership/gossip_protocol.cpp
@@ -80,8 +80,8 @@
         mergeUpdates(message, now);
         sender = m_table.find(message.senderId);
     }
-    if (sender && sender->whole && m_hooks.peerRevision) {
-        m_hooks.peerRevision(sender->entry, message.revision);
+    if (sender && sender->whole && m_hooks.peerVersions) {
+        m_hooks.peerVersions(sender->entry, message.versions);
     }
     switch (message.kind) {
     case gossip_kind::Ping:
@@ -599,7 +599,9 @@
 {
     message.senderId = m_table.self().id;
     message.senderAddress = m_table.self().address;
-    message.revision = m_hooks.ownRevision ? m_hooks.ownRevision() : 0;
+    if (m_hooks.ownVersions) {
+        message.versions = m_hooks.ownVersions();
+    }
     message.digest = m_table.digest();
     message.settled = now - m_table.lastChange() >= m_options.settleTime;
     m_hooks.send(address, message);
--- a/Source/membership/gossip_protocol.h
+++ b/Source/membership/gossip_protocol.h
@@ -25,10 +25,10 @@
 struct gossip_hooks {
     std::function<void(const std::string& address, const gossip_message&)> send;
     random_hook random;
-    // The highest contract revision that this node has.
-    std::function<std::int64_t()> ownRevision;
-    // Told of the revision in each datagram from a member.
-    std::function<void(const member&, std::int64_t revision)> peerRevision;
+    // What this node has of that which all are to know.
+    std::function<news_versions()> ownVersions;
+    // Told of the versions in each datagram from a member.
+    std::function<void(const member&, const news_versions&)> peerVersions;
     // Told that a newer process goes by the own name or address.
     std::function<void()> superseded;
 };
@@ -52,7 +52,7 @@
     // operator address and state count. After the state Left it says nothing more.
     void setSelf(const member&, time_point now);
 
-    // Pushes at once, since the own contract revision has risen.
+    // Pushes at once, since one of the own versions has risen.
     void spreadSoon(time_point now);
 
     // Addresses of nodes that may or may not be members yet; replaces those given before.
--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -39,8 +39,8 @@
     gossip_hooks hooks;
     hooks.send = [this](const std::string& address, const gossip_message& message) { m_socket.send(address, message); };
     hooks.random = [this](std::uint64_t bound) { return m_random() % bound; };
-    hooks.ownRevision = m_parts.hooks.ownRevision;
-    hooks.peerRevision = m_parts.hooks.peerRevision;
+    hooks.ownVersions = m_parts.hooks.ownVersions;
+    hooks.peerVersions = m_parts.hooks.peerVersions;
     hooks.superseded = [this] { superseded(); };
     return hooks;
 }
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/member.h"
+#include "membership/gossip_message.h"
 #include "node/actor_host.h"
 #include "store/metadata_store.h"
 
@@ -19,10 +20,10 @@
 struct membership_hooks {
     // Called with each change of what this node knows of the members.
     std::function<void(member_list)> membersChanged {};
-    // The highest contract revision that this node has; goes with each datagram.
-    std::function<std::int64_t()> ownRevision {};
-    // Called with the contract revision in each datagram from a known member.
-    std::function<void(const member&, std::int64_t revision)> peerRevision {};
+    // What this node has of that which all are to know; goes with each datagram.
+    std::function<news_versions()> ownVersions {};
+    // Called with the versions in each datagram from a known member.
+    std::function<void(const member&, const news_versions&)> peerVersions {};
 };
 
 // Keeps what this node knows of the other nodes, and lets them know of this one:
@@ -46,7 +47,7 @@
     // operator address or state. After the state Left the node falls silent.
     void setSelf(const member& self);
 
-    // Pushes at once, since the own contract revision has risen.
+    // Pushes at once, since one of the own versions has risen.
     void spreadSoon();
 
     // What came of a call to a member: whether anything came back. Counts towards
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -188,8 +188,8 @@
             m_configuration->setMembers(members);
             m_host->send(m_calls, members_changed { members });
         };
-        hooks.ownRevision = [this] { return m_configuration->revision(); };
-        hooks.peerRevision = [this](const member& peer, std::int64_t revision) { m_configuration->peerRevision(peer, revision); };
+        hooks.ownVersions = [this] { return news_versions { m_configuration->revision() }; };
+        hooks.peerVersions = [this](const member& peer, const news_versions& versions) { m_configuration->peerRevision(peer, versions.contracts); };
         return hooks;
     }
 
--- /dev/null
+++ b/Source/node/poison_share.cpp
@@ -0,0 +1,174 @@
+#include "node/poison_share.h"
+
+#include "events/event_catalogue.h"
+#include "http/json_text.h"
+#include "operator/operator_port.h"
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr const char* documentKey = "/vanillashunt/poison";
+    constexpr milliseconds callTimeout { 1000 };
+
+    // Until a write that met another node's, or none, is tried again. Several servers may
+    // end at once; and whoever returns after an outage has `stable_window_s`, 3 s, to tell.
+    constexpr milliseconds conflictPause { 20 };
+    constexpr milliseconds failurePause { 200 };
+
+    watched_document_terms poisonTerms()
+    {
+        watched_document_terms terms;
+        terms.key = documentKey;
+        terms.peerMethod = poisonSinceMethod;
+        terms.everyNodeReads = false;
+        // Nodes are ready within two seconds of their start, and bound a second later.
+        terms.firstCall = milliseconds(1200);
+        // A third of the calls that the routes cost: gossip tells of nearly every change, and
+        // what a zone that is cut off misses by a silent wait is read again with the routes.
+        terms.shortestWait = milliseconds(8000);
+        terms.waitSpread = milliseconds(4000);
+        return terms;
+    }
+
+}
+
+poison_share::poison_share(boost::asio::io_context& context, key_value_store& store, peer_rpc& peers, std::uint64_t selfId, std::string availabilityZone, poison_share_hooks hooks)
+    : m_store(store)
+    , m_hooks(std::move(hooks))
+    , m_saveTimer(context)
+    , m_watched(context, store, peers, selfId, std::move(availabilityZone), poisonTerms(), watchedHooks())
+{
+}
+
+watched_document_hooks poison_share::watchedHooks()
+{
+    watched_document_hooks hooks;
+    hooks.version = [this] { return m_ledger.version(); };
+    hooks.stored = [this](const store_entry& entry) { takeStored({ { entry }, 0 }); };
+    hooks.told = [this](const Json::Value& news) {
+        if (auto document = parsePoisonDocument(news)) {
+            take(*document);
+        }
+    };
+    hooks.chance = m_hooks.chance;
+    // The routes' own calls tell of the store, and log it once.
+    hooks.lost = [](const std::string&) {};
+    hooks.back = [](milliseconds) {};
+    return hooks;
+}
+
+void poison_share::serverEnded(const server_end& end)
+{
+    m_ledger.serverEnded(hashOf(end.start), end.running, m_hooks.wallNow());
+    save();
+}
+
+void poison_share::answered(request_fingerprint content)
+{
+    if (m_ledger.answered(content)) {
+        save();
+    }
+}
+
+void poison_share::storeBack()
+{
+    m_watched.readAgain();
+    save();
+}
+
+void poison_share::take(const poison_document& document)
+{
+    auto before = m_ledger.version();
+    m_ledger.merge(document.records, m_hooks.wallNow());
+    m_ledger.knows(document.version);
+    if (m_ledger.version() > before) {
+        logEvent(events::poisonChanged, { { "version", std::to_string(m_ledger.version()) }, { "contents", std::to_string(m_ledger.size()) } });
+        m_hooks.changed();
+    }
+    save();
+}
+
+std::int64_t poison_share::takeStored(const store_range& range)
+{
+    if (range.entries.empty()) {
+        return 0;
+    }
+    const auto& entry = range.entries.front();
+    if (auto document = parsePoisonDocument(entry.value)) {
+        take(*document);
+    } else {
+        logEvent(events::poisonUnreadable, { { "bytes", std::to_string(entry.value.size()) } });
+    }
+    return entry.modRevision;
+}
+
+// Reads, joins and writes: a write succeeds only upon what it has read. It goes on until
+// the document has all that is known here, whoever brought it there.
+void poison_share::save()
+{
+    if (m_saving || !m_ledger.hasUnshared(m_hooks.wallNow())) {
+        return;
+    }
+    m_saving = true;
+    m_store.get(documentKey, callTimeout, [this](const store_result<store_range>& result) {
+        const auto* range = std::get_if<store_range>(&result);
+        if (!range) {
+            saveAfter(failurePause);
+            return;
+        }
+        auto revision = takeStored(*range);
+        if (!m_ledger.hasUnshared(m_hooks.wallNow())) {
+            m_saving = false;
+            return;
+        }
+        write(revision);
+    });
+}
+
+void poison_share::write(std::int64_t expectedRevision)
+{
+    auto version = m_ledger.version() + 1;
+    poison_document document { version, m_ledger.document(version, m_hooks.wallNow()) };
+    ++m_writes;
+    m_store.swap(documentKey, expectedRevision, writeJson(toJson(document)), callTimeout, [this, document](const store_result<store_swap>& result) {
+        const auto* swap = std::get_if<store_swap>(&result);
+        if (!swap || !swap->succeeded) {
+            ++m_writesFailed;
+            saveAfter(swap ? conflictPause : failurePause);
+            return;
+        }
+        m_saving = false;
+        take(document);
+    });
+}
+
+void poison_share::saveAfter(milliseconds pause)
+{
+    auto spread = m_hooks.chance(static_cast<std::uint64_t>(pause.count()));
+    m_saveTimer.expires_after(pause + milliseconds(spread));
+    m_saveTimer.async_wait([this](boost::system::error_code error) {
+        m_saving = false;
+        if (!error) {
+            save();
+        }
+    });
+}
+
+Json::Value poison_share::newsSince(std::int64_t version) const
+{
+    return toJson(poison_document { m_ledger.version(), m_ledger.since(version, m_hooks.wallNow()) });
+}
+
+Json::Value poison_share::dump() const
+{
+    auto state = m_watched.dump();
+    state["contents"] = Json::UInt64(m_ledger.size());
+    state["writes"] = Json::UInt64(m_writes);
+    state["writes_failed"] = Json::UInt64(m_writesFailed);
+    return state;
+}
+
+}
--- /dev/null
+++ b/Source/node/poison_share.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "backend/lost_runs.h"
+#include "decision/poison_ledger.h"
+#include "node/poison_document.h"
+#include "node/watched_document.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace vanillashunt {
+
+struct poison_share_hooks {
+    // What is known has a newer version, of which the others are to hear at once.
+    std::function<void()> changed;
+    // Returns a random number below its argument.
+    std::function<std::uint64_t(std::uint64_t bound)> chance;
+    // The time of day.
+    std::function<std::chrono::system_clock::time_point()> wallNow;
+};
+
+// This node's poison ledger, and the document in the platform's store by which all nodes
+// share theirs: so a content is known again after every process was killed, and in zones
+// that only the store connects. A node whose server has ended writes what the document
+// lacks; without the store it still refuses what has ended its own server three times.
+class poison_share {
+public:
+    // The store and the client outlive it.
+    poison_share(boost::asio::io_context&, key_value_store&, peer_rpc&, std::uint64_t selfId, std::string availabilityZone, poison_share_hooks);
+
+    void start() { m_watched.start(); }
+    void setMembers(const member_list& members) { m_watched.setMembers(members); }
+    void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version); }
+
+    // The store may have been away: what was missed is read, what is owed is written.
+    void storeBack();
+
+    // The server beside this node ended under requests.
+    void serverEnded(const server_end&);
+
+    // That server has answered a request of the content.
+    void answered(request_fingerprint);
+
+    // Whether requests of the content are to reach no server.
+    bool isPoison(request_fingerprint content) const { return m_ledger.size() != 0 && m_ledger.isPoison(content, m_hooks.wallNow()); }
+
+    std::int64_t version() const { return m_ledger.version(); }
+
+    // What a peer that has the version lacks.
+    Json::Value newsSince(std::int64_t version) const;
+
+    Json::Value dump() const;
+
+private:
+    watched_document_hooks watchedHooks();
+    void take(const poison_document&);
+    // Returns the revision to write upon.
+    std::int64_t takeStored(const store_range&);
+    void save();
+    void write(std::int64_t expectedRevision);
+    void saveAfter(std::chrono::milliseconds);
+
+    key_value_store& m_store;
+    poison_share_hooks m_hooks;
+    poison_ledger m_ledger;
+    boost::asio::steady_timer m_saveTimer;
+    // Whether a write of this node is under way, or waits for its time.
+    bool m_saving = false;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_writesFailed = 0;
+    watched_document m_watched;
+};
+
+}
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -68,6 +68,7 @@
     hooks.ended = [this](std::uint64_t memberId, bool answered) { m_hooks.ended(memberId, answered); };
     hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
     hooks.onwardEnded = [this](std::uint64_t runId, const onward_report& report) { m_target.learnOnward(runId, report); };
+    hooks.isPoison = [this](request_fingerprint content) { return m_hooks.isPoison(content); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
@@ -82,9 +83,11 @@
     hooks.cancelRun = [this](std::uint64_t runId) { m_runs.cancel(runId); };
     hooks.serverStartedAgain = [this] { m_runs.closeIdle(); };
     hooks.askServer = [this] {
-        m_runs.askWhetherThere([this](bool isThere) { m_target.serverAsked(isThere, std::chrono::steady_clock::now()); });
+        m_runs.askWhetherThere([this](server_presence presence) { m_target.serverAsked(presence, std::chrono::steady_clock::now()); });
     };
     hooks.serverEnded = [this](const server_end& end) { m_hooks.serverEnded(end); };
+    hooks.isPoison = [this](request_fingerprint content) { return m_hooks.isPoison(content); };
+    hooks.contentAnswered = [this](request_fingerprint content) { m_hooks.contentAnswered(content); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -29,6 +29,10 @@
     std::function<void(const server_start&)> misdirected;
     // That server has ended while it had requests.
     std::function<void(const server_end&)> serverEnded;
+    // Whether servers have ended under requests of the content, so that it is to reach none.
+    std::function<bool(request_fingerprint)> isPoison;
+    // That server has answered a request of the content.
+    std::function<void(request_fingerprint)> contentAnswered;
     call_observer observed;
 };
 
@@ -51,6 +55,9 @@
 
     bool idle() const { return m_entry.inProgress() == 0 && m_target.inProgress() == 0; }
 
+    // Whether tick() is to be called often.
+    bool isBusy() const { return !idle() || m_target.doubtsServer(); }
+
     routed_entry& entry() { return m_entry; }
     const routed_entry& entry() const { return m_entry; }
     routed_target& target() { return m_target; }
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -125,6 +125,11 @@
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
     context.deadline = std::min(request.deadline, now + found->timeout);
+    if (isPoison(call)) {
+        m_calls.emplace(callId, std::move(call));
+        refusePoison(callId, now);
+        return callId;
+    }
     auto maker = m_hooks.findParent(request);
     if (maker) {
         // A call is part of the request that it is made for, and matters as much.
@@ -188,6 +193,17 @@
     return chosen;
 }
 
+bool routed_entry::isPoison(const entry_call& call) const
+{
+    return m_hooks.isPoison && m_hooks.isPoison(call.request.context.content);
+}
+
+// To come back before it is forgotten is in vain.
+void routed_entry::refusePoison(std::uint64_t callId, time_point now)
+{
+    giveUp(callId, verdict::notRun(verdict_reason::Poison, poisonMemory), "servers have ended under requests like this one", now);
+}
+
 void routed_entry::attempt(std::uint64_t callId, time_point now)
 {
     auto& call = m_calls.at(callId);
@@ -195,6 +211,10 @@
         giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
         return;
     }
+    if (isPoison(call)) {
+        refusePoison(callId, now);
+        return;
+    }
     auto chosen = chooseTarget(call, now);
     if (!chosen) {
         auto refusal = call.refusal.reason == verdict_reason::Answered ? verdict::notRun(verdict_reason::NoBackendServer, comeBackAfter()) : call.refusal;
@@ -291,6 +311,10 @@
 bool routed_entry::mayTryAgain(entry_call& call, const call_answer& answer, std::chrono::microseconds latency, time_point now)
 {
     bool served = answer.outcome.run == execution::Ran && answer.status < leastServerError;
+    if (answer.outcome.reason == verdict_reason::Poison) {
+        // No other target would take it.
+        return false;
+    }
     if (served || call.request.context.deadline < now + leastTimeToRetry) {
         return false;
     }
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -5,6 +5,7 @@
 #include "call/call_request.h"
 #include "decision/cost_order.h"
 #include "decision/entrance_gate.h"
+#include "decision/poison_ledger.h"
 #include "decision/retry_allowance.h"
 #include "decision/router.h"
 #include "decision/service_room.h"
@@ -55,6 +56,8 @@
     std::function<std::optional<parent_run>(const entry_request&)> findParent;
     // A call of the own server ended.
     std::function<void(std::uint64_t runId, const onward_report&)> onwardEnded;
+    // Whether servers have ended under requests of the content; nothing here takes one for it.
+    std::function<bool(request_fingerprint)> isPoison;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -126,6 +129,8 @@
 
     void learn(const entry_call&, const call_answer&, time_point now);
     void attempt(std::uint64_t callId, time_point now);
+    bool isPoison(const entry_call&) const;
+    void refusePoison(std::uint64_t callId, time_point now);
     std::optional<member> chooseTarget(entry_call&, time_point now);
     void noteReached(entry_call&, time_point now);
     bool mayTryAgain(entry_call&, const call_answer&, std::chrono::microseconds latency, time_point now);
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -4,6 +4,7 @@
 #include "events/event_catalogue.h"
 #include "node/membership_service.h"
 #include "node/planned_stop.h"
+#include "node/poison_share.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
 #include "node/server_reports.h"
@@ -80,6 +81,8 @@
         void stepStop(std::chrono::steady_clock::time_point now);
         void endActors();
         routed_call_hooks callHooks();
+        route_watch_hooks routeHooks();
+        poison_share_hooks poisonHooks();
         pipeline_server_hooks serverHooks();
         membership_hooks membershipHooks();
         server_report_hooks reportHooks();
@@ -105,6 +108,7 @@
         member m_self;
         routed_calls m_calls;
         route_watch m_routes;
+        poison_share m_poison;
         std::unique_ptr<pipeline_server> m_clients;
         std::unique_ptr<http_server> m_reports;
         std::unique_ptr<http_server> m_readiness;
@@ -137,11 +141,6 @@
         return settings.platformEndpoints.empty() ? "" : settings.platformEndpoints.front();
     }
 
-    route_watch_hooks watchHooks(std::function<void(route_snapshot)> changed, std::mt19937_64& random)
-    {
-        return { std::move(changed), [&random](std::uint64_t bound) { return random() % bound; } };
-    }
-
     void logServerEnd(const server_end& end)
     {
         std::string contents;
@@ -157,13 +156,8 @@
         , m_controlClient(m_context, clientSettings(settings))
         , m_calls(m_context, settings, m_self.id = m_random(), m_started, callHooks())
         , m_routes(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone,
-              watchHooks(
-                  [this](route_snapshot configuration) {
-                      logEvent(events::routesChanged, { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) } });
-                      m_calls.entry().setConfiguration(std::move(configuration));
-                      m_membership->spreadSoon();
-                  },
-                  m_random))
+              routeHooks())
+        , m_poison(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone, poisonHooks())
         , m_stop(settings.routes->grace - killMargin, clientsLeaveTime, stopWorkTime)
         , m_settingsWatch(std::move(source))
     {
@@ -198,11 +192,38 @@
         hooks.begins = [this] { workBegins(); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
         hooks.misdirected = [this](const server_start& start) { m_server.misdirected(start); };
-        hooks.serverEnded = [](const server_end& end) { logServerEnd(end); };
+        hooks.serverEnded = [this](const server_end& end) {
+            logServerEnd(end);
+            m_poison.serverEnded(end);
+        };
+        hooks.isPoison = [this](request_fingerprint content) { return m_poison.isPoison(content); };
+        hooks.contentAnswered = [this](request_fingerprint content) { m_poison.answered(content); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
 
+    route_watch_hooks routed_process::routeHooks()
+    {
+        route_watch_hooks hooks;
+        hooks.changed = [this](route_snapshot configuration) {
+            logEvent(events::routesChanged, { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) } });
+            m_calls.entry().setConfiguration(std::move(configuration));
+            m_membership->spreadSoon();
+        };
+        hooks.chance = [this](std::uint64_t bound) { return m_random() % bound; };
+        hooks.storeBack = [this] { m_poison.storeBack(); };
+        return hooks;
+    }
+
+    poison_share_hooks routed_process::poisonHooks()
+    {
+        poison_share_hooks hooks;
+        hooks.changed = [this] { m_membership->spreadSoon(); };
+        hooks.chance = [this](std::uint64_t bound) { return m_random() % bound; };
+        hooks.wallNow = [] { return std::chrono::system_clock::now(); };
+        return hooks;
+    }
+
     pipeline_server_hooks routed_process::serverHooks()
     {
         pipeline_server_hooks hooks;
@@ -221,10 +242,14 @@
         hooks.membersChanged = [this](const member_list& members) {
             m_members = members;
             m_routes.setMembers(members);
+            m_poison.setMembers(members);
             m_calls.entry().setMembers(members, std::chrono::steady_clock::now());
         };
-        hooks.ownRevision = [this] { return m_routes.version(); };
-        hooks.peerRevision = [this](const member& peer, std::int64_t version) { m_routes.peerVersion(peer, version); };
+        hooks.ownVersions = [this] { return news_versions { m_routes.version(), m_poison.version() }; };
+        hooks.peerVersions = [this](const member& peer, const news_versions& versions) {
+            m_routes.peerVersion(peer, versions.contracts);
+            m_poison.peerVersion(peer, versions.poison);
+        };
         return hooks;
     }
 
@@ -279,7 +304,7 @@
         if (m_stop.exiting()) {
             stepStop(now);
         }
-        m_busyTicks = !m_calls.idle();
+        m_busyTicks = m_calls.isBusy();
         scheduleTick();
     }
 
@@ -365,6 +390,7 @@
         hooks.collectState = [this](state_receiver receiver) { collectState(std::move(receiver)); };
         hooks.collectMetrics = [this](const std::function<void(std::string)>& receiver) { collectMetrics(receiver); };
         hooks.contractsSince = [this](std::int64_t version) { return m_routes.newsSince(version); };
+        hooks.poisonSince = [this](std::int64_t version) { return m_poison.newsSince(version); };
         hooks.explain = [this](const std::string& requestId) { return explain(requestId); };
         return hooks;
     }
@@ -396,6 +422,7 @@
         auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, versions }, dumpCalls());
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
+        state["poison"] = m_poison.dump();
         m_membership->dump([state, receiver = std::move(receiver)](const Json::Value& membership) {
             auto whole = state;
             whole["membership"] = membership;
@@ -447,6 +474,7 @@
         logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone }, { "caller", m_clients->address() }, { "backend", m_reports->address() }, { "ready", m_readiness->address() }, { "peer", m_self.address }, { "operator", m_self.operatorAddress } });
         m_membership->start(m_self, m_peerServer->address());
         m_routes.start();
+        m_poison.start();
         tick();
         m_context.run();
         endActors();
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -38,7 +38,9 @@
         m_hooks.serverStartedAgain();
         // Only now that the gate has slots again: what waits is for the new start.
         endRuns(now);
-        noteServerEnd(now);
+    }
+    if (server) {
+        noteServerEnd(m_lostRuns.serverNamed(server->start, now));
     }
     startReleased(now);
 }
@@ -77,6 +79,9 @@
     if (!m_takesWork) {
         return verdict::notRun(verdict_reason::Draining);
     }
+    if (isPoison(request)) {
+        return verdict::notRun(verdict_reason::Poison, poisonMemory);
+    }
     return std::nullopt;
 }
 
@@ -105,9 +110,20 @@
     return id;
 }
 
+bool routed_target::isPoison(const call_request& request) const
+{
+    return m_hooks.isPoison && m_hooks.isPoison(request.context.content);
+}
+
 void routed_target::start(std::uint64_t arrivalId, time_point now)
 {
     auto& entry = m_arrivals.at(arrivalId);
+    if (isPoison(entry.request)) {
+        // It has become known while the call waited.
+        m_gate.cancel(arrivalId, now);
+        refuse(arrivalId, verdict::notRun(verdict_reason::Poison, poisonMemory), now);
+        return;
+    }
     entry.running = true;
     entry.server = m_server->start;
     entry.started = now;
@@ -162,6 +178,9 @@
     const auto& entry = node.mapped();
     forgetRun(runId, entry);
     if (answer.outcome.run == execution::Ran) {
+        if (m_hooks.contentAnswered) {
+            m_hooks.contentAnswered(entry.request.context.content);
+        }
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
         // A server that is never given more than its slots, and refuses all the same,
@@ -248,18 +267,13 @@
     return found == cuts.end() ? nullptr : &*found;
 }
 
-void routed_target::serverAsked(bool isThere, time_point now)
+void routed_target::serverAsked(server_presence presence, time_point now)
 {
-    if (isThere) {
-        m_lostRuns.serverLives();
-    } else {
-        noteServerEnd(now);
-    }
+    noteServerEnd(m_lostRuns.asked(presence, now));
 }
 
-void routed_target::noteServerEnd(time_point now)
+void routed_target::noteServerEnd(const std::optional<server_end>& end)
 {
-    auto end = m_lostRuns.serverEnded(now);
     if (end && m_hooks.serverEnded) {
         m_hooks.serverEnded(*end);
     }
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -6,6 +6,7 @@
 #include "call/call_observation.h"
 #include "call/call_request.h"
 #include "decision/admission_gate.h"
+#include "decision/poison_ledger.h"
 #include "decision/run_deadlines.h"
 
 #include <chrono>
@@ -26,6 +27,10 @@
     std::function<void()> askServer;
     // The server has ended while it had requests.
     std::function<void(const server_end&)> serverEnded;
+    // Whether servers have ended under requests of the content.
+    std::function<bool(request_fingerprint)> isPoison;
+    // The server has answered a request of the content.
+    std::function<void(request_fingerprint)> contentAnswered;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -73,7 +78,7 @@
     void serverAnswered(std::uint64_t runId, const call_answer&, time_point now);
 
     // Whether the server is there, which some lost answers had put in doubt.
-    void serverAsked(bool isThere, time_point now);
+    void serverAsked(server_presence, time_point now);
 
     void tick(time_point now);
 
@@ -85,6 +90,8 @@
     void learnOnward(std::uint64_t runId, const onward_report&);
 
     std::size_t inProgress() const { return m_arrivals.size(); }
+    // Whether lost answers have put in doubt that the server is there.
+    bool doubtsServer() const { return m_lostRuns.inDoubt(); }
     const admission_gate& gate() const { return m_gate; }
 
 private:
@@ -113,9 +120,10 @@
     };
 
     void endRuns(time_point now);
-    void noteServerEnd(time_point now);
+    void noteServerEnd(const std::optional<server_end>&);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
+    bool isPoison(const call_request&) const;
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
     void reply(const arrival&, call_answer, time_point now) const;
     static const met_cut* highest(const std::vector<met_cut>&);
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -47,13 +47,13 @@
     }
 }
 
-void server_runs::askWhetherThere(const std::function<void(bool isThere)>& handler)
+void server_runs::askWhetherThere(const std::function<void(server_presence)>& handler)
 {
     if (m_client.hasOpenConnection()) {
-        handler(true);
+        handler(server_presence::Connected);
         return;
     }
-    m_client.probe(m_address, handler);
+    m_client.probe(m_address, [handler](bool answered) { handler(answered ? server_presence::Reachable : server_presence::Gone); });
 }
 
 void server_runs::ended(std::uint64_t runId, const server_start& start, instance_result result)
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/instance_client.h"
+#include "backend/lost_runs.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_request.h"
@@ -38,7 +39,7 @@
     void closeIdle() { m_client.closeIdle(); }
 
     // Tells whether the server is there: by an open connection, or by opening one.
-    void askWhetherThere(const std::function<void(bool isThere)>&);
+    void askWhetherThere(const std::function<void(server_presence)>&);
 
     const instance_client_counts& counts() const { return m_client.counts(); }
 
--- a/Source/operator/operator_port.h
+++ b/Source/operator/operator_port.h
@@ -18,6 +18,10 @@
 };
 
 using operator_reply = std::variant<Json::Value, operator_refusal>;
+// Methods by which nodes tell each other what is newer than a version.
+inline constexpr const char* contractsSinceMethod = "contracts_since";
+inline constexpr const char* poisonSinceMethod = "poison_since";
+
 using state_receiver = std::function<void(const Json::Value&)>;
 
 // What the operator port asks of the node; a hook that is empty refuses.
@@ -29,6 +33,8 @@
     std::function<void(std::function<void(std::string)>)> collectMetrics;
     // The contracts, if the node knows a later revision than this one.
     std::function<operator_reply(std::int64_t revision)> contractsSince;
+    // What is known of requests that end servers, and is newer than this version.
+    std::function<operator_reply(std::int64_t version)> poisonSince;
     // The parameters are as the operator's command sent them.
     std::function<operator_reply(const Json::Value& parameters)> announceStop;
     std::function<operator_reply(const Json::Value& parameters)> withdrawStop;
--- a/Source/operator/operator_rpc.cpp
+++ b/Source/operator/operator_rpc.cpp
@@ -13,7 +13,6 @@
 
     constexpr const char* dumpMethod = "dump";
     constexpr const char* statusMethod = "status";
-    constexpr const char* contractsSinceMethod = "contracts_since";
     constexpr const char* announceStopMethod = "announce_stop";
     constexpr const char* withdrawStopMethod = "withdraw_stop";
     constexpr const char* explainMethod = "explain";
@@ -25,6 +24,11 @@
         return { name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr };
     }
 
+    jsonrpc::Procedure procedureSince(const char* name)
+    {
+        return { name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "revision", jsonrpc::JSON_INTEGER, nullptr };
+    }
+
     bool callsStateMethod(const Json::Value& request)
     {
         if (!request.isObject() || !request["method"].isString()) {
@@ -71,7 +75,8 @@
     {
         bindAndAddMethod(procedureWithout(dumpMethod), &methods::dump);
         bindAndAddMethod(procedureWithout(statusMethod), &methods::status);
-        bindAndAddMethod({ contractsSinceMethod, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "revision", jsonrpc::JSON_INTEGER, nullptr }, &methods::contractsSince);
+        bindAndAddMethod(procedureSince(contractsSinceMethod), &methods::contractsSince);
+        bindAndAddMethod(procedureSince(poisonSinceMethod), &methods::poisonSince);
         bindAndAddMethod(procedureWithout(announceStopMethod), &methods::announceStop);
         bindAndAddMethod(procedureWithout(withdrawStopMethod), &methods::withdrawStop);
         bindAndAddMethod({ explainMethod, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "request_id", jsonrpc::JSON_STRING, nullptr }, &methods::explain);
@@ -85,15 +90,25 @@
     void status(const Json::Value&, Json::Value& result) { result = statusOf(*m_state); }
 
     void contractsSince(const Json::Value& parameters, Json::Value& result)
+    {
+        result = newsOf(m_hooks.contractsSince, contractsSinceMethod, parameters);
+    }
+
+    void poisonSince(const Json::Value& parameters, Json::Value& result)
+    {
+        result = newsOf(m_hooks.poisonSince, poisonSinceMethod, parameters);
+    }
+
+    static Json::Value newsOf(const std::function<operator_reply(std::int64_t)>& hook, const char* method, const Json::Value& parameters)
     {
         const auto& revision = parameters["revision"];
         if (!revision.isInt64() || revision.asInt64() < 0) {
             throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, "revision is to be a whole number from 0 on");
         }
-        if (!m_hooks.contractsSince) {
-            throw notServed(contractsSinceMethod);
+        if (!hook) {
+            throw notServed(method);
         }
-        result = resultOf(m_hooks.contractsSince(revision.asInt64()));
+        return resultOf(hook(revision.asInt64()));
     }
 
     void announceStop(const Json::Value& parameters, Json::Value& result)
--- a/Source/peer/gossip_codec.cpp
+++ b/Source/peer/gossip_codec.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    // "VSG1", little-endian; the digit is the version of the format.
-    constexpr std::uint32_t magic = 0x31475356;
+    // "VSG2", little-endian; the digit is the version of the format.
+    constexpr std::uint32_t magic = 0x32475356;
     constexpr std::size_t checksumOffset = 4;
     constexpr std::size_t headBytes = 12;
     // Bounds what a datagram can make this node allocate.
@@ -22,7 +22,7 @@
     template <class Inspector>
     bool inspectHeader(Inspector& f, gossip_message& x, std::uint8_t& kind)
     {
-        return !f(kind, x.senderId, x.senderAddress, x.revision, x.digest, x.settled);
+        return !f(kind, x.senderId, x.senderAddress, x.versions.contracts, x.versions.poison, x.digest, x.settled);
     }
 
     bool isProbe(gossip_kind kind)
--- /dev/null
+++ b/Tests/PoisonLedger/poison_ledger_test.cpp
@@ -0,0 +1,224 @@
+#include "node/poison_document.h"
+
+#include "http/json_text.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    using wall_time = poison_ledger::wall_time;
+
+    const wall_time now { std::chrono::hours(24 * 365) };
+    const auto deadly = fingerprintOf("/deadly", "");
+    const auto innocent = fingerprintOf("/innocent", "");
+
+    // Ends so many servers under the content.
+    void endServers(poison_ledger& ledger, request_fingerprint content, std::uint64_t first, std::uint64_t count)
+    {
+        for (auto start = first; start < first + count; ++start) {
+            ledger.serverEnded(start, { content }, now);
+        }
+    }
+
+    poison_ledger ledgerOf(const std::vector<poison_record>& records)
+    {
+        poison_ledger ledger;
+        ledger.merge(records, now);
+        return ledger;
+    }
+
+    std::string textOf(const std::vector<poison_record>& records, std::int64_t version)
+    {
+        return writeJson(toJson(poison_document { version, records }));
+    }
+
+    // The ledgers of some nodes after random ends of servers, told to each other in a random order.
+    std::vector<poison_ledger> toldAtRandom()
+    {
+        constexpr std::size_t nodes = 3;
+        std::vector<poison_ledger> ledgers(nodes);
+        auto ends = *rc::gen::inRange(0, 8);
+        for (int end = 0; end < ends; ++end) {
+            auto content = *rc::gen::element(deadly, innocent);
+            ledgers[*rc::gen::inRange<std::size_t>(0, nodes)].serverEnded(*rc::gen::inRange<std::uint64_t>(1, 6), { content }, now);
+        }
+        if (*rc::gen::arbitrary<bool>()) {
+            ledgers[0].answered(innocent);
+        }
+        auto steps = *rc::gen::inRange(0, 12);
+        for (int step = 0; step < steps; ++step) {
+            auto from = *rc::gen::inRange<std::size_t>(0, nodes);
+            ledgers[*rc::gen::inRange<std::size_t>(0, nodes)].merge(ledgers[from].document(1, now), now);
+        }
+        return ledgers;
+    }
+
+}
+
+TEST(PoisonLedger, TakesAContentForPoisonAtTheThirdServer)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1, poisonEnds - 1);
+    EXPECT_FALSE(ledger.isPoison(deadly, now));
+    // The same start again is no further server.
+    ledger.serverEnded(1, { deadly }, now);
+    EXPECT_FALSE(ledger.isPoison(deadly, now));
+    ledger.serverEnded(poisonEnds, { deadly, innocent }, now);
+    EXPECT_TRUE(ledger.isPoison(deadly, now));
+    EXPECT_FALSE(ledger.isPoison(innocent, now));
+}
+
+TEST(PoisonLedger, CountsTheServersOfAllNodesTogether)
+{
+    poison_ledger here;
+    poison_ledger there;
+    endServers(here, deadly, 1, 2);
+    endServers(there, deadly, 2, 2);
+    here.merge(there.document(1, now), now);
+    EXPECT_TRUE(here.isPoison(deadly, now));
+    EXPECT_FALSE(there.isPoison(deadly, now));
+}
+
+TEST(PoisonLedger, ClearsWhatAServerHasAnswered)
+{
+    poison_ledger ledger;
+    endServers(ledger, innocent, 1, poisonEnds);
+    EXPECT_TRUE(ledger.answered(innocent));
+    EXPECT_FALSE(ledger.answered(innocent));
+    EXPECT_FALSE(ledger.isPoison(innocent, now));
+    // Also where it was not answered, and by further ends.
+    poison_ledger other;
+    endServers(other, innocent, 1, poisonEnds);
+    other.merge(ledger.document(1, now), now);
+    endServers(other, innocent, 7, poisonEnds);
+    EXPECT_FALSE(other.isPoison(innocent, now));
+    EXPECT_FALSE(ledger.answered(deadly));
+    EXPECT_EQ(ledger.size(), 1U);
+}
+
+TEST(PoisonLedger, ForgetsAfterItsTime)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1, poisonEnds);
+    EXPECT_TRUE(ledger.isPoison(deadly, now + poisonMemory));
+    auto later = now + poisonMemory + std::chrono::seconds(1);
+    EXPECT_FALSE(ledger.isPoison(deadly, later));
+    EXPECT_FALSE(ledger.hasUnshared(later));
+    EXPECT_TRUE(ledger.document(1, later).empty());
+    ledger.merge({}, later);
+    EXPECT_EQ(ledger.size(), 0U);
+    // A clock that has jumped back does not make it forget.
+    endServers(ledger, deadly, 1, poisonEnds);
+    EXPECT_TRUE(ledger.isPoison(deadly, now - poisonMemory));
+}
+
+// Many more requests than a fleet's servers can have in progress when they end.
+TEST(PoisonLedger, KeepsWhatIsPoisonWhereItHasToForget)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1, poisonEnds);
+    constexpr std::uint64_t many = 3000;
+    for (std::uint64_t i = 0; i < many; ++i) {
+        ledger.serverEnded(1, { request_fingerprint { i } }, now + std::chrono::seconds(1));
+    }
+    EXPECT_LT(ledger.size(), many);
+    EXPECT_TRUE(ledger.isPoison(deadly, now));
+    EXPECT_LT(textOf(ledger.document(1, now), 1).size(), 1024U * 1024U);
+}
+
+TEST(PoisonLedger, TellsWhatTheSharedDocumentLacks)
+{
+    poison_ledger ledger;
+    EXPECT_FALSE(ledger.hasUnshared(now));
+    endServers(ledger, deadly, 1, 1);
+    EXPECT_TRUE(ledger.hasUnshared(now));
+    ledger.merge(ledger.document(4, now), now);
+    ledger.knows(4);
+    EXPECT_FALSE(ledger.hasUnshared(now));
+    EXPECT_TRUE(ledger.since(4, now).empty());
+    EXPECT_EQ(ledger.since(3, now).size(), 1U);
+    endServers(ledger, deadly, 2, 1);
+    EXPECT_TRUE(ledger.hasUnshared(now));
+}
+
+// A peer that is behind says less of a content, which is no reason to write anything.
+TEST(PoisonLedger, OwesNothingWhereOldNewsComesLate)
+{
+    poison_ledger behind;
+    endServers(behind, deadly, 1, 1);
+    auto old = behind.document(1, now);
+    endServers(behind, deadly, 2, 1);
+    auto ledger = ledgerOf(behind.document(2, now));
+    ledger.merge(old, now);
+    EXPECT_FALSE(ledger.hasUnshared(now));
+    EXPECT_EQ(ledger.since(1, now).size(), 1U);
+}
+
+TEST(PoisonLedger, AgreesInWhateverOrderItIsTold)
+{
+    rc::check([] {
+        auto ledgers = toldAtRandom();
+        auto last = ledgers[2];
+        for (const auto& each : ledgers) {
+            last.merge(each.document(1, now), now);
+        }
+        for (auto& each : ledgers) {
+            each.merge(last.document(1, now), now);
+            RC_ASSERT(each.isPoison(deadly, now) == last.isPoison(deadly, now));
+            RC_ASSERT(each.isPoison(innocent, now) == last.isPoison(innocent, now));
+            RC_ASSERT(each.size() == last.size());
+        }
+    });
+}
+
+TEST(PoisonLedger, IsReadAsItWasWritten)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1ULL << 63U, poisonEnds);
+    endServers(ledger, innocent, 1, 1);
+    ledger.answered(innocent);
+    auto document = parsePoisonDocument(textOf(ledger.document(9, now), 9));
+    ASSERT_TRUE(document);
+    EXPECT_EQ(document->version, 9);
+    auto read = ledgerOf(document->records);
+    EXPECT_TRUE(read.isPoison(deadly, now));
+    endServers(read, innocent, 1, poisonEnds);
+    EXPECT_FALSE(read.isPoison(innocent, now));
+}
+
+TEST(PoisonLedger, TakesNothingFromWhatNoNodeHasWritten)
+{
+    for (const auto* text : { "", "7", "[]", "{}", R"({"version":"1","records":[]})", R"({"version":1,"records":{}})" }) {
+        EXPECT_FALSE(parsePoisonDocument(std::string(text))) << text;
+    }
+    auto document = parsePoisonDocument(std::string(R"({"version":1,"records":[7,{},{"c":"x","e":[],"t":1,"v":1},{"c":"0000000000000001","e":[-1],"t":1,"v":1},
+        {"c":"0000000000000001","e":[1,2,3,4],"t":1,"v":1},{"c":"0000000000000001","e":[1],"t":-1,"v":1},{"c":"0000000000000001","e":[1],"t":1e30,"v":1},
+        {"c":"0000000000000001","e":[1],"t":1,"v":0},{"c":"0000000000000002","e":[1],"t":1,"v":1}]})"));
+    ASSERT_TRUE(document);
+    ASSERT_EQ(document->records.size(), 1U);
+    EXPECT_EQ(document->records.front().content.value, 2U);
+}
+
+// Bytes of a real document, changed, cut or doubled at random, are read or refused.
+TEST(PoisonLedger, SurvivesDamagedDocuments)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1, poisonEnds);
+    auto text = textOf(ledger.document(1, now), 1);
+    rc::check([&] {
+        auto damaged = text;
+        auto changes = *rc::gen::inRange(1, 5);
+        for (int i = 0; i < changes && !damaged.empty(); ++i) {
+            auto place = *rc::gen::inRange<std::size_t>(0, damaged.size());
+            damaged[place] = *rc::gen::arbitrary<char>();
+            damaged.resize(*rc::gen::inRange<std::size_t>(damaged.size() / 2, damaged.size() + 1));
+        }
+        auto document = parsePoisonDocument(damaged);
+        RC_ASSERT(!document || document->records.size() <= 1);
+    });
+}
+
+}
--- a/Tests/PoisonRequests/poison_requests_test.cpp
+++ b/Tests/PoisonRequests/poison_requests_test.cpp
@@ -65,4 +65,13 @@
     EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
 }
 
+TEST(PoisonRequests, AreKnownOnceAStoreThatWasAwayIsBack)
+{
+    poison_world world({ 2, 1 });
+    world.setStoreDown(true);
+    world.endServers(deadlyEnds, { 0, 1, 2 });
+    world.setStoreDown(false);
+    EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
+}
+
 }
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -96,6 +96,8 @@
         std::vector<finished_request> finished;
         // Who makes the calls that arrive.
         std::optional<parent_run> parent;
+        // What servers have ended under.
+        std::vector<request_fingerprint> poison;
 
     private:
         static entry_settings settings(double slack)
@@ -123,6 +125,7 @@
                     finished.push_back({ seen.context.position, seen.outcome, seen.inputs });
                 }
             };
+            result.isPoison = [this](request_fingerprint content) { return std::count(poison.begin(), poison.end(), content) != 0; };
             result.findParent = [this](const entry_request&) { return parent; };
             result.onwardEnded = [this](std::uint64_t, const onward_report& report) { onwardCuts.push_back(report.cut); };
             result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
@@ -467,4 +470,37 @@
     EXPECT_EQ(world.sent.size(), before + 3);
 }
 
+TEST(RoutedEntry, SendsNothingUnderWhichServersHaveEnded)
+{
+    entry_world world;
+    world.configure();
+    world.poison = { fingerprintOf("/x/1", "") };
+    world.arrive("/x/1");
+    EXPECT_TRUE(world.sent.empty());
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    EXPECT_EQ(world.answers.back().outcome.reason, verdict_reason::Poison);
+    EXPECT_EQ(world.answers.back().outcome.retryAfter, poisonMemory);
+    world.arrive("/x/2");
+    EXPECT_EQ(world.sent.size(), 1U);
+}
+
+// What becomes known while a request is under way ends it: no further target gets it, and
+// its sender is not told that it has not run if it may have.
+TEST(RoutedEntry, SendsNoFurtherWhatHasBecomeKnownAsPoison)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.poison = { fingerprintOf("/x/1", "") };
+    world.answer(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_EQ(world.sent.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 502U);
+    world.poison.clear();
+    world.arrive();
+    world.answer(verdict::notRun(verdict_reason::Poison, poisonMemory));
+    EXPECT_EQ(world.sent.size(), 2U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+}
+
 }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -32,6 +32,7 @@
             call_request request;
             request.refuseIfFull = refuseIfFull;
             request.service = "notices";
+            request.path = path;
             request.context.requestClass = "notice-read";
             request.context.requestId = "request-" + std::to_string(m_lastId + 1);
             request.context.deadline = now + milliseconds(2000);
@@ -68,6 +69,12 @@
         std::vector<std::uint64_t> cancelled;
         std::vector<call_answer> answers;
         int startsAgain = 0;
+        std::string path = "/x/1";
+        // What servers have ended under, as the other nodes tell.
+        std::vector<request_fingerprint> poison;
+        int asked = 0;
+        std::vector<server_end> ends;
+        std::vector<request_fingerprint> answered;
 
     private:
         target_hooks hooks()
@@ -76,6 +83,10 @@
             result.run = [this](std::uint64_t runId, const server_report&, const call_request&, time_point) { running.push_back(runId); };
             result.cancelRun = [this](std::uint64_t runId) { cancelled.push_back(runId); };
             result.serverStartedAgain = [this] { ++startsAgain; };
+            result.askServer = [this] { ++asked; };
+            result.serverEnded = [this](const server_end& end) { ends.push_back(end); };
+            result.isPoison = [this](request_fingerprint content) { return std::count(poison.begin(), poison.end(), content) != 0; };
+            result.contentAnswered = [this](request_fingerprint content) { answered.push_back(content); };
             result.random = [this] { return ++m_lastId; };
             return result;
         }
@@ -288,4 +299,60 @@
     EXPECT_EQ(world.running.size(), waiting);
 }
 
+TEST(RoutedTarget, TellsUnderWhatItsServerHasEnded)
+{
+    target_world world;
+    world.arrive();
+    world.path = "/x/2";
+    world.arrive();
+    world.arrive();
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.answered, std::vector { fingerprintOf("/x/1", "") });
+    world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    EXPECT_TRUE(world.ends.empty());
+    world.now += milliseconds(50);
+    world.target().tick(world.now);
+    world.target().tick(world.now);
+    EXPECT_EQ(world.asked, 1);
+    EXPECT_TRUE(world.target().doubtsServer());
+    world.target().serverAsked(server_presence::Gone, world.now);
+    ASSERT_EQ(world.ends.size(), 1U);
+    EXPECT_EQ(world.ends.front().start.instanceId, "i-1");
+    EXPECT_EQ(world.ends.front().running, std::vector { fingerprintOf("/x/2", "") });
+    EXPECT_FALSE(world.target().doubtsServer());
+}
+
+TEST(RoutedTarget, TellsOfAnEndByTheNextStart)
+{
+    target_world world;
+    world.arrive();
+    world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    world.server.start.instanceId = "i-2";
+    world.target().setServer(world.server, true, world.now);
+    ASSERT_EQ(world.ends.size(), 1U);
+    EXPECT_EQ(world.ends.front().start.instanceId, "i-1");
+}
+
+TEST(RoutedTarget, GivesItsServerNothingUnderWhichOthersHaveEnded)
+{
+    target_world world;
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        world.arrive();
+    }
+    world.path = "/x/2";
+    world.arrive();
+    EXPECT_TRUE(world.answers.empty());
+    world.poison = { fingerprintOf("/x/2", "") };
+    world.arrive();
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::NotRun);
+    EXPECT_EQ(world.answers.back().outcome.reason, verdict_reason::Poison);
+    // The one that waits since before is not begun either.
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.answers.size(), 3U);
+    EXPECT_EQ(world.refusals(), 2);
+    EXPECT_EQ(world.running.size(), slots - 1);
+}
+
 }
--- a/Tests/ServerEnds/server_ends_test.cpp
+++ b/Tests/ServerEnds/server_ends_test.cpp
@@ -31,23 +31,23 @@
     EXPECT_FALSE(world.runs.takeDue(world.now));
     EXPECT_TRUE(world.runs.takeDue(world.now + settled));
     EXPECT_FALSE(world.runs.takeDue(world.now + settled));
-    auto end = world.runs.serverEnded(world.now + settled);
+    auto end = world.runs.asked(server_presence::Gone, world.now + settled);
     ASSERT_TRUE(end);
     EXPECT_EQ(end->start, world.server);
     EXPECT_EQ(end->running.size(), 2U);
-    EXPECT_FALSE(world.runs.serverEnded(world.now + settled));
+    EXPECT_FALSE(world.runs.asked(server_presence::Gone, world.now + settled));
 }
 
 TEST(ServerEnds, AreNotTakenFromAnAnswerThatWasLostAlone)
 {
     world world;
     world.runs.lost(world.server, world.first, world.now);
-    world.runs.serverLives();
+    EXPECT_FALSE(world.runs.asked(server_presence::Connected, world.now));
     EXPECT_FALSE(world.runs.takeDue(world.now + settled));
-    EXPECT_FALSE(world.runs.serverEnded(world.now + settled));
+    EXPECT_FALSE(world.runs.asked(server_presence::Gone, world.now + settled));
     world.runs.lost(world.server, world.second, world.now + longAgo);
     EXPECT_TRUE(world.runs.takeDue(world.now + longAgo + settled));
-    EXPECT_EQ(world.runs.serverEnded(world.now + longAgo + settled)->running, std::vector { world.second });
+    EXPECT_EQ(world.runs.asked(server_presence::Gone, world.now + longAgo + settled)->running, std::vector { world.second });
 }
 
 TEST(ServerEnds, HaveWhatWasCancelledAMomentBefore)
@@ -58,7 +58,7 @@
     EXPECT_FALSE(world.runs.takeDue(world.now + settled));
     auto lost = fingerprintOf("/c", "");
     world.runs.lost(world.server, lost, world.now);
-    auto end = world.runs.serverEnded(world.now + settled);
+    auto end = world.runs.asked(server_presence::Gone, world.now + settled);
     ASSERT_TRUE(end);
     EXPECT_EQ(end->running.size(), 2U);
     EXPECT_EQ(std::count(end->running.begin(), end->running.end(), world.first), 0);
@@ -70,7 +70,23 @@
     world.runs.lost({ "i-0" }, world.first, world.now);
     world.runs.lost(world.server, world.second, world.now);
     EXPECT_TRUE(world.runs.takeDue(world.now + settled));
-    EXPECT_EQ(world.runs.serverEnded(world.now + settled)->running, std::vector { world.second });
+    EXPECT_EQ(world.runs.asked(server_presence::Gone, world.now + settled)->running, std::vector { world.second });
+}
+
+TEST(ServerEnds, AreToldByTheNextStartWhereTheServerIsBackAtOnce)
+{
+    world world;
+    world.runs.lost(world.server, world.first, world.now);
+    EXPECT_FALSE(world.runs.asked(server_presence::Reachable, world.now + settled));
+    auto end = world.runs.serverNamed({ "i-2" }, world.now + longAgo);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->start, world.server);
+    world.runs.lost(world.server, world.first, world.now);
+    EXPECT_FALSE(world.runs.serverNamed(world.server, world.now));
+    EXPECT_TRUE(world.runs.inDoubt());
+    EXPECT_FALSE(world.runs.asked(server_presence::Reachable, world.now + settled));
+    EXPECT_FALSE(world.runs.serverNamed(world.server, world.now + settled));
+    EXPECT_FALSE(world.runs.inDoubt());
 }
 
 TEST(ServerEnds, NameContentsByPathAndBodyAlone)
