Count poison in the metrics, clear a content only by a success, and tell operators of it

Cause: a server that gives up at the deadline answers 504 itself, a moment before the request would have ended it; the first version took that for proof of harmlessness.

--- a/Source/decision/poison_ledger.cpp
+++ b/Source/decision/poison_ledger.cpp
@@ -24,7 +24,7 @@
     // makes no difference.
     bool isAsMuch(const poison_record& left, const poison_record& right)
     {
-        if (left.answered != right.answered || left.ends.size() != right.ends.size()) {
+        if (left.served != right.served || left.ends.size() != right.ends.size()) {
             return false;
         }
         return left.ends.size() >= poisonEnds || std::is_permutation(left.ends.begin(), left.ends.end(), right.ends.begin());
@@ -55,13 +55,13 @@
     forget(now);
 }
 
-bool poison_ledger::answered(request_fingerprint content)
+bool poison_ledger::served(request_fingerprint content)
 {
     auto found = m_records.find(content);
-    if (found == m_records.end() || found->second.answered) {
+    if (found == m_records.end() || found->second.served) {
         return false;
     }
-    found->second.answered = true;
+    found->second.served = true;
     found->second.version = 0;
     return true;
 }
@@ -69,11 +69,17 @@
 bool poison_ledger::isPoison(request_fingerprint content, wall_time now) const
 {
     auto found = m_records.find(content);
-    if (found == m_records.end()) {
-        return false;
-    }
-    const auto& record = found->second;
-    return record.ends.size() >= poisonEnds && !record.answered && !isOver(record, now);
+    return found != m_records.end() && isPoison(found->second, now);
+}
+
+bool poison_ledger::isPoison(const poison_record& record, wall_time now)
+{
+    return record.ends.size() >= poisonEnds && !record.served && !isOver(record, now);
+}
+
+std::size_t poison_ledger::poisonCount(wall_time now) const
+{
+    return std::count_if(m_records.begin(), m_records.end(), [now](const auto& entry) { return isPoison(entry.second, now); });
 }
 
 void poison_ledger::merge(const std::vector<poison_record>& others, wall_time now)
@@ -85,7 +91,7 @@
         auto& record = m_records[other.content];
         auto before = record;
         record.content = other.content;
-        record.answered = record.answered || other.answered;
+        record.served = record.served || other.served;
         record.lastEnd = std::max(record.lastEnd, other.lastEnd);
         for (auto start : other.ends) {
             addEnd(record, start);
@@ -145,7 +151,7 @@
     }
     while (m_records.size() > mostRecords) {
         auto least = std::min_element(m_records.begin(), m_records.end(), [](const auto& left, const auto& right) {
-            auto weight = [](const poison_record& record) { return record.answered ? 0 : record.ends.size(); };
+            auto weight = [](const poison_record& record) { return record.served ? 0 : record.ends.size(); };
             auto leftWeight = weight(left.second);
             auto rightWeight = weight(right.second);
             return leftWeight != rightWeight ? leftWeight < rightWeight : left.second.lastEnd < right.second.lastEnd;
--- a/Source/decision/poison_ledger.h
+++ b/Source/decision/poison_ledger.h
@@ -16,8 +16,8 @@
     // The starts of those servers, each once, by a hash that names the start; no more
     // than `poisonEnds`.
     std::vector<std::uint64_t> ends;
-    // Whether a server has answered it all the same: it ends no servers.
-    bool answered = false;
+    // Whether a server has served it all the same: it ends no servers.
+    bool served = false;
     // Of the last end, by the clock of the node beside that server.
     std::chrono::system_clock::time_point lastEnd;
     // The version of the shared document that has the record as it is; 0 if none has.
@@ -39,7 +39,7 @@
 // number of times, so that nobody has to agree on anything.
 //
 // Servers end of other causes, too, with innocent requests in progress. What tells them
-// apart is that poison is never answered: one answer of any server clears a content.
+// apart is that poison is never served: one success at any server clears a content.
 class poison_ledger {
 public:
     using wall_time = std::chrono::system_clock::time_point;
@@ -47,12 +47,15 @@
     // A server ended that had begun to run these contents.
     void serverEnded(std::uint64_t startHash, const std::vector<request_fingerprint>& contents, wall_time now);
 
-    // A server has answered a request of the content; returns whether that is news.
-    bool answered(request_fingerprint);
+    // A server has served a request of the content; returns whether that is news.
+    bool served(request_fingerprint);
 
     // Whether it is to reach no server any more.
     bool isPoison(request_fingerprint, wall_time now) const;
 
+    // Contents that are to reach no server any more.
+    std::size_t poisonCount(wall_time now) const;
+
     // Joins records that the shared document of the version had. Without a version it is
     // a part of the document only, and more may be missing.
     void merge(const std::vector<poison_record>&, wall_time now);
@@ -75,6 +78,7 @@
 
 private:
     static bool isOver(const poison_record&, wall_time now);
+    static bool isPoison(const poison_record&, wall_time now);
     void forget(wall_time now);
 
     std::unordered_map<request_fingerprint, poison_record> m_records;
--- a/Source/node/poison_document.cpp
+++ b/Source/node/poison_document.cpp
@@ -9,7 +9,7 @@
     // Short names: a document has a record for each request that shared its end with a server.
     constexpr const char* contentField = "c";
     constexpr const char* endsField = "e";
-    constexpr const char* answeredField = "a";
+    constexpr const char* servedField = "s";
     constexpr const char* lastEndField = "t";
     constexpr const char* versionField = "v";
 
@@ -21,8 +21,8 @@
         for (auto start : record.ends) {
             ends.append(Json::UInt64(start));
         }
-        if (record.answered) {
-            value[answeredField] = true;
+        if (record.served) {
+            value[servedField] = true;
         }
         value[lastEndField] = Json::Int64(std::chrono::duration_cast<std::chrono::seconds>(record.lastEnd.time_since_epoch()).count());
         value[versionField] = Json::Int64(record.version);
@@ -49,7 +49,7 @@
             }
             record.ends.push_back(start.asUInt64());
         }
-        record.answered = value[answeredField].isBool() && value[answeredField].asBool();
+        record.served = value[servedField].isBool() && value[servedField].asBool();
         record.lastEnd = std::chrono::system_clock::time_point(std::chrono::seconds(seconds));
         record.version = value[versionField].asInt64();
         return record;
--- a/Source/node/poison_share.cpp
+++ b/Source/node/poison_share.cpp
@@ -66,9 +66,9 @@
     save();
 }
 
-void poison_share::answered(request_fingerprint content)
+void poison_share::served(request_fingerprint content)
 {
-    if (m_ledger.answered(content)) {
+    if (m_ledger.served(content)) {
         save();
     }
 }
@@ -166,6 +166,7 @@
 {
     auto state = m_watched.dump();
     state["contents"] = Json::UInt64(m_ledger.size());
+    state["poison"] = Json::UInt64(poisonCount());
     state["writes"] = Json::UInt64(m_writes);
     state["writes_failed"] = Json::UInt64(m_writesFailed);
     return state;
--- a/Source/node/poison_share.h
+++ b/Source/node/poison_share.h
@@ -39,12 +39,15 @@
     // The server beside this node ended under requests.
     void serverEnded(const server_end&);
 
-    // That server has answered a request of the content.
-    void answered(request_fingerprint);
+    // That server has served a request of the content.
+    void served(request_fingerprint);
 
     // Whether requests of the content are to reach no server.
     bool isPoison(request_fingerprint content) const { return m_ledger.size() != 0 && m_ledger.isPoison(content, m_hooks.wallNow()); }
 
+    // Contents that are poison.
+    std::size_t poisonCount() const { return m_ledger.poisonCount(m_hooks.wallNow()); }
+
     std::int64_t version() const { return m_ledger.version(); }
 
     // What a peer that has the version lacks.
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -87,7 +87,7 @@
     };
     hooks.serverEnded = [this](const server_end& end) { m_hooks.serverEnded(end); };
     hooks.isPoison = [this](request_fingerprint content) { return m_hooks.isPoison(content); };
-    hooks.contentAnswered = [this](request_fingerprint content) { m_hooks.contentAnswered(content); };
+    hooks.contentServed = [this](request_fingerprint content) { m_hooks.contentServed(content); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -31,8 +31,8 @@
     std::function<void(const server_end&)> serverEnded;
     // Whether servers have ended under requests of the content, so that it is to reach none.
     std::function<bool(request_fingerprint)> isPoison;
-    // That server has answered a request of the content.
-    std::function<void(request_fingerprint)> contentAnswered;
+    // That server has served a request of the content.
+    std::function<void(request_fingerprint)> contentServed;
     call_observer observed;
 };
 
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -197,7 +197,7 @@
             m_poison.serverEnded(end);
         };
         hooks.isPoison = [this](request_fingerprint content) { return m_poison.isPoison(content); };
-        hooks.contentAnswered = [this](request_fingerprint content) { m_poison.answered(content); };
+        hooks.contentServed = [this](request_fingerprint content) { m_poison.served(content); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
@@ -440,6 +440,7 @@
         gauges.connectsFailed = m_calls.peerCounts().connectsFailed;
         gauges.damagedFrames = m_peerServer->damagedFrames();
         gauges.refusedReports = m_server.refused();
+        gauges.poisonContents = m_poison.poisonCount();
         m_metrics.set(gauges);
         receiver(m_metrics.text());
     }
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr unsigned leastServerError = 500;
+
     admission_settings gateSettings(const std::function<std::uint64_t()>& random)
     {
         admission_settings settings;
@@ -178,8 +180,8 @@
     const auto& entry = node.mapped();
     forgetRun(runId, entry);
     if (answer.outcome.run == execution::Ran) {
-        if (m_hooks.contentAnswered) {
-            m_hooks.contentAnswered(entry.request.context.content);
+        if (m_hooks.contentServed && answer.status < leastServerError) {
+            m_hooks.contentServed(entry.request.context.content);
         }
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -29,8 +29,9 @@
     std::function<void(const server_end&)> serverEnded;
     // Whether servers have ended under requests of the content.
     std::function<bool(request_fingerprint)> isPoison;
-    // The server has answered a request of the content.
-    std::function<void(request_fingerprint)> contentAnswered;
+    // The server has served a request of the content. Its own failures don't count: it may give
+    // up at the deadline what would have ended it a moment later.
+    std::function<void(request_fingerprint)> contentServed;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -121,6 +121,7 @@
     gauge& draining = oneGauge("vanillashunt_draining", "1 while the node takes no new work, else 0.");
     gauge& contractRevision = oneGauge("vanillashunt_contract_revision", "Store revision of the newest contract in force here.");
     gauge& members = oneGauge("vanillashunt_members", "Members that this node knows.");
+    gauge& poisonContents = oneGauge("vanillashunt_poison_contents", "Contents of requests that reach no server, since servers have ended under them.");
     gauge& started = oneGauge("process_start_time_seconds", "Start time of the process, in seconds since 1970-01-01 UTC.");
     counter& crossedAnswers = oneCounter("vanillashunt_peer_answers_crossed_total", "Answers of peers that were for another call, and were dropped.");
     counter& damagedAnswers = oneCounter("vanillashunt_peer_answers_damaged_total", "Answers of peers that could not be read, and were dropped.");
@@ -195,6 +196,7 @@
     all.draining.Set(gauges.draining ? 1 : 0);
     all.contractRevision.Set(static_cast<double>(gauges.contractRevision));
     all.members.Set(static_cast<double>(gauges.members));
+    all.poisonContents.Set(static_cast<double>(gauges.poisonContents));
     raiseTo(all.crossedAnswers, gauges.crossedAnswers);
     raiseTo(all.damagedAnswers, gauges.damagedAnswers);
     raiseTo(all.damagedFrames, gauges.damagedFrames);
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -23,6 +23,8 @@
     bool draining = false;
     std::int64_t contractRevision = 0;
     std::uint64_t members = 0;
+    // Contents of requests that reach no server, since servers have ended under them.
+    std::uint64_t poisonContents = 0;
     // Totals since the start of the process.
     std::uint64_t crossedAnswers = 0;
     std::uint64_t damagedAnswers = 0;
--- a/Tests/PoisonLedger/poison_ledger_test.cpp
+++ b/Tests/PoisonLedger/poison_ledger_test.cpp
@@ -46,7 +46,7 @@
             ledgers[*rc::gen::inRange<std::size_t>(0, nodes)].serverEnded(*rc::gen::inRange<std::uint64_t>(1, 6), { content }, now);
         }
         if (*rc::gen::arbitrary<bool>()) {
-            ledgers[0].answered(innocent);
+            ledgers[0].served(innocent);
         }
         auto steps = *rc::gen::inRange(0, 12);
         for (int step = 0; step < steps; ++step) {
@@ -69,6 +69,7 @@
     ledger.serverEnded(poisonEnds, { deadly, innocent }, now);
     EXPECT_TRUE(ledger.isPoison(deadly, now));
     EXPECT_FALSE(ledger.isPoison(innocent, now));
+    EXPECT_EQ(ledger.poisonCount(now), 1U);
 }
 
 TEST(PoisonLedger, CountsTheServersOfAllNodesTogether)
@@ -82,20 +83,20 @@
     EXPECT_FALSE(there.isPoison(deadly, now));
 }
 
-TEST(PoisonLedger, ClearsWhatAServerHasAnswered)
+TEST(PoisonLedger, ClearsWhatAServerHasServed)
 {
     poison_ledger ledger;
     endServers(ledger, innocent, 1, poisonEnds);
-    EXPECT_TRUE(ledger.answered(innocent));
-    EXPECT_FALSE(ledger.answered(innocent));
+    EXPECT_TRUE(ledger.served(innocent));
+    EXPECT_FALSE(ledger.served(innocent));
     EXPECT_FALSE(ledger.isPoison(innocent, now));
-    // Also where it was not answered, and by further ends.
+    // Also where it was not served, and by further ends.
     poison_ledger other;
     endServers(other, innocent, 1, poisonEnds);
     other.merge(ledger.document(1, now), now);
     endServers(other, innocent, 7, poisonEnds);
     EXPECT_FALSE(other.isPoison(innocent, now));
-    EXPECT_FALSE(ledger.answered(deadly));
+    EXPECT_FALSE(ledger.served(deadly));
     EXPECT_EQ(ledger.size(), 1U);
 }
 
@@ -179,7 +180,7 @@
     poison_ledger ledger;
     endServers(ledger, deadly, 1ULL << 63U, poisonEnds);
     endServers(ledger, innocent, 1, 1);
-    ledger.answered(innocent);
+    ledger.served(innocent);
     auto document = parsePoisonDocument(textOf(ledger.document(9, now), 9));
     ASSERT_TRUE(document);
     EXPECT_EQ(document->version, 9);
--- a/Tests/PoisonRequests/poison_requests_test.cpp
+++ b/Tests/PoisonRequests/poison_requests_test.cpp
@@ -48,6 +48,18 @@
     EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
 }
 
+// As they came: at all nodes at once, and without a pause.
+TEST(PoisonRequests, ReachFewServersInAStormOfCopies)
+{
+    poison_world world({ 4 });
+    world.storm(2 * stableWindow);
+    ASSERT_GE(world.ends(), deadlyEnds);
+    EXPECT_LE(world.endsAfter(world.timeOfEnd(deadlyEnds) + stableWindow), mostRepeats);
+    for (std::size_t entry = 0; entry < world.nodes(); ++entry) {
+        EXPECT_TRUE(world.serves(entry));
+    }
+}
+
 TEST(PoisonRequests, AreKnownToNodesThatOnlyTheStoreConnects)
 {
     poison_world world({ 2, 2 });
--- a/Tests/PoisonRequests/poison_world.cpp
+++ b/Tests/PoisonRequests/poison_world.cpp
@@ -1,6 +1,8 @@
 #include "PoisonRequests/poison_world.h"
 
+#include <algorithm>
 #include <stdexcept>
+#include <thread>
 
 namespace vanillashunt {
 
@@ -73,7 +75,7 @@
         if (!here.server->wait(endTime / m_places.size())) {
             continue;
         }
-        ++m_ends;
+        m_ends.push_back(std::chrono::steady_clock::now());
         startServer(here);
         report(here);
     }
@@ -81,13 +83,37 @@
 
 void poison_world::endServers(std::size_t count, const std::vector<std::size_t>& entries)
 {
-    for (std::size_t turn = 0; m_ends < count; ++turn) {
+    for (std::size_t turn = 0; ends() < count; ++turn) {
         auto entry = entries[turn % entries.size()];
         serves(entry);
         sendCopy(entry);
     }
 }
 
+void poison_world::storm(std::chrono::milliseconds length)
+{
+    auto end = std::chrono::steady_clock::now() + length;
+    std::vector<std::thread> clients;
+    for (auto& here : m_places) {
+        clients.emplace_back([&node = *here.node, end] {
+            while (std::chrono::steady_clock::now() < end) {
+                node.get("/x/poison");
+            }
+        });
+    }
+    while (std::chrono::steady_clock::now() < end) {
+        startEndedServers();
+    }
+    for (auto& client : clients) {
+        client.join();
+    }
+}
+
+std::size_t poison_world::endsAfter(std::chrono::steady_clock::time_point time) const
+{
+    return std::count_if(m_ends.begin(), m_ends.end(), [time](auto end) { return end > time; });
+}
+
 void poison_world::killAllNodes()
 {
     for (auto& here : m_places) {
--- a/Tests/PoisonRequests/poison_world.h
+++ b/Tests/PoisonRequests/poison_world.h
@@ -3,6 +3,7 @@
 #include "RoutedWorld/platform_world.h"
 #include "RoutedWorld/routed_node.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,8 +26,16 @@
     // The same until so many servers have ended in all, at the nodes in turn.
     void endServers(std::size_t count, const std::vector<std::size_t>& entries);
 
-    // Servers that have ended so far.
-    std::size_t ends() const { return m_ends; }
+    // Has a client at each node send copies without a pause, for so long, while servers that
+    // end start again.
+    void storm(std::chrono::milliseconds);
+
+    // Servers that have ended so far, and those among them that ended later than the time.
+    std::size_t ends() const { return m_ends.size(); }
+    std::size_t endsAfter(std::chrono::steady_clock::time_point) const;
+
+    // When so many servers had ended.
+    std::chrono::steady_clock::time_point timeOfEnd(std::size_t number) const { return m_ends.at(number - 1); }
 
     // All nodes are killed and start again.
     void killAllNodes();
@@ -54,7 +63,7 @@
 
     platform_world m_world;
     std::vector<place> m_places;
-    std::size_t m_ends = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_ends;
 };
 
 }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -43,12 +43,13 @@
         }
 
         // Answers the call that has run longest.
-        void serverAnswers(const verdict& outcome)
+        void serverAnswers(const verdict& outcome, std::uint32_t status = 200)
         {
             auto runId = running.front();
             running.pop_front();
             call_answer answer;
             answer.outcome = outcome;
+            answer.status = status;
             m_target.serverAnswered(runId, answer, now);
         }
 
@@ -74,7 +75,7 @@
         std::vector<request_fingerprint> poison;
         int asked = 0;
         std::vector<server_end> ends;
-        std::vector<request_fingerprint> answered;
+        std::vector<request_fingerprint> served;
 
     private:
         target_hooks hooks()
@@ -86,7 +87,7 @@
             result.askServer = [this] { ++asked; };
             result.serverEnded = [this](const server_end& end) { ends.push_back(end); };
             result.isPoison = [this](request_fingerprint content) { return std::count(poison.begin(), poison.end(), content) != 0; };
-            result.contentAnswered = [this](request_fingerprint content) { answered.push_back(content); };
+            result.contentServed = [this](request_fingerprint content) { served.push_back(content); };
             result.random = [this] { return ++m_lastId; };
             return result;
         }
@@ -307,7 +308,7 @@
     world.arrive();
     world.arrive();
     world.serverAnswers(verdict::answered());
-    EXPECT_EQ(world.answered, std::vector { fingerprintOf("/x/1", "") });
+    EXPECT_EQ(world.served, std::vector { fingerprintOf("/x/1", "") });
     world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
     world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
     EXPECT_TRUE(world.ends.empty());
@@ -323,6 +324,15 @@
     EXPECT_FALSE(world.target().doubtsServer());
 }
 
+// A server that gives up at the deadline has not shown that the content is harmless.
+TEST(RoutedTarget, ClearsNoContentByAFailureOfItsServer)
+{
+    target_world world;
+    world.arrive();
+    world.serverAnswers(verdict::answered(), 504);
+    EXPECT_TRUE(world.served.empty());
+}
+
 TEST(RoutedTarget, TellsOfAnEndByTheNextStart)
 {
     target_world world;
