Tell peers of servers' ends where the store is out of reach, and suspect nothing that was just served

Cause: a node that its store turns away, or that is cut off from the store alone, could not tell of its server's end; and two or three servers that are lost together would have made poison of whatever is asked for all the time.

--- a/Source/decision/poison_ledger.cpp
+++ b/Source/decision/poison_ledger.cpp
@@ -111,6 +111,17 @@
     return std::any_of(m_records.begin(), m_records.end(), [now](const auto& entry) { return entry.second.version == 0 && !isOver(entry.second, now); });
 }
 
+std::vector<poison_record> poison_ledger::unshared(wall_time now) const
+{
+    std::vector<poison_record> records;
+    for (const auto& [content, record] : m_records) {
+        if (record.version == 0 && !isOver(record, now)) {
+            records.push_back(record);
+        }
+    }
+    return records;
+}
+
 std::vector<poison_record> poison_ledger::document(std::int64_t version, wall_time now) const
 {
     std::vector<poison_record> records;
--- a/Source/decision/poison_ledger.h
+++ b/Source/decision/poison_ledger.h
@@ -65,8 +65,9 @@
     // 0 while nothing is known of the shared document.
     std::int64_t version() const { return m_version; }
 
-    // Whether anything is known here that the shared document does not have.
+    // Whether anything is known here that the shared document does not have, and what.
     bool hasUnshared(wall_time now) const;
+    std::vector<poison_record> unshared(wall_time now) const;
 
     // All records that are to be remembered, for a document of the version.
     std::vector<poison_record> document(std::int64_t version, wall_time now) const;
--- a/Source/node/poison_document.cpp
+++ b/Source/node/poison_document.cpp
@@ -38,7 +38,7 @@
         }
         auto content = parseFingerprint(value[contentField].asString());
         auto seconds = value[lastEndField].asInt64();
-        if (!content || seconds < 0 || seconds > latestSecond || value[versionField].asInt64() < 1) {
+        if (!content || seconds < 0 || seconds > latestSecond || value[versionField].asInt64() < 0) {
             return std::nullopt;
         }
         poison_record record;
--- a/Source/node/poison_share.cpp
+++ b/Source/node/poison_share.cpp
@@ -4,6 +4,8 @@
 #include "http/json_text.h"
 #include "operator/operator_port.h"
 
+#include <algorithm>
+
 namespace vanillashunt {
 
 namespace {
@@ -11,12 +13,19 @@
     using std::chrono::milliseconds;
 
     constexpr const char* documentKey = "/vanillashunt/poison";
-    constexpr milliseconds callTimeout { 1000 };
+    // A slow store needs a fifth of a second; behind a silent one peers wait for the news.
+    constexpr milliseconds callTimeout { 500 };
 
     // Until a write that met another node's, or none, is tried again. Several servers may
     // end at once; and whoever returns after an outage has `stable_window_s`, 3 s, to tell.
     constexpr milliseconds conflictPause { 20 };
-    constexpr milliseconds failurePause { 200 };
+    constexpr milliseconds firstFailurePause { 100 };
+    constexpr std::uint32_t mostDoublings = 4;
+
+    // Nodes that are told, each time, by one that does not reach the store. With a time to
+    // each other between a tenth of a second and some seconds, all of 195 hear within a second.
+    constexpr std::size_t peersTold = 3;
+    constexpr milliseconds peerTimeout { 1000 };
 
     watched_document_terms poisonTerms()
     {
@@ -37,7 +46,10 @@
 
 poison_share::poison_share(boost::asio::io_context& context, key_value_store& store, peer_rpc& peers, std::uint64_t selfId, std::string availabilityZone, poison_share_hooks hooks)
     : m_store(store)
+    , m_peers(peers)
+    , m_selfId(selfId)
     , m_hooks(std::move(hooks))
+    , m_members(std::make_shared<std::vector<member>>())
     , m_saveTimer(context)
     , m_watched(context, store, peers, selfId, std::move(availabilityZone), poisonTerms(), watchedHooks())
 {
@@ -60,6 +72,12 @@
     return hooks;
 }
 
+void poison_share::setMembers(const member_list& members)
+{
+    m_members = members;
+    m_watched.setMembers(members);
+}
+
 void poison_share::serverEnded(const server_end& end)
 {
     m_ledger.serverEnded(hashOf(end.start), end.running, m_hooks.wallNow());
@@ -116,7 +134,7 @@
     m_store.get(documentKey, callTimeout, [this](const store_result<store_range>& result) {
         const auto* range = std::get_if<store_range>(&result);
         if (!range) {
-            saveAfter(failurePause);
+            saveFailed();
             return;
         }
         auto revision = takeStored(*range);
@@ -137,14 +155,58 @@
         const auto* swap = std::get_if<store_swap>(&result);
         if (!swap || !swap->succeeded) {
             ++m_writesFailed;
-            saveAfter(swap ? conflictPause : failurePause);
+            if (swap) {
+                saveAfter(conflictPause);
+            } else {
+                saveFailed();
+            }
             return;
         }
+        m_failuresInARow = 0;
         m_saving = false;
         take(document);
     });
 }
 
+void poison_share::saveFailed()
+{
+    tellPeers();
+    auto pause = firstFailurePause * (1 << std::min(m_failuresInARow, mostDoublings));
+    ++m_failuresInARow;
+    saveAfter(pause);
+}
+
+// The store may be away, or turn this node alone away; or this node is cut off from it and
+// not from the others. Whoever is told tells on, so that all hear of it without the store, too.
+void poison_share::tellPeers()
+{
+    std::vector<const member*> others;
+    for (const auto& each : *m_members) {
+        if (each.id != m_selfId && each.reachable && !each.operatorAddress.empty()) {
+            others.push_back(&each);
+        }
+    }
+    auto owed = toJson(poison_document { m_ledger.version(), m_ledger.unshared(m_hooks.wallNow()) });
+    for (std::size_t i = 0; i < peersTold && i < others.size(); ++i) {
+        std::swap(others[i], others[i + m_hooks.chance(others.size() - i)]);
+        ++m_peersTold;
+        m_peers.call(others[i]->operatorAddress, poisonToldMethod, owed, peerTimeout, [](const operator_result&) {});
+    }
+}
+
+void poison_share::told(const Json::Value& document)
+{
+    auto told = parsePoisonDocument(document);
+    if (!told) {
+        return;
+    }
+    for (auto& record : told->records) {
+        record.version = 0;
+    }
+    m_ledger.merge(told->records, m_hooks.wallNow());
+    save();
+}
+
 void poison_share::saveAfter(milliseconds pause)
 {
     auto spread = m_hooks.chance(static_cast<std::uint64_t>(pause.count()));
@@ -169,6 +231,7 @@
     state["poison"] = Json::UInt64(poisonCount());
     state["writes"] = Json::UInt64(m_writes);
     state["writes_failed"] = Json::UInt64(m_writesFailed);
+    state["peers_told"] = Json::UInt64(m_peersTold);
     return state;
 }
 
--- a/Source/node/poison_share.h
+++ b/Source/node/poison_share.h
@@ -23,14 +23,14 @@
 // This node's poison ledger, and the document in the platform's store by which all nodes
 // share theirs: so a content is known again after every process was killed, and in zones
 // that only the store connects. A node whose server has ended writes what the document
-// lacks; without the store it still refuses what has ended its own server three times.
+// lacks; one that does not reach the store tells some others, which write it or tell on.
 class poison_share {
 public:
     // The store and the client outlive it.
     poison_share(boost::asio::io_context&, key_value_store&, peer_rpc&, std::uint64_t selfId, std::string availabilityZone, poison_share_hooks);
 
     void start() { m_watched.start(); }
-    void setMembers(const member_list& members) { m_watched.setMembers(members); }
+    void setMembers(const member_list&);
     void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version); }
 
     // The store may have been away: what was missed is read, what is owed is written.
@@ -50,6 +50,10 @@
 
     std::int64_t version() const { return m_ledger.version(); }
 
+    // A node that does not reach the store tells what it owes, to be written from here.
+    // Nothing comes of what no node has written.
+    void told(const Json::Value& document);
+
     // What a peer that has the version lacks.
     Json::Value newsSince(std::int64_t version) const;
 
@@ -62,16 +66,23 @@
     std::int64_t takeStored(const store_range&);
     void save();
     void write(std::int64_t expectedRevision);
+    void saveFailed();
+    void tellPeers();
     void saveAfter(std::chrono::milliseconds);
 
     key_value_store& m_store;
+    peer_rpc& m_peers;
+    std::uint64_t m_selfId;
     poison_share_hooks m_hooks;
+    member_list m_members;
     poison_ledger m_ledger;
     boost::asio::steady_timer m_saveTimer;
     // Whether a write of this node is under way, or waits for its time.
     bool m_saving = false;
     std::uint64_t m_writes = 0;
     std::uint64_t m_writesFailed = 0;
+    std::uint32_t m_failuresInARow = 0;
+    std::uint64_t m_peersTold = 0;
     watched_document m_watched;
 };
 
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -390,6 +390,10 @@
         hooks.collectState = [this](state_receiver receiver) { collectState(std::move(receiver)); };
         hooks.collectMetrics = [this](const std::function<void(std::string)>& receiver) { collectMetrics(receiver); };
         hooks.contractsSince = [this](std::int64_t version) { return m_routes.newsSince(version); };
+        hooks.poisonTold = [this](const Json::Value& document) {
+            m_poison.told(document);
+            return Json::Value(Json::objectValue);
+        };
         hooks.poisonSince = [this](std::int64_t version) { return m_poison.newsSince(version); };
         hooks.explain = [this](const std::string& requestId) { return explain(requestId); };
         return hooks;
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -180,8 +180,8 @@
     const auto& entry = node.mapped();
     forgetRun(runId, entry);
     if (answer.outcome.run == execution::Ran) {
-        if (m_hooks.contentServed && answer.status < leastServerError) {
-            m_hooks.contentServed(entry.request.context.content);
+        if (answer.status < leastServerError) {
+            noteServed(entry.request);
         }
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
@@ -274,10 +274,25 @@
     noteServerEnd(m_lostRuns.asked(presence, now));
 }
 
-void routed_target::noteServerEnd(const std::optional<server_end>& end)
+// What the server has served a moment before did not end it: without this two servers that
+// are lost together would make poison of whatever is asked for all the time.
+void routed_target::noteServerEnd(std::optional<server_end> end)
 {
-    if (end && m_hooks.serverEnded) {
-        m_hooks.serverEnded(*end);
+    if (!end || !m_hooks.serverEnded) {
+        return;
+    }
+    auto& suspects = end->running;
+    auto wasServed = [this](request_fingerprint content) { return m_served.has(content); };
+    suspects.erase(std::remove_if(suspects.begin(), suspects.end(), wasServed), suspects.end());
+    m_hooks.serverEnded(*end);
+}
+
+void routed_target::noteServed(const call_request& request)
+{
+    auto content = request.context.content;
+    m_served.add(content);
+    if (m_hooks.contentServed) {
+        m_hooks.contentServed(content);
     }
 }
 
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -7,6 +7,7 @@
 #include "call/call_request.h"
 #include "decision/admission_gate.h"
 #include "decision/poison_ledger.h"
+#include "decision/recent_contents.h"
 #include "decision/run_deadlines.h"
 
 #include <chrono>
@@ -121,7 +122,8 @@
     };
 
     void endRuns(time_point now);
-    void noteServerEnd(const std::optional<server_end>&);
+    void noteServerEnd(std::optional<server_end>);
+    void noteServed(const call_request&);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
     bool isPoison(const call_request&) const;
@@ -139,6 +141,7 @@
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
     run_deadlines m_deadlines;
     lost_runs m_lostRuns;
+    recent_contents m_served;
     // By the request's id.
     std::unordered_map<std::string, std::uint64_t> m_runOfRequest;
 };
--- a/Source/operator/operator_port.h
+++ b/Source/operator/operator_port.h
@@ -21,6 +21,8 @@
 // Methods by which nodes tell each other what is newer than a version.
 inline constexpr const char* contractsSinceMethod = "contracts_since";
 inline constexpr const char* poisonSinceMethod = "poison_since";
+// By which one that does not reach the store tells what it owes to it.
+inline constexpr const char* poisonToldMethod = "poison_told";
 
 using state_receiver = std::function<void(const Json::Value&)>;
 
@@ -35,6 +37,8 @@
     std::function<operator_reply(std::int64_t revision)> contractsSince;
     // What is known of requests that end servers, and is newer than this version.
     std::function<operator_reply(std::int64_t version)> poisonSince;
+    // What another node knows of such requests, and could not write to the store.
+    std::function<operator_reply(const Json::Value& document)> poisonTold;
     // The parameters are as the operator's command sent them.
     std::function<operator_reply(const Json::Value& parameters)> announceStop;
     std::function<operator_reply(const Json::Value& parameters)> withdrawStop;
--- a/Source/operator/operator_rpc.cpp
+++ b/Source/operator/operator_rpc.cpp
@@ -77,6 +77,7 @@
         bindAndAddMethod(procedureWithout(statusMethod), &methods::status);
         bindAndAddMethod(procedureSince(contractsSinceMethod), &methods::contractsSince);
         bindAndAddMethod(procedureSince(poisonSinceMethod), &methods::poisonSince);
+        bindAndAddMethod({ poisonToldMethod, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "version", jsonrpc::JSON_INTEGER, "records", jsonrpc::JSON_ARRAY, nullptr }, &methods::poisonTold);
         bindAndAddMethod(procedureWithout(announceStopMethod), &methods::announceStop);
         bindAndAddMethod(procedureWithout(withdrawStopMethod), &methods::withdrawStop);
         bindAndAddMethod({ explainMethod, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "request_id", jsonrpc::JSON_STRING, nullptr }, &methods::explain);
@@ -99,6 +100,14 @@
         result = newsOf(m_hooks.poisonSince, poisonSinceMethod, parameters);
     }
 
+    void poisonTold(const Json::Value& parameters, Json::Value& result)
+    {
+        if (!m_hooks.poisonTold) {
+            throw notServed(poisonToldMethod);
+        }
+        result = resultOf(m_hooks.poisonTold(parameters));
+    }
+
     static Json::Value newsOf(const std::function<operator_reply(std::int64_t)>& hook, const char* method, const Json::Value& parameters)
     {
         const auto& revision = parameters["revision"];
--- a/Tests/PoisonRequests/poison_requests_test.cpp
+++ b/Tests/PoisonRequests/poison_requests_test.cpp
@@ -77,6 +77,14 @@
     EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
 }
 
+TEST(PoisonRequests, AreKnownToNodesThatReachEachOtherWhileTheStoreIsAway)
+{
+    poison_world world({ 4 });
+    world.setStoreDown(true);
+    world.endServers(deadlyEnds, { 0, 1, 2, 3 });
+    EXPECT_LE(endsUnderFurtherCopies(world), mostRepeats);
+}
+
 TEST(PoisonRequests, AreKnownOnceAStoreThatWasAwayIsBack)
 {
     poison_world world({ 2, 1 });
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -324,6 +324,22 @@
     EXPECT_FALSE(world.target().doubtsServer());
 }
 
+// Two servers that are lost together would else take it away from everybody.
+TEST(RoutedTarget, SuspectsNothingThatItsServerHasJustServed)
+{
+    target_world world;
+    world.arrive();
+    world.serverAnswers(verdict::answered());
+    world.arrive();
+    world.path = "/x/2";
+    world.arrive();
+    world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    world.serverAnswers(verdict::mayHaveRun(verdict_reason::AnswerLost));
+    world.target().serverAsked(server_presence::Gone, world.now);
+    ASSERT_EQ(world.ends.size(), 1U);
+    EXPECT_EQ(world.ends.front().running, std::vector { fingerprintOf("/x/2", "") });
+}
+
 // A server that gives up at the deadline has not shown that the content is harmless.
 TEST(RoutedTarget, ClearsNoContentByAFailureOfItsServer)
 {
