--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -14,6 +14,7 @@
 inline constexpr event portNotBound { 104, severity::Error, "a port cannot be opened" };
 inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
 inline constexpr event logLinesLeftOut { 106, severity::Warning, "log lines left out, since nobody read them" };
+inline constexpr event stopWaits { 107, severity::Info, "planned stop waits for what is in progress" };
 inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
 inline constexpr event backendServerLeaves { 111, severity::Info, "backend server leaves" };
 inline constexpr event serverReportRefused { 112, severity::Warning, "a report that no server wrote was refused" };
@@ -35,6 +36,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
 
 }
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -79,6 +79,7 @@
         void stop();
         void refuseWork(std::chrono::steady_clock::time_point now);
         void stepStop(std::chrono::steady_clock::time_point now);
+        void logStop(std::chrono::steady_clock::time_point now);
         void endActors();
         routed_call_hooks callHooks();
         route_watch_hooks routeHooks();
@@ -122,6 +123,7 @@
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
         std::chrono::steady_clock::time_point m_nextLoadLine;
+        std::chrono::steady_clock::time_point m_nextStopLine;
         settings_watch m_settingsWatch;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
@@ -365,6 +367,17 @@
         m_membership->setSelf(m_self);
     }
 
+    // What the stop waits for, once a second: who is killed at the end of the grace time has
+    // told by then what it had left.
+    void routed_process::logStop(std::chrono::steady_clock::time_point now)
+    {
+        if (now < m_nextStopLine) {
+            return;
+        }
+        m_nextStopLine = now + loadLinePeriod;
+        logEvent(events::stopWaits, { { "entered", std::to_string(m_calls.entry().inProgress()) }, { "arrived", std::to_string(m_calls.target().inProgress()) }, { "clients", std::to_string(m_clients->inProgress()) }, { "peers", std::to_string(m_peerServer->inProgress()) } });
+    }
+
     // One step towards the exit; called with each tick.
     void routed_process::stepStop(std::chrono::steady_clock::time_point now)
     {
@@ -374,6 +387,7 @@
         if (m_stop.mayClosePorts(now) && m_calls.target().inProgress() == 0) {
             m_clients->stopAccepting();
         }
+        logStop(now);
         bool idle = m_calls.idle() && m_clients->inProgress() == 0 && m_peerServer->inProgress() == 0;
         if (!m_stop.mayExit(idle, now) || m_self.state == member_state::Left) {
             return;
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -89,6 +89,7 @@
     world.waitForRuns(before + 1);
     node.process->signal(SIGTERM);
     node.waitForLine("VS101");
+    EXPECT_NE(node.waitForLine("VS107").find("entered=\"1\" arrived=\"1\" clients=\"1\""), std::string::npos);
     EXPECT_EQ(node.ready(), "503");
     world.hold(false);
     EXPECT_NE(running.readToEnd().find("the server's bytes"), std::string::npos);
