Try what is one end short of poison at one server, one at a time, and send nothing to a server that has ended

Cause: news of an end may be late or lost with the node beside the server; then copies that come at every entry reach every server of the service before the third end is known.

Change: content_standing; the entry sends what is nearly poison to the server that all agree on, the target takes one call at a time of a suspect; a server that its node has seen to end is withdrawn until it reports.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -20,9 +20,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds connectTimeout { 1000 };
-    // A server on the same machine takes a connection within a millisecond, unless its
-    // machine hardly gets the processor.
-    constexpr std::chrono::milliseconds probeTimeout { 400 };
 
     // A server's idle timeout where it names none: shorter than any that is usual.
     constexpr std::chrono::milliseconds defaultIdleTimeout { 4000 };
@@ -364,7 +361,7 @@
 {
     ++m_state->counts.connectionsOpened;
     auto connection = std::make_shared<pooled_socket>(m_state->context, address);
-    connection->connect(m_state->settings.outgoingAddress, probeTimeout, [connection, handler = std::move(handler)](const error_code& error) {
+    connection->connect(m_state->settings.outgoingAddress, connectTimeout, [connection, handler = std::move(handler)](const error_code& error) {
         connection->close();
         handler(!error);
     });
--- a/Source/backend/server_tracker.cpp
+++ b/Source/backend/server_tracker.cpp
@@ -35,6 +35,7 @@
     bool leaves = condition != m_current->condition;
     m_current = news;
     m_current->condition = condition;
+    m_ended = false;
     return leaves ? report_effect::Leaving : report_effect::Updated;
 }
 
@@ -44,6 +45,7 @@
         retire(m_current->start);
     }
     m_previous = std::exchange(m_current, news);
+    m_ended = false;
     return news.condition == server_condition::Draining ? report_effect::Leaving : report_effect::Replaced;
 }
 
@@ -82,9 +84,14 @@
     }
 }
 
+void server_tracker::ended(const server_start& start)
+{
+    m_ended = m_ended || (m_current && m_current->start == start);
+}
+
 bool server_tracker::takesWork() const
 {
-    return m_current && m_current->condition == server_condition::Ready;
+    return m_current && !m_ended && m_current->condition == server_condition::Ready;
 }
 
 bool server_tracker::lacksBorn(const server_start& start) const
--- a/Source/backend/server_tracker.h
+++ b/Source/backend/server_tracker.h
@@ -28,10 +28,14 @@
     // report put this one in the place of another, that one counts again.
     void misdirected(const server_start&);
 
+    // That start of the server is not there any more. It gets nothing until a report, of
+    // whichever start, tells that there is one.
+    void ended(const server_start&);
+
     // Nothing while no server is known.
     const std::optional<server_report>& current() const { return m_current; }
 
-    // Whether the server is known, and has not said that it leaves.
+    // Whether the server is known and there, and has not said that it leaves.
     bool takesWork() const;
 
 private:
@@ -42,6 +46,7 @@
     report_effect leave(const server_report&);
 
     std::optional<server_report> m_current;
+    bool m_ended = false;
     // The one that the current one has replaced.
     std::optional<server_report> m_previous;
     // Starts that are over, the latest last.
--- a/Source/decision/poison_ledger.cpp
+++ b/Source/decision/poison_ledger.cpp
@@ -66,20 +66,26 @@
     return true;
 }
 
-bool poison_ledger::isPoison(request_fingerprint content, wall_time now) const
+content_standing poison_ledger::standingOf(request_fingerprint content, wall_time now) const
 {
     auto found = m_records.find(content);
-    return found != m_records.end() && isPoison(found->second, now);
+    return found == m_records.end() ? content_standing::Harmless : standingOf(found->second, now);
 }
 
-bool poison_ledger::isPoison(const poison_record& record, wall_time now)
+content_standing poison_ledger::standingOf(const poison_record& record, wall_time now)
 {
-    return record.ends.size() >= poisonEnds && !record.served && !isOver(record, now);
+    if (record.served || isOver(record, now)) {
+        return content_standing::Harmless;
+    }
+    if (record.ends.size() >= poisonEnds) {
+        return content_standing::Poison;
+    }
+    return record.ends.size() + 1 == poisonEnds ? content_standing::NearlyPoison : content_standing::Suspect;
 }
 
 std::size_t poison_ledger::poisonCount(wall_time now) const
 {
-    return std::count_if(m_records.begin(), m_records.end(), [now](const auto& entry) { return isPoison(entry.second, now); });
+    return std::count_if(m_records.begin(), m_records.end(), [now](const auto& entry) { return standingOf(entry.second, now) == content_standing::Poison; });
 }
 
 void poison_ledger::merge(const std::vector<poison_record>& others, wall_time now)
--- a/Source/decision/poison_ledger.h
+++ b/Source/decision/poison_ledger.h
@@ -29,6 +29,14 @@
 // content is no coincidence any more, and is what the users' rule counts from.
 constexpr std::size_t poisonEnds = 3;
 
+// What servers' ends say of a content.
+enum class content_standing : std::uint8_t {
+    Harmless, // No server has ended under it, or one has served it.
+    Suspect, // Some have, too few to tell it from an innocent request beside poison.
+    NearlyPoison, // One more end makes it poison.
+    Poison, // It is to reach no server any more.
+};
+
 // For how long a content is remembered after the last end. Whoever sends it goes on for
 // minutes at most; an operator who has mended the servers waits no longer than this.
 constexpr std::chrono::minutes poisonMemory { 60 };
@@ -50,8 +58,7 @@
     // A server has served a request of the content; returns whether that is news.
     bool served(request_fingerprint);
 
-    // Whether it is to reach no server any more.
-    bool isPoison(request_fingerprint, wall_time now) const;
+    content_standing standingOf(request_fingerprint, wall_time now) const;
 
     // Contents that are to reach no server any more.
     std::size_t poisonCount(wall_time now) const;
@@ -79,7 +86,7 @@
 
 private:
     static bool isOver(const poison_record&, wall_time now);
-    static bool isPoison(const poison_record&, wall_time now);
+    static content_standing standingOf(const poison_record&, wall_time now);
     void forget(wall_time now);
 
     std::unordered_map<request_fingerprint, poison_record> m_records;
--- a/Source/decision/router.cpp
+++ b/Source/decision/router.cpp
@@ -1,5 +1,7 @@
 #include "decision/router.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -172,6 +174,26 @@
     return *chosen->target;
 }
 
+std::optional<member> router::agreed(const std::string& service, std::uint64_t key) const
+{
+    auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return std::nullopt;
+    }
+    const member* first = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto* each : found->second) {
+        auto weight = XXH3_64bits_withSeed(&each->id, sizeof(each->id), key);
+        bool isThere = each->state == member_state::Alive && each->reachable;
+        if (!isThere || (first && weight < highest)) {
+            continue;
+        }
+        first = each;
+        highest = weight;
+    }
+    return first ? std::optional(*first) : std::nullopt;
+}
+
 std::optional<member> router::find(std::uint64_t memberId) const
 {
     auto found = m_byId.find(memberId);
--- a/Source/decision/router.h
+++ b/Source/decision/router.h
@@ -41,6 +41,10 @@
     // Returns nothing where no member can take the call.
     std::optional<member> choose(const route_request&, std::chrono::steady_clock::time_point now);
 
+    // The member of the service that all nodes agree on for the key, as far as they know the
+    // same members; nothing where none can be reached.
+    std::optional<member> agreed(const std::string& service, std::uint64_t key) const;
+
     // Returns nothing for an id that is not, or no longer, a member's.
     std::optional<member> find(std::uint64_t memberId) const;
 
--- a/Source/node/poison_share.h
+++ b/Source/node/poison_share.h
@@ -42,8 +42,10 @@
     // That server has served a request of the content.
     void served(request_fingerprint);
 
-    // Whether requests of the content are to reach no server.
-    bool isPoison(request_fingerprint content) const { return m_ledger.size() != 0 && m_ledger.isPoison(content, m_hooks.wallNow()); }
+    content_standing standingOf(request_fingerprint content) const
+    {
+        return m_ledger.size() == 0 ? content_standing::Harmless : m_ledger.standingOf(content, m_hooks.wallNow());
+    }
 
     // Contents that are poison.
     std::size_t poisonCount() const { return m_ledger.poisonCount(m_hooks.wallNow()); }
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -68,7 +68,7 @@
     hooks.ended = [this](std::uint64_t memberId, bool answered) { m_hooks.ended(memberId, answered); };
     hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
     hooks.onwardEnded = [this](std::uint64_t runId, const onward_report& report) { m_target.learnOnward(runId, report); };
-    hooks.isPoison = [this](request_fingerprint content) { return m_hooks.isPoison(content); };
+    hooks.standingOf = [this](request_fingerprint content) { return m_hooks.standingOf(content); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
@@ -86,7 +86,7 @@
         m_runs.askWhetherThere([this](server_presence presence) { m_target.serverAsked(presence, std::chrono::steady_clock::now()); });
     };
     hooks.serverEnded = [this](const server_end& end) { m_hooks.serverEnded(end); };
-    hooks.isPoison = [this](request_fingerprint content) { return m_hooks.isPoison(content); };
+    hooks.standingOf = [this](request_fingerprint content) { return m_hooks.standingOf(content); };
     hooks.contentServed = [this](request_fingerprint content) { m_hooks.contentServed(content); };
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -29,8 +29,8 @@
     std::function<void(const server_start&)> misdirected;
     // That server has ended while it had requests.
     std::function<void(const server_end&)> serverEnded;
-    // Whether servers have ended under requests of the content, so that it is to reach none.
-    std::function<bool(request_fingerprint)> isPoison;
+    // What servers' ends say of the content.
+    std::function<content_standing(request_fingerprint)> standingOf;
     // That server has served a request of the content.
     std::function<void(request_fingerprint)> contentServed;
     call_observer observed;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -125,7 +125,7 @@
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
     context.deadline = std::min(request.deadline, now + found->timeout);
-    if (isPoison(call)) {
+    if (standingOf(call) == content_standing::Poison) {
         m_calls.emplace(callId, std::move(call));
         refusePoison(callId, now);
         return callId;
@@ -182,6 +182,9 @@
 // at the nodes that have most to do.
 std::optional<member> routed_entry::chooseTarget(entry_call& call, time_point now)
 {
+    if (standingOf(call) == content_standing::NearlyPoison) {
+        return chooseAgreed(call);
+    }
     auto passedOver = call.tried;
     passedOver.insert(passedOver.end(), call.full.begin(), call.full.end());
     auto chosen = m_router.choose({ call.request.service, std::move(passedOver) }, now);
@@ -193,9 +196,20 @@
     return chosen;
 }
 
-bool routed_entry::isPoison(const entry_call& call) const
+// News of an end may be late or lost, with the node beside the server. So what is one end short
+// of poison goes to one server of its service, the same from every entry, and one at a time
+// there: copies that come before the news end one server more, and not all of them.
+std::optional<member> routed_entry::chooseAgreed(entry_call& call)
+{
+    call.request.refuseIfFull = false;
+    auto agreed = m_router.agreed(call.request.service, call.request.context.content.value);
+    bool isTried = agreed && std::count(call.tried.begin(), call.tried.end(), agreed->id) != 0;
+    return isTried ? std::nullopt : agreed;
+}
+
+content_standing routed_entry::standingOf(const entry_call& call) const
 {
-    return m_hooks.isPoison && m_hooks.isPoison(call.request.context.content);
+    return m_hooks.standingOf ? m_hooks.standingOf(call.request.context.content) : content_standing::Harmless;
 }
 
 // To come back before it is forgotten is in vain.
@@ -211,7 +225,7 @@
         giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
         return;
     }
-    if (isPoison(call)) {
+    if (standingOf(call) == content_standing::Poison) {
         refusePoison(callId, now);
         return;
     }
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -56,8 +56,8 @@
     std::function<std::optional<parent_run>(const entry_request&)> findParent;
     // A call of the own server ended.
     std::function<void(std::uint64_t runId, const onward_report&)> onwardEnded;
-    // Whether servers have ended under requests of the content; nothing here takes one for it.
-    std::function<bool(request_fingerprint)> isPoison;
+    // What servers' ends say of the content; without the hook every one is harmless.
+    std::function<content_standing(request_fingerprint)> standingOf;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -129,9 +129,10 @@
 
     void learn(const entry_call&, const call_answer&, time_point now);
     void attempt(std::uint64_t callId, time_point now);
-    bool isPoison(const entry_call&) const;
+    content_standing standingOf(const entry_call&) const;
     void refusePoison(std::uint64_t callId, time_point now);
     std::optional<member> chooseTarget(entry_call&, time_point now);
+    std::optional<member> chooseAgreed(entry_call&);
     void noteReached(entry_call&, time_point now);
     bool mayTryAgain(entry_call&, const call_answer&, std::chrono::microseconds latency, time_point now);
     void finish(std::uint64_t callId, const verdict&, call_answer, const std::string& message, time_point now);
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -197,8 +197,9 @@
         hooks.serverEnded = [this](const server_end& end) {
             logServerEnd(end);
             m_poison.serverEnded(end);
+            m_server.ended(end.start);
         };
-        hooks.isPoison = [this](request_fingerprint content) { return m_poison.isPoison(content); };
+        hooks.standingOf = [this](request_fingerprint content) { return m_poison.standingOf(content); };
         hooks.contentServed = [this](request_fingerprint content) { m_poison.served(content); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -10,6 +10,9 @@
 
     constexpr unsigned leastServerError = 500;
 
+    // By then a call of the same content has ended, mostly, or its server has.
+    constexpr std::chrono::milliseconds suspectReturn { 500 };
+
     admission_settings gateSettings(const std::function<std::uint64_t()>& random)
     {
         admission_settings settings;
@@ -81,12 +84,28 @@
     if (!m_takesWork) {
         return verdict::notRun(verdict_reason::Draining);
     }
-    if (isPoison(request)) {
+    return refusalOfContent(request);
+}
+
+// Of a content under which servers have ended one call at a time is in progress here: if it
+// ends the server, it does so alone.
+std::optional<verdict> routed_target::refusalOfContent(const call_request& request) const
+{
+    auto standing = standingOf(request);
+    if (standing == content_standing::Poison) {
         return verdict::notRun(verdict_reason::Poison, poisonMemory);
     }
+    if (standing != content_standing::Harmless && isInProgress(request.context.content)) {
+        return verdict::notRun(verdict_reason::Poison, suspectReturn);
+    }
     return std::nullopt;
 }
 
+bool routed_target::isInProgress(request_fingerprint content) const
+{
+    return std::any_of(m_arrivals.begin(), m_arrivals.end(), [content](const auto& entry) { return entry.second.request.context.content == content; });
+}
+
 std::uint64_t routed_target::arrive(call_request request, call_replier replier, time_point now)
 {
     auto id = m_hooks.random();
@@ -112,15 +131,15 @@
     return id;
 }
 
-bool routed_target::isPoison(const call_request& request) const
+content_standing routed_target::standingOf(const call_request& request) const
 {
-    return m_hooks.isPoison && m_hooks.isPoison(request.context.content);
+    return m_hooks.standingOf ? m_hooks.standingOf(request.context.content) : content_standing::Harmless;
 }
 
 void routed_target::start(std::uint64_t arrivalId, time_point now)
 {
     auto& entry = m_arrivals.at(arrivalId);
-    if (isPoison(entry.request)) {
+    if (standingOf(entry.request) == content_standing::Poison) {
         // It has become known while the call waited.
         m_gate.cancel(arrivalId, now);
         refuse(arrivalId, verdict::notRun(verdict_reason::Poison, poisonMemory), now);
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -28,8 +28,8 @@
     std::function<void()> askServer;
     // The server has ended while it had requests.
     std::function<void(const server_end&)> serverEnded;
-    // Whether servers have ended under requests of the content.
-    std::function<bool(request_fingerprint)> isPoison;
+    // What servers' ends say of the content; without the hook every one is harmless.
+    std::function<content_standing(request_fingerprint)> standingOf;
     // The server has served a request of the content. Its own failures don't count: it may give
     // up at the deadline what would have ended it a moment later.
     std::function<void(request_fingerprint)> contentServed;
@@ -126,7 +126,9 @@
     void noteServed(const call_request&);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
-    bool isPoison(const call_request&) const;
+    content_standing standingOf(const call_request&) const;
+    bool isInProgress(request_fingerprint) const;
+    std::optional<verdict> refusalOfContent(const call_request&) const;
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
     void reply(const arrival&, call_answer, time_point now) const;
     static const met_cut* highest(const std::vector<met_cut>&);
--- a/Source/node/server_reports.cpp
+++ b/Source/node/server_reports.cpp
@@ -70,6 +70,12 @@
     m_hooks.changed();
 }
 
+void server_reports::ended(const server_start& start)
+{
+    m_tracker.ended(start);
+    m_hooks.changed();
+}
+
 http_response server_reports::refuse(const std::string& why, time_point now)
 {
     ++m_refused;
--- a/Source/node/server_reports.h
+++ b/Source/node/server_reports.h
@@ -35,6 +35,9 @@
     // The server at the address is another one than this.
     void misdirected(const server_start&);
 
+    // That start of the server has ended.
+    void ended(const server_start&);
+
     // Nothing while no server is known.
     const std::optional<server_report>& current() const { return m_tracker.current(); }
 
--- a/Tests/PoisonLedger/poison_ledger_test.cpp
+++ b/Tests/PoisonLedger/poison_ledger_test.cpp
@@ -23,6 +23,11 @@
         }
     }
 
+    bool isPoison(const poison_ledger& ledger, request_fingerprint content, wall_time at)
+    {
+        return ledger.standingOf(content, at) == content_standing::Poison;
+    }
+
     poison_ledger ledgerOf(const std::vector<poison_record>& records)
     {
         poison_ledger ledger;
@@ -61,14 +66,18 @@
 TEST(PoisonLedger, TakesAContentForPoisonAtTheThirdServer)
 {
     poison_ledger ledger;
+    EXPECT_EQ(ledger.standingOf(deadly, now), content_standing::Harmless);
+    endServers(ledger, deadly, 1, 1);
+    EXPECT_EQ(ledger.standingOf(deadly, now), content_standing::Suspect);
     endServers(ledger, deadly, 1, poisonEnds - 1);
-    EXPECT_FALSE(ledger.isPoison(deadly, now));
+    EXPECT_EQ(ledger.standingOf(deadly, now), content_standing::NearlyPoison);
+    EXPECT_FALSE(isPoison(ledger, deadly, now));
     // The same start again is no further server.
     ledger.serverEnded(1, { deadly }, now);
-    EXPECT_FALSE(ledger.isPoison(deadly, now));
+    EXPECT_FALSE(isPoison(ledger, deadly, now));
     ledger.serverEnded(poisonEnds, { deadly, innocent }, now);
-    EXPECT_TRUE(ledger.isPoison(deadly, now));
-    EXPECT_FALSE(ledger.isPoison(innocent, now));
+    EXPECT_TRUE(isPoison(ledger, deadly, now));
+    EXPECT_FALSE(isPoison(ledger, innocent, now));
     EXPECT_EQ(ledger.poisonCount(now), 1U);
 }
 
@@ -79,8 +88,8 @@
     endServers(here, deadly, 1, 2);
     endServers(there, deadly, 2, 2);
     here.merge(there.document(1, now), now);
-    EXPECT_TRUE(here.isPoison(deadly, now));
-    EXPECT_FALSE(there.isPoison(deadly, now));
+    EXPECT_TRUE(isPoison(here, deadly, now));
+    EXPECT_FALSE(isPoison(there, deadly, now));
 }
 
 TEST(PoisonLedger, ClearsWhatAServerHasServed)
@@ -89,13 +98,13 @@
     endServers(ledger, innocent, 1, poisonEnds);
     EXPECT_TRUE(ledger.served(innocent));
     EXPECT_FALSE(ledger.served(innocent));
-    EXPECT_FALSE(ledger.isPoison(innocent, now));
+    EXPECT_FALSE(isPoison(ledger, innocent, now));
     // Also where it was not served, and by further ends.
     poison_ledger other;
     endServers(other, innocent, 1, poisonEnds);
     other.merge(ledger.document(1, now), now);
     endServers(other, innocent, 7, poisonEnds);
-    EXPECT_FALSE(other.isPoison(innocent, now));
+    EXPECT_FALSE(isPoison(other, innocent, now));
     EXPECT_FALSE(ledger.served(deadly));
     EXPECT_EQ(ledger.size(), 1U);
 }
@@ -104,16 +113,16 @@
 {
     poison_ledger ledger;
     endServers(ledger, deadly, 1, poisonEnds);
-    EXPECT_TRUE(ledger.isPoison(deadly, now + poisonMemory));
+    EXPECT_TRUE(isPoison(ledger, deadly, now + poisonMemory));
     auto later = now + poisonMemory + std::chrono::seconds(1);
-    EXPECT_FALSE(ledger.isPoison(deadly, later));
+    EXPECT_FALSE(isPoison(ledger, deadly, later));
     EXPECT_FALSE(ledger.hasUnshared(later));
     EXPECT_TRUE(ledger.document(1, later).empty());
     ledger.merge({}, later);
     EXPECT_EQ(ledger.size(), 0U);
     // A clock that has jumped back does not make it forget.
     endServers(ledger, deadly, 1, poisonEnds);
-    EXPECT_TRUE(ledger.isPoison(deadly, now - poisonMemory));
+    EXPECT_TRUE(isPoison(ledger, deadly, now - poisonMemory));
 }
 
 // Many more requests than a fleet's servers can have in progress when they end.
@@ -126,7 +135,7 @@
         ledger.serverEnded(1, { request_fingerprint { i } }, now + std::chrono::seconds(1));
     }
     EXPECT_LT(ledger.size(), many);
-    EXPECT_TRUE(ledger.isPoison(deadly, now));
+    EXPECT_TRUE(isPoison(ledger, deadly, now));
     EXPECT_LT(textOf(ledger.document(1, now), 1).size(), 1024U * 1024U);
 }
 
@@ -168,8 +177,8 @@
         }
         for (auto& each : ledgers) {
             each.merge(last.document(1, now), now);
-            RC_ASSERT(each.isPoison(deadly, now) == last.isPoison(deadly, now));
-            RC_ASSERT(each.isPoison(innocent, now) == last.isPoison(innocent, now));
+            RC_ASSERT(isPoison(each, deadly, now) == isPoison(last, deadly, now));
+            RC_ASSERT(isPoison(each, innocent, now) == isPoison(last, innocent, now));
             RC_ASSERT(each.size() == last.size());
         }
     });
@@ -185,9 +194,9 @@
     ASSERT_TRUE(document);
     EXPECT_EQ(document->version, 9);
     auto read = ledgerOf(document->records);
-    EXPECT_TRUE(read.isPoison(deadly, now));
+    EXPECT_TRUE(isPoison(read, deadly, now));
     endServers(read, innocent, 1, poisonEnds);
-    EXPECT_FALSE(read.isPoison(innocent, now));
+    EXPECT_FALSE(isPoison(read, innocent, now));
 }
 
 TEST(PoisonLedger, TakesNothingFromWhatNoNodeHasWritten)
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace vanillashunt {
 
 namespace {
@@ -98,6 +100,7 @@
         std::optional<parent_run> parent;
         // What servers have ended under.
         std::vector<request_fingerprint> poison;
+        content_standing standing = content_standing::Poison;
 
     private:
         static entry_settings settings(double slack)
@@ -125,7 +128,9 @@
                     finished.push_back({ seen.context.position, seen.outcome, seen.inputs });
                 }
             };
-            result.isPoison = [this](request_fingerprint content) { return std::count(poison.begin(), poison.end(), content) != 0; };
+            result.standingOf = [this](request_fingerprint content) {
+                return std::count(poison.begin(), poison.end(), content) != 0 ? standing : content_standing::Harmless;
+            };
             result.findParent = [this](const entry_request&) { return parent; };
             result.onwardEnded = [this](std::uint64_t, const onward_report& report) { onwardCuts.push_back(report.cut); };
             result.random = [this] { return m_random += 0x9e3779b97f4a7c15U; };
@@ -503,4 +508,37 @@
     EXPECT_EQ(world.answers.back().refusalStatus, 503U);
 }
 
+// Copies come in everywhere before the news of an end does.
+TEST(RoutedEntry, SendsWhatIsOneEndShortOfPoisonToOneServerOnly)
+{
+    std::set<std::uint64_t> targets;
+    std::set<std::uint64_t> usualTargets;
+    entry_world world;
+    world.configure();
+    world.standing = content_standing::NearlyPoison;
+    world.poison = { fingerprintOf("/x/1", "") };
+    constexpr int copies = 40;
+    for (int copy = 0; copy < copies; ++copy) {
+        world.arrive("/x/1");
+        targets.insert(world.sent.back().target.id);
+        world.arrive("/x/2");
+        usualTargets.insert(world.sent.back().target.id);
+    }
+    EXPECT_EQ(targets.size(), 1U);
+    EXPECT_GT(usualTargets.size(), 1U);
+    // Another content has a server of its own, and no other takes its place.
+    std::set<std::uint64_t> agreed;
+    for (int path = 0; path < copies; ++path) {
+        auto target = "/x/" + std::to_string(path);
+        world.poison = { fingerprintOf(target, "") };
+        world.arrive(target);
+        agreed.insert(world.sent.back().target.id);
+        auto before = world.sent.size();
+        world.answer(verdict::notRun(verdict_reason::PeerUnreachable));
+        EXPECT_EQ(world.sent.size(), before);
+        EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    }
+    EXPECT_EQ(agreed.size(), 4U);
+}
+
 }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -73,6 +73,7 @@
         std::string path = "/x/1";
         // What servers have ended under, as the other nodes tell.
         std::vector<request_fingerprint> poison;
+        content_standing standing = content_standing::Poison;
         int asked = 0;
         std::vector<server_end> ends;
         std::vector<request_fingerprint> served;
@@ -86,7 +87,9 @@
             result.serverStartedAgain = [this] { ++startsAgain; };
             result.askServer = [this] { ++asked; };
             result.serverEnded = [this](const server_end& end) { ends.push_back(end); };
-            result.isPoison = [this](request_fingerprint content) { return std::count(poison.begin(), poison.end(), content) != 0; };
+            result.standingOf = [this](request_fingerprint content) {
+                return std::count(poison.begin(), poison.end(), content) != 0 ? standing : content_standing::Harmless;
+            };
             result.contentServed = [this](request_fingerprint content) { served.push_back(content); };
             result.random = [this] { return ++m_lastId; };
             return result;
@@ -381,4 +384,26 @@
     EXPECT_EQ(world.running.size(), slots - 1);
 }
 
+TEST(RoutedTarget, GivesItsServerOneAtATimeOfWhatOthersHaveEndedUnder)
+{
+    target_world world;
+    world.standing = content_standing::Suspect;
+    world.poison = { fingerprintOf("/x/1", "") };
+    world.arrive();
+    world.arrive();
+    EXPECT_EQ(world.running.size(), 1U);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::NotRun);
+    EXPECT_EQ(world.answers.back().outcome.reason, verdict_reason::Poison);
+    EXPECT_GT(world.answers.back().outcome.retryAfter.count(), 0);
+    world.path = "/x/2";
+    world.arrive();
+    world.arrive();
+    EXPECT_EQ(world.running.size(), 3U);
+    world.path = "/x/1";
+    world.serverAnswers(verdict::answered());
+    world.arrive();
+    EXPECT_EQ(world.running.size(), 3U);
+}
+
 }
--- a/Tests/ServerTracker/server_tracker_test.cpp
+++ b/Tests/ServerTracker/server_tracker_test.cpp
@@ -164,4 +164,23 @@
     EXPECT_FALSE(tracker.current());
 }
 
+// Seen by the node itself, before anyone reports: nothing goes to a port that is closed.
+TEST(ServerTracker, GivesNothingToAServerThatHasEndedUntilItReports)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 1));
+    tracker.ended({ "i-0" });
+    EXPECT_TRUE(tracker.takesWork());
+    tracker.ended({ "i-1" });
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOf("i-1", 1)), report_effect::Nothing);
+    EXPECT_FALSE(tracker.takesWork());
+    // It is there after all.
+    EXPECT_EQ(tracker.report(reportOf("i-1", 2)), report_effect::Updated);
+    EXPECT_TRUE(tracker.takesWork());
+    tracker.ended({ "i-1" });
+    EXPECT_EQ(tracker.report(reportOf("i-2", 1)), report_effect::Replaced);
+    EXPECT_TRUE(tracker.takesWork());
+}
+
 }
