--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -2,7 +2,7 @@
 
 #include "http/connection_pool.h"
 #include "http/message_parser.h"
-#include "http/pooled_socket.h"
+#include "http/pooled_connection.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -90,22 +90,14 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     // One connection to the server, with at most one request in progress.
-    class instance_connection : public std::enable_shared_from_this<instance_connection> {
+    class instance_connection : public pooled_connection<instance_connection> {
     public:
         instance_connection(const std::shared_ptr<instance_client::state>& client, const std::string& address)
-            : m_client(client)
-            , m_connection(client->context, address)
+            : pooled_connection(client->context, address)
+            , m_client(client)
         {
         }
 
-        const std::string& address() const { return m_connection.address(); }
-
-        std::uint64_t startedId = 0;
-
-        time_point idleUntil() const { return m_connection.idleUntil(); }
-
-        bool isEstablished() const { return m_connection.isEstablished(); }
-
         // Whether an idle connection may take a request: nothing came on it, not even its
         // end, that waits to be told.
         bool isClean(time_point now)
@@ -138,9 +130,9 @@
 
         void becomeIdle() { m_connection.becomeIdle(std::chrono::steady_clock::now(), m_keptFor); }
 
-        void close() { m_connection.close(); }
-
     private:
+        friend class pooled_connection<instance_connection>;
+
         void connect()
         {
             auto client = m_client.lock();
@@ -172,11 +164,6 @@
             });
         }
 
-        void read()
-        {
-            m_connection.stream().read([self = shared_from_this()](const error_code& error) { self->bytesArrived(error); });
-        }
-
         void beginAnswer()
         {
             m_parser.emplace();
@@ -187,28 +174,8 @@
             m_parser->skip(m_isHead);
         }
 
-        void bytesArrived(const error_code& error)
-        {
-            if (m_connection.isClosed()) {
-                return;
-            }
-            if (m_connection.isIdle()) {
-                endIdle();
-                return;
-            }
-            if (error) {
-                connectionEnded(error);
-                return;
-            }
-            parse();
-            if (!m_connection.isClosed()) {
-                read();
-            }
-        }
-
-        void endIdle()
+        void idleEnded()
         {
-            m_connection.close();
             if (auto client = m_client.lock()) {
                 client->counts.extraBytes += m_connection.stream().received().size();
                 client->pool.dropIdle(shared_from_this());
@@ -230,7 +197,7 @@
             fail(error.message());
         }
 
-        void parse()
+        void bytesCame()
         {
             auto& received = m_connection.stream().received();
             while (received.size() > 0 && !m_connection.isClosed() && !m_connection.isIdle()) {
@@ -306,7 +273,6 @@
         }
 
         std::weak_ptr<instance_client::state> m_client;
-        pooled_socket m_connection;
         std::string m_requestId;
         std::string m_outgoing;
         std::optional<message_parser<false>> m_parser;
--- a/Source/backend/lost_runs.cpp
+++ b/Source/backend/lost_runs.cpp
@@ -1,6 +1,7 @@
 #include "backend/lost_runs.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillashunt {
 
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -1,7 +1,7 @@
 #include "peer/peer_client.h"
 
 #include "http/connection_pool.h"
-#include "http/pooled_socket.h"
+#include "http/pooled_connection.h"
 #include "peer/call_codec.h"
 
 #include <boost/asio.hpp>
@@ -40,21 +40,15 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     // One connection to one peer, with at most one call in progress.
-    class peer_connection : public std::enable_shared_from_this<peer_connection> {
+    class peer_connection : public pooled_connection<peer_connection> {
     public:
         peer_connection(const std::shared_ptr<peer_client::state>& client, const std::string& address)
-            : m_client(client)
-            , m_connection(client->context, address)
+            : pooled_connection(client->context, address)
+            , m_client(client)
             , m_idleTimeout(client->settings.idleTimeout)
         {
         }
 
-        const std::string& address() const { return m_connection.address(); }
-
-        std::uint64_t startedId = 0;
-
-        time_point idleUntil() const { return m_connection.idleUntil(); }
-
         void start(const call_request& request, time_point now)
         {
             m_callId = request.callId;
@@ -71,9 +65,9 @@
 
         void becomeIdle() { m_connection.becomeIdle(std::chrono::steady_clock::now(), m_idleTimeout); }
 
-        void close() { m_connection.close(); }
-
     private:
+        friend class pooled_connection<peer_connection>;
+
         void connect()
         {
             auto client = m_client.lock();
@@ -109,40 +103,16 @@
             });
         }
 
-        void read()
-        {
-            m_connection.stream().read([self = shared_from_this()](const error_code& error) { self->bytesArrived(error); });
-        }
-
-        void bytesArrived(const error_code& error)
-        {
-            if (m_connection.isClosed()) {
-                return;
-            }
-            if (m_connection.isIdle()) {
-                // A peer that closes an idle connection is noticed before a call is lost on it.
-                endIdle();
-                return;
-            }
-            if (error) {
-                fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
-                return;
-            }
-            findAnswer();
-            if (!m_connection.isClosed()) {
-                read();
-            }
-        }
+        void connectionEnded(const error_code&) { fail(verdict::mayHaveRun(verdict_reason::AnswerLost)); }
 
-        void endIdle()
+        void idleEnded()
         {
-            m_connection.close();
             if (auto client = m_client.lock()) {
                 client->pool.dropIdle(shared_from_this());
             }
         }
 
-        void findAnswer()
+        void bytesCame()
         {
             auto client = m_client.lock();
             if (!client) {
@@ -201,7 +171,6 @@
         }
 
         std::weak_ptr<peer_client::state> m_client;
-        pooled_socket m_connection;
         std::chrono::milliseconds m_idleTimeout;
         std::uint64_t m_callId = 0;
         std::uint32_t m_attempt = 0;
--- a/Tests/Harness/contract_texts.cpp
+++ b/Tests/Harness/contract_texts.cpp
@@ -29,6 +29,23 @@
 retries = 2
 )";
 
+std::string contractWithShare(const std::string& share)
+{
+    return "customer = \"hotel-seri\"\nshare = " + share + R"(
+
+[[class]]
+name = "thread-history"
+service = "threads"
+method = "GET"
+path = "/history"
+idempotent = true
+importance = "deferrable"
+deadline = "5s"
+target = 0.99
+retries = 2
+)";
+}
+
 const char* const stayAndDeskContract = R"(
 customer = "hotel-seri"
 share = 1.0
--- a/Tests/Harness/contract_texts.h
+++ b/Tests/Harness/contract_texts.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 namespace vanillashunt {
 
 // Contracts of customer hotel-seri that several tests put in force.
@@ -7,6 +9,9 @@
 // Services "threads" (reads of /history, 5 s) and "desk" (replies at /reply, 5 s).
 extern const char* const threadsAndDeskContract;
 
+// Service "threads" (reads of /history, 5 s) alone; told by its share, for example "0.5".
+std::string contractWithShare(const std::string& share);
+
 // Services "stay" (reads of /details) and "desk" (replies at /reply), 1.5 s each.
 extern const char* const stayAndDeskContract;
 
--- a/Tests/OperatorPort/operator_port_test.cpp
+++ b/Tests/OperatorPort/operator_port_test.cpp
@@ -1,4 +1,5 @@
 #include "Harness/command_run.h"
+#include "Harness/contract_texts.h"
 #include "Harness/mesh.h"
 
 #include <gtest/gtest.h>
@@ -9,22 +10,6 @@
 
 namespace {
 
-    constexpr const char* hotelContract = R"(
-customer = "hotel-seri"
-share = 0.5
-
-[[class]]
-name = "thread-history"
-service = "threads"
-method = "GET"
-path = "/history"
-idempotent = true
-importance = "deferrable"
-deadline = "5s"
-target = 0.99
-retries = 2
-)";
-
     // A whole JSON-RPC request, and the code of its error.
     struct bad_request {
         std::string text;
@@ -94,7 +79,7 @@
     public:
         two_nodes()
         {
-            m_hotel.putContract("hotel-seri", hotelContract);
+            m_hotel.putContract("hotel-seri", contractWithShare("0.5"));
             add("threads-1", "cyberjaya");
             add("threads-2", "bangsar");
         }
