--- /dev/null
+++ b/Source/node/routed_dump.cpp
@@ -0,0 +1,57 @@
+#include "node/routed_dump.h"
+
+#include "events/event_catalogue.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    // Contents of requests that a line on the end of a server names, so that lines stay bounded.
+    constexpr std::size_t mostContentsLogged = 64;
+
+}
+
+Json::Value dumpCalls(const routed_parts& parts)
+{
+    const auto& target = parts.calls.target();
+    Json::Value calls;
+    auto& inbound = calls["inbound"];
+    inbound["in_progress"] = Json::UInt64(target.inProgress());
+    inbound["running"] = target.gate().inFlight();
+    inbound["waiting"] = Json::UInt64(target.gate().waiting());
+    inbound["limit"] = target.gate().limit();
+    inbound["cut"] = target.gate().cut();
+    inbound["draining"] = parts.draining;
+    calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
+    calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
+    calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
+    calls["server"]["foreign_answers"] = Json::UInt64(parts.calls.serverCounts().foreignAnswers);
+    return calls;
+}
+
+node_gauges gaugesOf(const routed_parts& parts)
+{
+    auto gauges = readGauges(dumpCalls(parts));
+    gauges.contractRevision = parts.routes.version();
+    gauges.members = parts.members;
+    gauges.crossedAnswers = parts.calls.peerCounts().crossedAnswers;
+    gauges.damagedAnswers = parts.calls.peerCounts().damagedAnswers;
+    gauges.connectsFailed = parts.calls.peerCounts().connectsFailed;
+    gauges.damagedFrames = parts.peers.damagedFrames();
+    gauges.refusedReports = parts.server.refused();
+    gauges.poisonContents = parts.poison.poisonCount();
+    return gauges;
+}
+
+void logServerEnd(const server_end& end)
+{
+    std::string contents;
+    for (std::size_t i = 0; i < std::min(end.running.size(), mostContentsLogged); ++i) {
+        contents += (i == 0 ? "" : " ") + toString(end.running[i]);
+    }
+    logEvent(events::backendServerEnded, { { "instance", end.start.instanceId }, { "running", std::to_string(end.running.size()) }, { "contents", contents } });
+}
+
+}
--- /dev/null
+++ b/Source/node/routed_dump.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "node/poison_share.h"
+#include "node/route_watch.h"
+#include "node/routed_calls.h"
+#include "node/server_reports.h"
+#include "operator/node_metrics.h"
+#include "peer/peer_server.h"
+
+#include <json/value.h>
+
+namespace vanillashunt {
+
+// The parts of a routed node that operators look at.
+struct routed_parts {
+    const routed_calls& calls;
+    const server_reports& server;
+    const route_watch& routes;
+    const poison_share& poison;
+    const peer_server& peers;
+    std::size_t members = 0;
+    bool draining = false;
+};
+
+// The calls in progress, as the dump of a node with contracts has them, so that one
+// command reads both.
+Json::Value dumpCalls(const routed_parts&);
+
+node_gauges gaugesOf(const routed_parts&);
+
+// Logs that the server has ended, and under which contents.
+void logServerEnd(const server_end&);
+
+}
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -7,6 +7,7 @@
 #include "node/poison_share.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
+#include "node/routed_dump.h"
 #include "node/server_reports.h"
 #include "node/settings_watch.h"
 #include "operator/call_log.h"
@@ -42,9 +43,6 @@
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
     constexpr std::chrono::milliseconds loadLinePeriod { 1000 };
 
-    // Contents of requests that a line on the end of a server names, so that lines stay bounded.
-    constexpr std::size_t mostContentsLogged = 64;
-
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
 
@@ -88,7 +86,7 @@
         membership_hooks membershipHooks();
         server_report_hooks reportHooks();
         operator_hooks operatorHooks();
-        Json::Value dumpCalls() const;
+        routed_parts parts() const;
         void collectState(state_receiver);
         void collectMetrics(const std::function<void(std::string)>&);
         operator_reply explain(const std::string& requestId) const;
@@ -143,15 +141,6 @@
         return settings.platformEndpoints.empty() ? "" : settings.platformEndpoints.front();
     }
 
-    void logServerEnd(const server_end& end)
-    {
-        std::string contents;
-        for (std::size_t i = 0; i < std::min(end.running.size(), mostContentsLogged); ++i) {
-            contents += (i == 0 ? "" : " ") + toString(end.running[i]);
-        }
-        logEvent(events::backendServerEnded, { { "instance", end.start.instanceId }, { "running", std::to_string(end.running.size()) }, { "contents", contents } });
-    }
-
     routed_process::routed_process(const node_settings& settings, settings_source source)
         : m_settings(settings)
         , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
@@ -414,23 +403,9 @@
         return hooks;
     }
 
-    // As the dump of a node with contracts has it, so that one command reads both.
-    Json::Value routed_process::dumpCalls() const
+    routed_parts routed_process::parts() const
     {
-        const auto& target = m_calls.target();
-        Json::Value calls;
-        auto& inbound = calls["inbound"];
-        inbound["in_progress"] = Json::UInt64(target.inProgress());
-        inbound["running"] = target.gate().inFlight();
-        inbound["waiting"] = Json::UInt64(target.gate().waiting());
-        inbound["limit"] = target.gate().limit();
-        inbound["cut"] = target.gate().cut();
-        inbound["draining"] = m_stop.draining();
-        calls["outbound"]["in_progress"] = Json::UInt64(m_calls.entry().inProgress());
-        calls["server"]["connections_opened"] = Json::UInt64(m_calls.serverCounts().connectionsOpened);
-        calls["server"]["reports_refused"] = Json::UInt64(m_server.refused());
-        calls["server"]["foreign_answers"] = Json::UInt64(m_calls.serverCounts().foreignAnswers);
-        return calls;
+        return { m_calls, m_server, m_routes, m_poison, *m_peerServer, m_members->size(), m_stop.draining() };
     }
 
     void routed_process::collectState(state_receiver receiver)
@@ -438,7 +413,7 @@
         auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
         auto versions = std::make_shared<contract_set>();
         versions->revision = m_routes.version();
-        auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, versions }, dumpCalls());
+        auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, versions }, dumpCalls(parts()));
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
         state["poison"] = m_poison.dump();
@@ -451,16 +426,7 @@
 
     void routed_process::collectMetrics(const std::function<void(std::string)>& receiver)
     {
-        auto gauges = readGauges(dumpCalls());
-        gauges.contractRevision = m_routes.version();
-        gauges.members = m_members->size();
-        gauges.crossedAnswers = m_calls.peerCounts().crossedAnswers;
-        gauges.damagedAnswers = m_calls.peerCounts().damagedAnswers;
-        gauges.connectsFailed = m_calls.peerCounts().connectsFailed;
-        gauges.damagedFrames = m_peerServer->damagedFrames();
-        gauges.refusedReports = m_server.refused();
-        gauges.poisonContents = m_poison.poisonCount();
-        m_metrics.set(gauges);
+        m_metrics.set(gaugesOf(parts()));
         receiver(m_metrics.text());
     }
 
--- a/Tests/FuzzEdges/fuzzer/fuzz_edges.cpp
+++ b/Tests/FuzzEdges/fuzzer/fuzz_edges.cpp
@@ -7,6 +7,8 @@
 #include <cstring>
 #include <fstream>
 
+// libFuzzer calls both by these names.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerInitialize(int* count, char*** arguments)
 {
     constexpr const char* option = "--examples=";
@@ -23,6 +25,7 @@
     return 0;
 }
 
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* bytes, std::size_t size)
 {
     vanillashunt::readAtEdge({ reinterpret_cast<const char*>(bytes), size });
