--- a/Tests/FuzzEdges/edge_inputs.cpp
+++ b/Tests/FuzzEdges/edge_inputs.cpp
@@ -64,6 +64,12 @@
         auto result = parseRouteDocument(std::string(text));
         const auto* routes = std::get_if<route_configuration>(&result);
         require(!routes || routes->version > 0, "routes without a version");
+        for (const auto& each : routes ? routes->routes : std::vector<route>()) {
+            require(each.timeout.count() > 0 && each.targetLatency.count() >= 0, "a route without a time");
+            for (const auto& part : each.destinations) {
+                require(part.weight >= 0, "a part of a split with a negative weight");
+            }
+        }
     }
 
     void readPoison(std::string_view text)
