--- a/Tests/PoisonRequests/poison_requests_test.cpp
+++ b/Tests/PoisonRequests/poison_requests_test.cpp
@@ -12,6 +12,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <thread>
 
 namespace vanillashunt {
@@ -25,6 +26,16 @@
     constexpr std::size_t mostRepeats = 3;
     constexpr std::size_t copies = 12;
 
+    // Two, or the one that is given, so that a failure comes again.
+    std::vector<std::uint64_t> seeds()
+    {
+        const char* given = std::getenv("VANILLASHUNT_TEST_SEED");
+        if (given) {
+            return { std::strtoull(given, nullptr, 10) };
+        }
+        return { 1, 2 };
+    }
+
     // How many servers end under further copies, which come in at every node in turn.
     std::size_t endsUnderFurtherCopies(poison_world& world)
     {
@@ -60,6 +71,23 @@
     }
 }
 
+// Nodes are killed and frozen and the store is taken away while copies come; once all have been
+// well for as long as the rule wants it, they are bound whatever went before.
+TEST(PoisonRequests, ReachFewServersAfterThingsBrokeAtRandom)
+{
+    constexpr std::chrono::seconds faults { 3 };
+    for (auto seed : seeds()) {
+        SCOPED_TRACE("VANILLASHUNT_TEST_SEED=" + std::to_string(seed));
+        poison_world world({ 4 });
+        world.storm(faults + 2 * stableWindow, faults, seed);
+        ASSERT_GE(world.ends(), deadlyEnds);
+        EXPECT_LE(world.endsAfter(world.lastFault() + stableWindow), mostRepeats);
+        for (std::size_t entry = 0; entry < world.nodes(); ++entry) {
+            EXPECT_TRUE(world.serves(entry));
+        }
+    }
+}
+
 TEST(PoisonRequests, AreKnownToNodesThatOnlyTheStoreConnects)
 {
     poison_world world({ 2, 2 });
--- a/Tests/PoisonRequests/poison_world.cpp
+++ b/Tests/PoisonRequests/poison_world.cpp
@@ -1,6 +1,7 @@
 #include "PoisonRequests/poison_world.h"
 
 #include <algorithm>
+#include <csignal>
 #include <stdexcept>
 #include <thread>
 
@@ -13,6 +14,22 @@
     // Long enough for a server that has ended to be gone, after its node has told so.
     constexpr std::chrono::milliseconds endTime { 200 };
 
+    // How long a node is frozen, or the store away.
+    constexpr std::chrono::milliseconds faultTime { 300 };
+
+    // One copy; a node that is not there is asked again a moment later.
+    void askForPoison(const std::string& address, int copy)
+    {
+        try {
+            auto socket = raw_socket::connectTo(address);
+            socket.send("GET /x/poison HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: c" + address + "-" + std::to_string(copy)
+                + "\r\nVanillashunt-Deadline-Ms: 2000\r\nConnection: close\r\n\r\n");
+            socket.readToEnd();
+        } catch (const boost::system::system_error&) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+
 }
 
 poison_world::poison_world(const std::vector<std::size_t>& groupSizes)
@@ -55,6 +72,8 @@
     }
     here.node = std::make_unique<routed_node>(plan);
     report(here);
+    std::lock_guard<std::mutex> lock(m_mutex);
+    here.callerPort = here.node->port("caller");
 }
 
 void poison_world::report(place& here)
@@ -90,18 +109,29 @@
     }
 }
 
-void poison_world::storm(std::chrono::milliseconds length)
+std::string poison_world::callerAddress(const place& here)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return here.callerPort;
+}
+
+void poison_world::storm(std::chrono::milliseconds length, std::chrono::milliseconds faultsEnd, std::uint64_t seed)
 {
-    auto end = std::chrono::steady_clock::now() + length;
+    auto begin = std::chrono::steady_clock::now();
     std::vector<std::thread> clients;
     for (auto& here : m_places) {
-        clients.emplace_back([&node = *here.node, end] {
-            while (std::chrono::steady_clock::now() < end) {
-                node.get("/x/poison");
+        clients.emplace_back([this, &here, end = begin + length] {
+            for (int copy = 0; std::chrono::steady_clock::now() < end; ++copy) {
+                askForPoison(callerAddress(here), copy);
             }
         });
     }
-    while (std::chrono::steady_clock::now() < end) {
+    std::mt19937_64 random(seed);
+    while (std::chrono::steady_clock::now() < begin + length) {
+        if (std::chrono::steady_clock::now() < begin + faultsEnd) {
+            breakSomething(random);
+            m_lastFault = std::chrono::steady_clock::now();
+        }
         startEndedServers();
     }
     for (auto& client : clients) {
@@ -109,6 +139,28 @@
     }
 }
 
+void poison_world::breakSomething(std::mt19937_64& random)
+{
+    auto which = random() % m_places.size();
+    auto& here = m_places[which];
+    switch (random() % 3) {
+    case 0:
+        here.node->process->kill();
+        startNode(which);
+        break;
+    case 1:
+        here.node->process->signal(SIGSTOP);
+        std::this_thread::sleep_for(faultTime);
+        here.node->process->signal(SIGCONT);
+        break;
+    default:
+        m_world.setStoreDown(true);
+        startEndedServers();
+        std::this_thread::sleep_for(faultTime);
+        m_world.setStoreDown(false);
+    }
+}
+
 std::size_t poison_world::endsAfter(std::chrono::steady_clock::time_point time) const
 {
     return std::count_if(m_ends.begin(), m_ends.end(), [time](auto end) { return end > time; });
--- a/Tests/PoisonRequests/poison_world.h
+++ b/Tests/PoisonRequests/poison_world.h
@@ -4,7 +4,10 @@
 #include "RoutedWorld/routed_node.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
+#include <mutex>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -27,13 +30,17 @@
     void endServers(std::size_t count, const std::vector<std::size_t>& entries);
 
     // Has a client at each node send copies without a pause, for so long, while servers that
-    // end start again.
-    void storm(std::chrono::milliseconds);
+    // end start again. Until `faultsEnd` nodes are killed and frozen and the store is taken
+    // away, one after the other, by the seed; without a seed nothing breaks.
+    void storm(std::chrono::milliseconds length, std::chrono::milliseconds faultsEnd = {}, std::uint64_t seed = 0);
 
     // Servers that have ended so far, and those among them that ended later than the time.
     std::size_t ends() const { return m_ends.size(); }
     std::size_t endsAfter(std::chrono::steady_clock::time_point) const;
 
+    // When the last thing broke that the storm was to break, and was mended.
+    std::chrono::steady_clock::time_point lastFault() const { return m_lastFault; }
+
     // When so many servers had ended.
     std::chrono::steady_clock::time_point timeOfEnd(std::size_t number) const { return m_ends.at(number - 1); }
 
@@ -54,16 +61,23 @@
         int starts = 0;
         std::unique_ptr<child_process> server;
         std::unique_ptr<routed_node> node;
+        // Where clients reach the node; the last one's while it starts again.
+        std::string callerPort;
     };
 
     void startServer(place&);
     void startNode(std::size_t which);
     void report(place&);
     void startEndedServers();
+    void breakSomething(std::mt19937_64&);
+    std::string callerAddress(const place&);
 
     platform_world m_world;
+    // Guards the caller ports, which clients read.
+    std::mutex m_mutex;
     std::vector<place> m_places;
     std::vector<std::chrono::steady_clock::time_point> m_ends;
+    std::chrono::steady_clock::time_point m_lastFault;
 };
 
 }
