Take no report of a ready server that can run nothing

Cause: found by fuzzing (kept as heartbeat-of-a-ready-server-without-slots): a capacity of 0 was in range, so that a writer that is no server could offer a service whose calls all wait.

One that leaves is still heeded whatever it could run.

--- a/Tests/ForeignReports/foreign_reports_test.cpp
+++ b/Tests/ForeignReports/foreign_reports_test.cpp
@@ -121,10 +121,20 @@
     EXPECT_FALSE(namesAServer(with("capacity", "42")));
     EXPECT_FALSE(namesAServer(with("capacity", 4.5)));
     EXPECT_FALSE(namesAServer(with("capacity", Json::UInt64(1) << 40)));
+    EXPECT_FALSE(namesAServer(with("capacity", 0)));
     EXPECT_FALSE(namesAServer(with("born", "1800000000123")));
     EXPECT_FALSE(namesAServer(with("born", 1800000000123.5)));
 }
 
+// What it could run makes no difference then, and not to heed it would.
+TEST(ForeignReports, OfAServerThatLeavesIsTakenWithoutSlots)
+{
+    auto body = heartbeatBody();
+    body["state"] = "draining";
+    body["capacity"] = 0;
+    EXPECT_TRUE(namesAServer(writeJson(body)));
+}
+
 TEST(ForeignReports, NameNoServerWhereTheBytesCannotBeRead)
 {
     auto text = writeJson(heartbeatBody());
