Take the socket for datagrams out of gossip's

A second kind of datagram is to come, on quotas, and would write the waiting and reading again. What decodes and counts stays in gossip_socket. Behaviour is meant to be the same: MembershipRules, MembershipUnderFailure and ZonesCutOff pass.

--- a/Source/peer/gossip_socket.h
+++ b/Source/peer/gossip_socket.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "membership/gossip_message.h"
+#include "peer/datagram_socket.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <array>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace vanillashunt {
@@ -32,25 +32,23 @@
 
 using gossip_handler = std::function<void(gossip_message)>;
 
-// Whether a UDP socket could be bound to the address at this moment.
-bool isUdpPortFree(boost::asio::io_context&, const std::string& address);
-
 // Sends and receives gossip over UDP, from one socket that is bound to the peer
 // port. A datagram that cannot be sent at once is lost, as any datagram may be.
 class gossip_socket {
 public:
     // Throws boost::system::system_error if the address, "IP:port", cannot be bound.
     gossip_socket(boost::asio::io_context&, const std::string& listenAddress, gossip_handler);
-    ~gossip_socket();
 
     void send(const std::string& address, const gossip_message&);
 
-    const gossip_counts& counts() const;
-
-    struct state;
+    const gossip_counts& counts() const { return m_counts; }
 
 private:
-    std::shared_ptr<state> m_state;
+    void read(const char* bytes, std::size_t size);
+
+    gossip_handler m_handler;
+    gossip_counts m_counts;
+    datagram_socket m_socket;
 };
 
 }
