Divide organisations' limits over all nodes without a coordinator

Load: an organisation at six times its rate at every node, in cuts, with wrong views, kills, freezes, a start of all and a lower limit; small organisations whose clients stick to a few nodes (the test QuotaHolds, on a clock of its own).

What binds is that nobody may decide alone and nobody decides for all. Ways weighed on paper: even parts by node (safe; each of 28 nodes of a zone would have 0.28 requests a second of an organisation of 23); one home by rendezvous with leases (two views make two homes that both grant; a new one may grant nothing for a lease); shares that follow demand (the same at the moment of the move). Built: every limit is divided evenly by availability zone and then by node, and each node gives what has accrued of its part, as time that has passed, to one pool of its zone; whoever has requests asks there, and a pool that runs short asks those of the other zones. A part is given once, to one, so that views need not agree; what is lost is lost.

--- a/Source/decision/shedding_position.h
+++ b/Source/decision/shedding_position.h
@@ -19,4 +19,16 @@
 // Importance decides first, then a hash of the request's id.
 shedding_position sheddingPosition(importance, const std::string& requestId);
 
+// Where an organisation stands among the others by what its operator says of it.
+struct organisation_rank {
+    // Other ranks that go before it, and all there are.
+    std::uint32_t before = 0;
+    std::uint32_t count = 1;
+};
+
+// The place of a request whose route alone would give it the other one. What an organisation
+// of a higher rank asks goes before all that those below it ask. The lowest rank keeps the
+// order of the routes.
+shedding_position rankedPosition(shedding_position byRoute, organisation_rank);
+
 }
--- /dev/null
+++ b/Source/peer/quota_codec.cpp
@@ -0,0 +1,119 @@
+#include "peer/quota_codec.h"
+
+#include <caf/binary_deserializer.hpp>
+#include <caf/binary_serializer.hpp>
+
+#include <boost/endian/conversion.hpp>
+#include <xxhash.h>
+
+#include <cmath>
+
+namespace vanillashunt {
+
+namespace {
+
+    // "VSQ1", little-endian; the digit is the version of the format.
+    constexpr std::uint32_t magic = 0x31515356;
+    constexpr std::size_t checksumOffset = 4;
+    constexpr std::size_t headBytes = 12;
+    constexpr std::size_t longestDatagram = 1400;
+
+    // No node gives away more time than this, and nobody is told to wait for longer.
+    constexpr double mostSeconds = 3600;
+    constexpr std::uint32_t mostWaitMilliseconds = 3600 * 1000;
+
+    bool isPart(double value, double most)
+    {
+        return value >= 0 && value <= most;
+    }
+
+    bool writeEntries(caf::binary_serializer& sink, const quota_message& message)
+    {
+        auto askCount = static_cast<std::uint16_t>(message.asks.size());
+        auto grantCount = static_cast<std::uint16_t>(message.grants.size());
+        bool isWritten = !sink(askCount, grantCount);
+        for (const auto& ask : message.asks) {
+            isWritten = isWritten && !sink(ask.organisation, ask.count, ask.fresh);
+        }
+        for (const auto& grant : message.grants) {
+            auto wait = static_cast<std::uint32_t>(grant.wait.count());
+            isWritten = isWritten && !sink(grant.organisation, grant.count, wait);
+        }
+        return isWritten;
+    }
+
+    bool readEntries(caf::binary_deserializer& source, quota_message& message)
+    {
+        std::uint16_t askCount = 0;
+        std::uint16_t grantCount = 0;
+        if (source(askCount, grantCount) || askCount > mostQuotaEntries || grantCount > mostQuotaEntries) {
+            return false;
+        }
+        for (std::uint16_t i = 0; i < askCount; ++i) {
+            quota_ask ask;
+            if (source(ask.organisation, ask.count, ask.fresh)) {
+                return false;
+            }
+            message.asks.push_back(std::move(ask));
+        }
+        for (std::uint16_t i = 0; i < grantCount; ++i) {
+            quota_grant grant;
+            std::uint32_t wait = 0;
+            if (source(grant.organisation, grant.count, wait) || wait > mostWaitMilliseconds) {
+                return false;
+            }
+            grant.wait = std::chrono::milliseconds(wait);
+            message.grants.push_back(std::move(grant));
+        }
+        return true;
+    }
+
+}
+
+std::vector<char> encodeQuota(const quota_message& message)
+{
+    std::vector<char> bytes(headBytes);
+    caf::binary_serializer sink(nullptr, bytes);
+    sink.seek(headBytes);
+    auto kind = static_cast<std::uint8_t>(message.kind);
+    double time = message.accrual.time.count();
+    bool isWritten = !sink(kind, message.senderId, message.sequence, message.accrual.share, time, message.isFromPool) && writeEntries(sink, message);
+    if (!isWritten || bytes.size() > longestDatagram) {
+        return {};
+    }
+    auto* raw = reinterpret_cast<unsigned char*>(bytes.data());
+    boost::endian::store_little_u32(raw, magic);
+    boost::endian::store_little_u64(raw + checksumOffset, XXH3_64bits(raw + headBytes, bytes.size() - headBytes));
+    return bytes;
+}
+
+std::optional<quota_message> decodeQuota(const char* bytes, std::size_t size)
+{
+    const auto* raw = reinterpret_cast<const unsigned char*>(bytes);
+    if (size < headBytes || boost::endian::load_little_u32(raw) != magic) {
+        return std::nullopt;
+    }
+    if (boost::endian::load_little_u64(raw + checksumOffset) != XXH3_64bits(raw + headBytes, size - headBytes)) {
+        return std::nullopt;
+    }
+    caf::binary_deserializer source(nullptr, bytes + headBytes, size - headBytes);
+    quota_message message;
+    std::uint8_t kind = 0;
+    double time = 0;
+    if (source(kind, message.senderId, message.sequence, message.accrual.share, time, message.isFromPool)) {
+        return std::nullopt;
+    }
+    bool isKnown = kind >= static_cast<std::uint8_t>(quota_kind::Accrual) && kind <= static_cast<std::uint8_t>(quota_kind::Grant);
+    if (!isKnown || !isPart(message.accrual.share, 1) || !isPart(time, mostSeconds)) {
+        return std::nullopt;
+    }
+    message.kind = static_cast<quota_kind>(kind);
+    message.accrual.node = message.senderId;
+    message.accrual.time = std::chrono::duration<double>(time);
+    if (!readEntries(source, message) || source.remaining() != 0) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+}
--- /dev/null
+++ b/Source/quota/quota_exchange.cpp
@@ -0,0 +1,243 @@
+#include "quota/quota_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using seconds = std::chrono::duration<double>;
+
+    // A pool that hears of a node so often has all but this much of its part.
+    constexpr milliseconds accrualPeriod { 200 };
+    // A node that had no pool to give to, or stood still, has lost what is older.
+    constexpr seconds longestUnused { 0.4 };
+    constexpr milliseconds shortagePeriod { 20 };
+    // Zones are a few milliseconds from each other, and regions a hundred.
+    constexpr milliseconds answerTimeout { 350 };
+
+}
+
+quota_exchange::quota_exchange(quota_settings settings, quota_hooks hooks, time_point started)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_census(m_settings.availabilityZone, started)
+    , m_owners(m_settings.selfId)
+    , m_pool(m_settings.slack)
+    , m_account(accountHooks())
+    , m_measured(started)
+{
+}
+
+std::uint64_t quota_exchange::take(const quota_request& request, quota_handler handler, time_point now)
+{
+    return m_account.take(request, std::move(handler), now);
+}
+
+std::optional<member> quota_exchange::owner(time_point now) const
+{
+    auto found = m_owners.of(m_settings.availabilityZone, now);
+    return found && found->id != m_settings.selfId ? found : std::nullopt;
+}
+
+quota_account_hooks quota_exchange::accountHooks()
+{
+    quota_account_hooks hooks;
+    hooks.nextSequence = [this] { return nextSequence(); };
+    hooks.ask = [this](std::uint32_t sequence, const quota_ask& asked, time_point now) { ask(sequence, asked, now); };
+    hooks.unanswered = [this](std::uint32_t sequence, time_point now) {
+        if (auto node = m_pending.extract(sequence)) {
+            ++m_counts.unanswered;
+            m_owners.unanswered(node.mapped().memberId, now);
+        }
+    };
+    hooks.chance = m_hooks.chance;
+    return hooks;
+}
+
+std::uint32_t quota_exchange::nextSequence()
+{
+    m_sequence = std::max(m_sequence + 1, 1U);
+    return m_sequence;
+}
+
+void quota_exchange::setConfiguration(const route_configuration& configuration)
+{
+    quota_table quotas;
+    for (const auto& each : configuration.organisations) {
+        if (each.quota.isLimited()) {
+            quotas[each.name] = each.quota;
+        }
+    }
+    m_isNeeded = !quotas.empty();
+    m_pool.setQuotas(quotas);
+    // A lower limit holds for what was granted under the one before, too.
+    m_account.dropUnused();
+}
+
+void quota_exchange::setMembers(const member_list& members, time_point now)
+{
+    m_census.setMembers(members, now);
+    m_owners.setMembers(members);
+}
+
+void quota_exchange::ask(std::uint32_t sequence, const quota_ask& asked, time_point now)
+{
+    ++m_counts.asks;
+    auto poolOwner = owner(now);
+    if (!poolOwner) {
+        measure(now);
+        m_account.granted(sequence, m_pool.take(asked, now), now);
+        askOtherZones(now);
+        return;
+    }
+    quota_message message;
+    message.kind = quota_kind::Ask;
+    message.sequence = sequence;
+    message.asks = { asked };
+    send(*poolOwner, std::move(message), purpose::Account, now);
+}
+
+void quota_exchange::send(const member& target, quota_message message, purpose use, time_point now)
+{
+    message.senderId = m_settings.selfId;
+    m_pending[message.sequence] = { target.id, use, now };
+    m_hooks.send(target, message);
+}
+
+std::optional<quota_message> quota_exchange::receive(const quota_message& message, time_point now)
+{
+    if (message.kind == quota_kind::Grant) {
+        answered(message, now);
+        return std::nullopt;
+    }
+    return answer(message, now);
+}
+
+quota_message quota_exchange::answer(const quota_message& message, time_point now)
+{
+    quota_message reply;
+    reply.kind = quota_kind::Grant;
+    reply.senderId = m_settings.selfId;
+    reply.sequence = message.sequence;
+    if (message.kind == quota_kind::Accrual) {
+        m_pool.accrue(message.accrual, now);
+        for (const auto& unused : message.grants) {
+            m_pool.put(unused, now);
+        }
+        return reply;
+    }
+    for (const auto& asked : message.asks) {
+        reply.grants.push_back(message.isFromPool ? m_pool.lend(asked, now) : m_pool.take(asked, now));
+        m_counts.lent += message.isFromPool ? reply.grants.back().count : 0;
+    }
+    askOtherZones(now);
+    return reply;
+}
+
+void quota_exchange::answered(const quota_message& message, time_point now)
+{
+    auto node = m_pending.extract(message.sequence);
+    if (!node) {
+        return;
+    }
+    m_owners.answered(node.mapped().memberId);
+    for (const auto& grant : message.grants) {
+        if (node.mapped().use == purpose::Account) {
+            m_account.granted(message.sequence, grant, now);
+        } else if (node.mapped().use == purpose::Pool) {
+            m_counts.borrowed += grant.count;
+            m_pool.borrowed(grant, now);
+        }
+    }
+}
+
+// Notes the time that has passed as this node's to give.
+void quota_exchange::measure(time_point now)
+{
+    auto count = m_census.count(now);
+    m_share = count ? 1.0 / static_cast<double>(m_settings.zones * *count) : 0;
+    m_unused = count ? std::min<seconds>(m_unused + (now - m_measured), longestUnused) : seconds(0);
+    m_measured = now;
+    if (!owner(now)) {
+        m_pool.accrue({ m_settings.selfId, m_share, std::exchange(m_unused, seconds(0)) }, now);
+    }
+}
+
+void quota_exchange::giveToPool(time_point now)
+{
+    if (now < m_nextAccrual) {
+        return;
+    }
+    m_nextAccrual = now + accrualPeriod;
+    auto unused = m_account.takeUnused();
+    auto poolOwner = owner(now);
+    if (!poolOwner) {
+        for (const auto& each : unused) {
+            m_pool.put(each, now);
+        }
+        return;
+    }
+    quota_message message;
+    message.kind = quota_kind::Accrual;
+    message.sequence = nextSequence();
+    message.accrual = { m_settings.selfId, m_share, std::exchange(m_unused, seconds(0)) };
+    unused.resize(std::min(unused.size(), mostQuotaEntries));
+    message.grants = std::move(unused);
+    send(*poolOwner, std::move(message), purpose::Accrual, now);
+}
+
+void quota_exchange::askOtherZones(time_point now)
+{
+    if (now < m_nextShortage) {
+        return;
+    }
+    m_nextShortage = now + shortagePeriod;
+    auto shortages = m_pool.shortages(now);
+    if (shortages.empty()) {
+        return;
+    }
+    shortages.resize(std::min(shortages.size(), mostQuotaEntries));
+    for (const auto& zone : m_owners.zonesBeside(m_settings.availabilityZone)) {
+        auto poolOwner = m_owners.of(zone, now);
+        if (!poolOwner) {
+            continue;
+        }
+        quota_message message;
+        message.kind = quota_kind::Ask;
+        message.sequence = nextSequence();
+        message.isFromPool = true;
+        message.asks = shortages;
+        send(*poolOwner, std::move(message), purpose::Pool, now);
+    }
+}
+
+void quota_exchange::giveUpPending(time_point now)
+{
+    for (auto each = m_pending.begin(); each != m_pending.end();) {
+        if (now - each->second.sent < answerTimeout) {
+            ++each;
+            continue;
+        }
+        ++m_counts.unanswered;
+        m_owners.unanswered(each->second.memberId, now);
+        each = m_pending.erase(each);
+    }
+}
+
+void quota_exchange::tick(time_point now)
+{
+    if (!m_isNeeded) {
+        m_measured = now;
+        return;
+    }
+    measure(now);
+    giveToPool(now);
+    askOtherZones(now);
+    giveUpPending(now);
+    m_account.tick(now);
+}
+
+}
--- a/Source/routes/route_configuration.h
+++ b/Source/routes/route_configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "routes/organisation.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -33,6 +35,8 @@
     std::uint32_t maxAttempts = 1;
     // 0 is the highest rank.
     std::uint32_t priority = 0;
+    // Whether its requests need no key of an organisation.
+    bool isPublic = false;
 };
 
 // What an operator says of the servers of one service.
@@ -59,6 +63,9 @@
     std::int64_t version = 0;
     std::vector<route> routes;
     std::vector<route_service> services;
+    std::vector<organisation> organisations;
+    // Whether the operator tells organisations apart, so that requests need a key.
+    bool asksForKeys = false;
     client_limits limits;
 };
 
--- /dev/null
+++ b/Tests/QuotaHolds/quota_fleet.cpp
@@ -0,0 +1,214 @@
+#include "QuotaHolds/quota_fleet.h"
+
+#include <algorithm>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds stepLength { 10 };
+    constexpr milliseconds longestHold { 200 };
+
+}
+
+quota_fleet::quota_fleet(const plan& fleetPlan)
+    : m_plan(fleetPlan)
+    , m_random(fleetPlan.seed)
+{
+    m_configuration.version = 1;
+    m_nodes.resize(m_plan.zones * m_plan.nodesOfZone);
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        start(node);
+    }
+}
+
+void quota_fleet::setQuota(const std::string& organisation, organisation_quota quota)
+{
+    auto& all = m_configuration.organisations;
+    auto known = std::find_if(all.begin(), all.end(), [&organisation](const auto& each) { return each.name == organisation; });
+    if (known == all.end()) {
+        known = all.insert(all.end(), { organisation, {}, std::nullopt, {} });
+    }
+    known->quota = quota;
+    for (auto& each : m_nodes) {
+        if (each.exchange) {
+            each.exchange->setConfiguration(m_configuration);
+        }
+    }
+}
+
+void quota_fleet::kill(std::size_t node)
+{
+    m_nodes[node].exchange.reset();
+}
+
+void quota_fleet::start(std::size_t node)
+{
+    auto& each = m_nodes[node];
+    each.entry.id = m_random() | 1U;
+    each.entry.name = "node-" + std::to_string(node);
+    each.entry.availabilityZone = "zone-" + std::to_string(zoneOf(node));
+    each.frozen = false;
+    m_index[each.entry.id] = node;
+    quota_settings settings { each.entry.id, each.entry.availabilityZone, m_plan.zones, m_plan.slack };
+    quota_hooks hooks;
+    hooks.send = [this, id = each.entry.id](const member& target, const quota_message& message) { post(id, target.id, message); };
+    hooks.chance = [this](std::uint64_t bound) { return m_random() % bound; };
+    each.exchange = std::make_unique<quota_exchange>(settings, hooks, m_now);
+    each.exchange->setConfiguration(m_configuration);
+}
+
+void quota_fleet::setFrozen(std::size_t node, bool frozen)
+{
+    m_nodes[node].frozen = frozen;
+}
+
+bool quota_fleet::reaches(std::size_t from, std::size_t to) const
+{
+    auto groupOf = [this](std::size_t node) {
+        auto found = m_group.find(node);
+        return found == m_group.end() ? 0 : found->second;
+    };
+    return groupOf(from) == groupOf(to);
+}
+
+void quota_fleet::spreadMembers(bool seesThroughCuts)
+{
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        std::set<std::size_t> seen;
+        for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+            if (isRunning(other) && (seesThroughCuts || reaches(node, other))) {
+                seen.insert(other);
+            }
+        }
+        mislead(node, seen);
+    }
+}
+
+void quota_fleet::mislead(std::size_t node, const std::set<std::size_t>& believed)
+{
+    if (!isRunning(node)) {
+        return;
+    }
+    auto members = std::make_shared<std::vector<member>>();
+    members->push_back(m_nodes[node].entry);
+    for (auto other : believed) {
+        if (other != node) {
+            members->push_back(m_nodes[other].entry);
+        }
+    }
+    m_nodes[node].exchange->setMembers(members, m_now);
+}
+
+std::size_t quota_fleet::indexOf(std::uint64_t memberId) const
+{
+    auto found = m_index.find(memberId);
+    bool isCurrent = found != m_index.end() && m_nodes[found->second].entry.id == memberId;
+    return isCurrent ? found->second : m_nodes.size();
+}
+
+void quota_fleet::post(std::uint64_t from, std::uint64_t to, const quota_message& message)
+{
+    ++m_messages;
+    auto sender = indexOf(from);
+    auto target = indexOf(to);
+    if (sender == m_nodes.size() || target == m_nodes.size() || !reaches(sender, target) || chance() < m_plan.lossOfMessages) {
+        return;
+    }
+    bool isNear = zoneOf(sender) == zoneOf(target);
+    auto way = std::chrono::microseconds((isNear ? 300 : 900) + m_random() % 400);
+    m_underWay.push({ m_now + way, from, to, message });
+}
+
+void quota_fleet::deliver()
+{
+    while (!m_underWay.empty() && m_underWay.top().arrives <= m_now) {
+        auto next = m_underWay.top();
+        m_underWay.pop();
+        auto target = indexOf(next.to);
+        if (target == m_nodes.size() || !isRunning(target)) {
+            continue;
+        }
+        if (m_nodes[target].frozen) {
+            // It lies in the socket until the process goes on.
+            next.arrives = m_now + stepLength;
+            m_underWay.push(next);
+            continue;
+        }
+        if (auto answer = m_nodes[target].exchange->receive(next.message, m_now)) {
+            post(next.to, next.from, *answer);
+        }
+    }
+}
+
+void quota_fleet::demandAt(const quota_demand& demand)
+{
+    auto& each = m_nodes[demand.node];
+    std::poisson_distribution<int> arrivals(demand.rate * std::chrono::duration<double>(stepLength).count());
+    auto count = arrivals(m_random);
+    for (int i = 0; i < count && each.exchange && !each.frozen; ++i) {
+        ++m_asked[demand.organisation];
+        quota_request request { demand.organisation, static_cast<shedding_position>(m_random() % sheddingPositionCount), m_now + longestHold };
+        each.exchange->take(
+            request, [this, organisation = demand.organisation](quota_refusal refusal, time_point decided) {
+                if (!refusal) {
+                    m_admitted[organisation].push_back(decided);
+                }
+            },
+            m_now);
+    }
+}
+
+void quota_fleet::step()
+{
+    constexpr int partsOfStep = 10;
+    for (int part = 0; part < partsOfStep; ++part) {
+        m_now += stepLength / partsOfStep;
+        deliver();
+    }
+    for (const auto& demand : m_demand) {
+        demandAt(demand);
+    }
+    for (auto& each : m_nodes) {
+        if (each.exchange && !each.frozen) {
+            each.exchange->tick(m_now);
+        }
+    }
+}
+
+void quota_fleet::run(milliseconds time)
+{
+    for (auto end = m_now + time; m_now < end;) {
+        step();
+    }
+}
+
+std::size_t quota_fleet::admittedSince(const std::string& organisation, time_point since)
+{
+    const auto& times = admitted(organisation);
+    return static_cast<std::size_t>(times.end() - std::lower_bound(times.begin(), times.end(), since));
+}
+
+std::size_t quota_fleet::mostIn(const std::string& organisation, milliseconds window)
+{
+    const auto& times = admitted(organisation);
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+std::size_t quota_fleet::asked(const std::string& organisation) const
+{
+    auto found = m_asked.find(organisation);
+    return found == m_asked.end() ? 0 : found->second;
+}
+
+}
