Tell organisations by their keys, and hold them to their quotas

The entry finds the organisation by its key (401 for none that is known, 503 before a configuration is), takes out the key and whatever the client sent for the name, and tells the server the name. The own server's calls inherit the organisation of the request that their id names; a deadline alone is no proof of that where keys are asked for, since any client may have the same. Where a call's request is not running here it gets 503. The organisation's priority goes before the route's: all that a higher rank asks stands above the others' (positions only; the order of routes stays where ranks are equal). Trailers are no part of the header any more: a key or a name in one counted before. Two keys are 400. Over the quota is 429 with the time at which its pool expects room, spread; a request waits for that up to an eighth of its target latency and 200 ms. What reached no server gives its part back.

An unknown field of an organisation is ignored, as one of a route is: a version that a node refuses is not in force there.

--- a/Source/call/request_terms.h
+++ b/Source/call/request_terms.h
@@ -19,6 +19,10 @@
     std::string parentId;
     // How long the client goes on waiting; nothing if it does not say.
     std::optional<std::chrono::milliseconds> remaining;
+    // Tells which organisation asks; nothing if the client names none.
+    std::optional<std::string> key;
+    // Whether there are several of the fields that hold it, so that nobody can say which counts.
+    bool hasSeveralKeys = false;
 };
 
 // What the node tells its server of a request.
@@ -28,6 +32,8 @@
     std::string instanceId;
     // The service beside which the request began.
     std::string callerService;
+    // Who asks; empty where nobody was told apart.
+    std::string organisation;
 };
 
 // What a server says of its answer.
--- a/Source/decision/verdict.h
+++ b/Source/decision/verdict.h
@@ -38,9 +38,12 @@
     AnswerNotKept, // It ran, and its answer is no longer kept for repeats.
     NoFreeSlot, // All slots are in use, and the call was not to wait while others may have one.
     Poison, // Servers have ended under requests of the same content.
+    UnknownKey, // The request has no key of an organisation, and needs one.
+    UnknownParent, // The request that it says it is made for is not running here.
+    OverQuota, // The organisation has had all the requests that it may have now.
 };
 
-constexpr int verdictReasonCount = static_cast<int>(verdict_reason::Poison) + 1;
+constexpr int verdictReasonCount = static_cast<int>(verdict_reason::OverQuota) + 1;
 
 // The word that callers see, for example "not_run".
 std::string toString(execution);
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -61,6 +61,11 @@
     void on_field_impl(field name, string_view nameText, string_view value, error_code& error) override
     {
         error = {};
+        if (m_isHeaderDone) {
+            // A trailer comes when the request has been judged: nothing in it may name
+            // who asks, or stand for a field of the header.
+            return;
+        }
         switch (name) {
         case field::connection:
             connection.append(connection.empty() ? "" : ",").append(value.data(), value.size());
@@ -90,7 +95,11 @@
         }
     }
 
-    void on_header_impl(error_code& error) override { error = {}; }
+    void on_header_impl(error_code& error) override
+    {
+        error = {};
+        m_isHeaderDone = true;
+    }
 
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override
     {
@@ -112,6 +121,8 @@
     void on_finish_impl(error_code& error) override { error = {}; }
 
     static constexpr std::size_t usualFields = 8;
+
+    bool m_isHeaderDone = false;
 };
 
 }
--- /dev/null
+++ b/Source/node/quota_service.cpp
@@ -0,0 +1,59 @@
+#include "node/quota_service.h"
+
+#include "peer/quota_codec.h"
+
+namespace vanillashunt {
+
+quota_service::quota_service(boost::asio::io_context& context, const std::string& listenAddress, quota_settings settings, std::function<std::uint64_t(std::uint64_t bound)> chance, time_point started)
+    : m_exchange(std::move(settings), exchangeHooks(std::move(chance)), started)
+    , m_socket(context, listenAddress, [this](const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender) { arrived(bytes, size, sender); })
+{
+}
+
+quota_hooks quota_service::exchangeHooks(std::function<std::uint64_t(std::uint64_t bound)> chance)
+{
+    quota_hooks hooks;
+    hooks.send = [this](const member& target, const quota_message& message) { send(target.operatorAddress, message); };
+    hooks.chance = std::move(chance);
+    return hooks;
+}
+
+template <typename Address>
+void quota_service::send(const Address& address, const quota_message& message)
+{
+    auto bytes = encodeQuota(message);
+    if (bytes.empty() || !m_socket.send(address, bytes)) {
+        ++m_unsent;
+    }
+}
+
+void quota_service::arrived(const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender)
+{
+    auto message = decodeQuota(bytes, size);
+    if (!message) {
+        ++m_garbage;
+        return;
+    }
+    if (auto answer = m_exchange.receive(*message, std::chrono::steady_clock::now())) {
+        send(sender, *answer);
+    }
+}
+
+Json::Value quota_service::dump(time_point now) const
+{
+    const auto& counts = m_exchange.counts();
+    auto owner = m_exchange.owner(now);
+    Json::Value state;
+    state["pool_owner"] = owner ? owner->name : "this node";
+    state["share"] = m_exchange.share();
+    state["waiting"] = Json::UInt64(m_exchange.waiting());
+    state["asks"] = Json::UInt64(counts.asks);
+    state["unanswered"] = Json::UInt64(counts.unanswered);
+    state["lent"] = Json::UInt64(counts.lent);
+    state["borrowed"] = Json::UInt64(counts.borrowed);
+    state["unsent"] = Json::UInt64(m_unsent);
+    state["garbage"] = Json::UInt64(m_garbage);
+    return state;
+}
+
+}
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -69,6 +69,9 @@
     hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
     hooks.onwardEnded = [this](std::uint64_t runId, const onward_report& report) { m_target.learnOnward(runId, report); };
     hooks.standingOf = [this](request_fingerprint content) { return m_hooks.standingOf(content); };
+    hooks.takeQuota = m_hooks.takeQuota;
+    hooks.cancelQuota = m_hooks.cancelQuota;
+    hooks.giveBackQuota = m_hooks.giveBackQuota;
     hooks.random = [this] { return m_hooks.random(); };
     hooks.observed = [this](const call_observation& seen) { m_hooks.observed(seen); };
     return hooks;
@@ -111,9 +114,14 @@
         exchange->respond({ statusBadRequest, {}, "the request has no id\n" });
         return;
     }
+    if (terms.hasSeveralKeys) {
+        exchange->respond({ statusBadRequest, {}, "the request has several keys\n" });
+        return;
+    }
+    removeClientTerms(request.fields);
     m_hooks.begins();
     auto deadline = now + terms.remaining.value_or(defaultWait);
-    entry_request entry { terms.requestId, terms.parentId, std::move(request), deadline };
+    entry_request entry { terms.requestId, terms.parentId, terms.key, std::move(request), deadline };
     auto callId = m_entry.arrive(
         std::move(entry), [exchange, requestId = terms.requestId](entry_answer answer) {
             exchange->respond(responseTo(requestId, std::move(answer)));
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -33,6 +33,10 @@
     std::function<content_standing(request_fingerprint)> standingOf;
     // That server has served a request of the content.
     std::function<void(request_fingerprint)> contentServed;
+    // As those of the entry.
+    std::function<std::uint64_t(const quota_request&, quota_handler, std::chrono::steady_clock::time_point now)> takeQuota;
+    std::function<void(std::uint64_t quotaWait)> cancelQuota;
+    std::function<void(const std::string& organisation, std::chrono::steady_clock::time_point now)> giveBackQuota;
     call_observer observed;
 };
 
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
+    constexpr unsigned statusUnauthorized = 401;
     constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusTooManyRequests = 429;
     constexpr unsigned statusBadGateway = 502;
     constexpr unsigned statusUnavailable = 503;
     constexpr unsigned statusGatewayTimeout = 504;
@@ -29,6 +31,11 @@
     // A request is not sent again with less time than this: it would only add load.
     constexpr std::chrono::milliseconds leastTimeToRetry { 20 };
 
+    // A request waits for its organisation's quota no longer than this part of the time in
+    // which its sender wants the answer, and no longer than this.
+    constexpr int targetPartToWait = 8;
+    constexpr std::chrono::milliseconds longestQuotaWait { 200 };
+
     constexpr std::uint64_t chanceSteps = 1U << 20U;
 
     importance importanceOf(std::uint32_t priority)
@@ -47,8 +54,11 @@
 
     unsigned statusOfRefusal(const verdict& outcome)
     {
+        if (outcome.run == execution::NotRun && outcome.reason == verdict_reason::UnknownKey) {
+            return statusUnauthorized;
+        }
         if (outcome.run == execution::NotRun) {
-            return statusUnavailable;
+            return outcome.reason == verdict_reason::OverQuota ? statusTooManyRequests : statusUnavailable;
         }
         return outcome.reason == verdict_reason::DeadlinePassed ? statusGatewayTimeout : statusBadGateway;
     }
@@ -59,6 +69,7 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_table(std::make_shared<route_configuration>())
+    , m_organisations(std::make_shared<route_configuration>())
     , m_rotation([random = m_hooks.random] { return static_cast<double>(random() % chanceSteps) / chanceSteps; })
     , m_router(m_settings.place, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; })
     , m_allowance(m_settings.retries, started)
@@ -71,6 +82,7 @@
     if (configuration->version <= version()) {
         return;
     }
+    m_organisations = organisation_book(configuration);
     m_table = route_table(std::move(configuration));
     m_rotation.setRoutes(m_table.configuration().routes);
 }
@@ -103,6 +115,11 @@
         refuseNow(request, handler, statusNotFound, verdict::notRun(verdict_reason::UnknownService), "no route has this host and path", now);
         return 0;
     }
+    auto origin = originOf(request, *found);
+    if (origin.refusal) {
+        refuseNow(request, handler, statusOfRefusal(*origin.refusal), *origin.refusal, "the request does not tell who asks", now);
+        return 0;
+    }
     auto callId = m_hooks.random() | 1U;
     entry_call call;
     call.arrived = now;
@@ -121,6 +138,7 @@
     context.requestId = std::move(request.requestId);
     context.content = fingerprintOf(sent.path, sent.body);
     context.requestClass = found->name;
+    context.customer = origin.asker ? origin.asker->name : "";
     context.level = importanceOf(found->priority);
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
@@ -130,17 +148,19 @@
         refusePoison(callId, now);
         return callId;
     }
-    auto maker = m_hooks.findParent(request);
+    const auto& maker = origin.maker;
     if (maker) {
         // A call is part of the request that it is made for, and matters as much.
         const auto& parent = maker->context;
         call.parentRun = maker->runId;
+        context.customer = parent.customer;
         context.level = parent.level;
         context.position = parent.position;
         context.depth = parent.depth + 1;
     } else {
         m_costs.arrived(context.requestClass, context.level, now);
-        context.position = m_costs.place(context.requestClass, context.position);
+        context.position = rankedPosition(m_costs.place(context.requestClass, context.position), m_organisations.rankOf(origin.asker));
+        context.level = static_cast<importance>(context.position / positionsPerImportance);
     }
     std::optional<verdict> refusal;
     if (!maker) {
@@ -153,10 +173,67 @@
         giveUp(callId, *refusal, "refused here for a service further down", now);
         return callId;
     }
-    attempt(callId, now);
+    if (origin.asker && origin.asker->quota.isLimited() && m_hooks.takeQuota) {
+        takeQuota(callId, found->targetLatency, now);
+    } else {
+        attempt(callId, now);
+    }
     return callId;
 }
 
+// Where the organisation's next request is allowed within a moment, waiting for that answers
+// more requests than refusing: arrivals are uneven, also those below the limit.
+void routed_entry::takeQuota(std::uint64_t callId, std::chrono::milliseconds targetLatency, time_point now)
+{
+    const auto& context = m_calls.at(callId).request.context;
+    auto waitUntil = std::min(now + std::min(targetLatency / targetPartToWait, longestQuotaWait), context.deadline);
+    quota_request request { context.customer, context.position, waitUntil };
+    auto wait = m_hooks.takeQuota(
+        request, [this, callId](quota_refusal refusal, time_point decided) { quotaDecided(callId, refusal, decided); }, now);
+    auto found = m_calls.find(callId);
+    if (found != m_calls.end() && !found->second.hasQuota) {
+        found->second.quotaWait = wait;
+    }
+}
+
+void routed_entry::quotaDecided(std::uint64_t callId, quota_refusal refusal, time_point now)
+{
+    auto found = m_calls.find(callId);
+    if (found == m_calls.end()) {
+        return;
+    }
+    found->second.quotaWait = 0;
+    if (refusal) {
+        giveUp(callId, verdict::notRun(verdict_reason::OverQuota, *refusal), "the organisation is over its quota", now);
+        return;
+    }
+    found->second.hasQuota = true;
+    attempt(callId, now);
+}
+
+// A key tells a whole request, and the organisation that it is for. The own server's calls
+// carry none: they are told by the request that their id names, and belong to its organisation.
+// By a deadline alone a client without a key could pass for such a call.
+routed_entry::request_origin routed_entry::originOf(const entry_request& request, const route& found) const
+{
+    request_origin result;
+    if (!m_organisations.asksForKeys()) {
+        result.maker = m_hooks.findParent(request);
+        return result;
+    }
+    if (request.key) {
+        result.asker = m_organisations.findByKey(*request.key);
+    } else if (!request.parentId.empty()) {
+        result.maker = m_hooks.findParent(request);
+    }
+    if (result.maker || result.asker || found.isPublic) {
+        return result;
+    }
+    bool isOrphan = !request.key && !request.parentId.empty();
+    result.refusal = isOrphan ? verdict::notRun(verdict_reason::UnknownParent, comeBackAfter()) : verdict::notRun(verdict_reason::UnknownKey);
+    return result;
+}
+
 void routed_entry::refuseNow(const entry_request& request, const entry_handler& handler, unsigned status, const verdict& why, const std::string& message, time_point now) const
 {
     if (m_hooks.observed) {
@@ -356,6 +433,7 @@
 {
     auto node = m_calls.extract(callId);
     auto& call = node.mapped();
+    endQuota(call, now);
     if (why.run != execution::Ran && call.failure) {
         answer = std::move(*call.failure);
     }
@@ -379,6 +457,17 @@
     call.handler(std::move(result));
 }
 
+// What reached no server does not count against the limit.
+void routed_entry::endQuota(entry_call& call, time_point now)
+{
+    if (call.quotaWait != 0) {
+        m_hooks.cancelQuota(std::exchange(call.quotaWait, 0));
+    }
+    if (call.reached == 0 && !call.mayHaveRun && std::exchange(call.hasQuota, false)) {
+        m_hooks.giveBackQuota(call.request.context.customer, now);
+    }
+}
+
 void routed_entry::abandonAttempt(entry_call& call, time_point now)
 {
     if (call.attemptId == 0) {
@@ -399,6 +488,7 @@
     }
     auto& call = node.mapped();
     abandonAttempt(call, now);
+    endQuota(call, now);
     observe(call, call_decision::Finished, verdict::mayHaveRun(verdict_reason::CallerGone), "the sender left", 0, now);
 }
 
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -11,7 +11,9 @@
 #include "decision/service_room.h"
 #include "http/http_message.h"
 #include "node/routed_target.h"
+#include "quota/quota_account.h"
 #include "routes/destination_rotation.h"
+#include "routes/organisation_book.h"
 #include "routes/route_table.h"
 
 #include <chrono>
@@ -30,6 +32,8 @@
     std::string requestId;
     // The request for whose sake this one is made, if it names one.
     std::string parentId;
+    // The key that it came with.
+    std::optional<std::string> key;
     http_request message;
     // When its sender stops waiting.
     std::chrono::steady_clock::time_point deadline;
@@ -48,6 +52,8 @@
 using entry_handler = std::function<void(entry_answer)>;
 
 struct entry_hooks {
+    using time_point = std::chrono::steady_clock::time_point;
+
     std::function<void(std::uint64_t attemptId, const member&, const call_request&)> send;
     std::function<void(std::uint64_t attemptId)> cancelAttempt;
     // Whether anything came back from a member.
@@ -58,6 +64,11 @@
     std::function<void(std::uint64_t runId, const onward_report&)> onwardEnded;
     // What servers' ends say of the content; without the hook every one is harmless.
     std::function<content_standing(request_fingerprint)> standingOf;
+    // Lets the request go on when its organisation's quota has room; as quota_account's. Without
+    // the hooks there are no limits.
+    std::function<std::uint64_t(const quota_request&, quota_handler, time_point now)> takeQuota;
+    std::function<void(std::uint64_t quotaWait)> cancelQuota;
+    std::function<void(const std::string& organisation, time_point now)> giveBackQuota;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -123,10 +134,28 @@
         std::string targetName;
         bool targetInOtherZone = false;
         time_point attemptStarted;
+        // While it waits for its organisation's quota.
+        std::uint64_t quotaWait = 0;
+        // Whether a part of that is used up for it.
+        bool hasQuota = false;
         // What the entrance compared a whole request with.
         remembered_cut entranceCut;
     };
 
+    // Who asks, as far as the node can tell.
+    struct request_origin {
+        // The run of the own server that makes the request; nothing for a whole one.
+        std::optional<parent_run> maker;
+        // Null where nobody is told apart.
+        const organisation* asker = nullptr;
+        // Why it is not taken.
+        std::optional<verdict> refusal;
+    };
+
+    request_origin originOf(const entry_request&, const route&) const;
+    void takeQuota(std::uint64_t callId, std::chrono::milliseconds targetLatency, time_point now);
+    void quotaDecided(std::uint64_t callId, quota_refusal, time_point now);
+    void endQuota(entry_call&, time_point now);
     void learn(const entry_call&, const call_answer&, time_point now);
     void attempt(std::uint64_t callId, time_point now);
     content_standing standingOf(const entry_call&) const;
@@ -145,6 +174,7 @@
     entry_settings m_settings;
     entry_hooks m_hooks;
     route_table m_table;
+    organisation_book m_organisations;
     destination_rotation m_rotation;
     router m_router;
     retry_allowance m_allowance;
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -5,6 +5,7 @@
 #include "node/membership_service.h"
 #include "node/planned_stop.h"
 #include "node/poison_share.h"
+#include "node/quota_service.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
 #include "node/routed_dump.h"
@@ -108,6 +109,7 @@
         routed_calls m_calls;
         route_watch m_routes;
         poison_share m_poison;
+        std::unique_ptr<quota_service> m_quotas;
         std::unique_ptr<pipeline_server> m_clients;
         std::unique_ptr<http_server> m_reports;
         std::unique_ptr<http_server> m_readiness;
@@ -141,6 +143,16 @@
         return settings.platformEndpoints.empty() ? "" : settings.platformEndpoints.front();
     }
 
+    quota_settings quotaSettings(const node_settings& settings, std::uint64_t selfId)
+    {
+        quota_settings result;
+        result.selfId = selfId;
+        result.availabilityZone = settings.availabilityZone;
+        result.zones = std::max<std::size_t>(1, settings.routes->zones.size());
+        result.slack = settings.routes->quotaSlack;
+        return result;
+    }
+
     routed_process::routed_process(const node_settings& settings, settings_source source)
         : m_settings(settings)
         , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
@@ -169,6 +181,8 @@
         m_peerServer = std::make_unique<peer_server>(m_context, settings.peer.listen, settings.maxBodyBytes,
             [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { m_calls.peerCallArrived(std::move(request), exchange); });
         m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
+        m_quotas = std::make_unique<quota_service>(
+            m_context, m_operatorPort->address(), quotaSettings(settings, m_self.id), [this](std::uint64_t bound) { return m_random() % bound; }, m_started);
         m_self.name = settings.name;
         m_self.availabilityZone = settings.availabilityZone;
         m_self.region = settings.region;
@@ -190,6 +204,9 @@
         };
         hooks.standingOf = [this](request_fingerprint content) { return m_poison.standingOf(content); };
         hooks.contentServed = [this](request_fingerprint content) { m_poison.served(content); };
+        hooks.takeQuota = [this](const quota_request& request, quota_handler handler, std::chrono::steady_clock::time_point now) { return m_quotas->exchange().take(request, std::move(handler), now); };
+        hooks.cancelQuota = [this](std::uint64_t quotaWait) { m_quotas->exchange().cancel(quotaWait); };
+        hooks.giveBackQuota = [this](const std::string& organisation, std::chrono::steady_clock::time_point now) { m_quotas->exchange().giveBack(organisation, now); };
         hooks.observed = [this](const call_observation& seen) { observe(seen); };
         return hooks;
     }
@@ -199,6 +216,7 @@
         route_watch_hooks hooks;
         hooks.changed = [this](route_snapshot configuration) {
             logEvent(events::routesChanged, { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) } });
+            m_quotas->exchange().setConfiguration(*configuration);
             m_calls.entry().setConfiguration(std::move(configuration));
             m_membership->spreadSoon();
         };
@@ -235,6 +253,7 @@
             m_members = members;
             m_routes.setMembers(members);
             m_poison.setMembers(members);
+            m_quotas->exchange().setMembers(members, std::chrono::steady_clock::now());
             m_calls.entry().setMembers(members, std::chrono::steady_clock::now());
         };
         hooks.ownVersions = [this] { return news_versions { m_routes.version(), m_poison.version() }; };
@@ -286,6 +305,7 @@
     void routed_process::tick()
     {
         auto now = std::chrono::steady_clock::now();
+        m_quotas->exchange().tick(now);
         m_calls.tick(now);
         logLoad(now);
         m_settingsWatch.check(now);
@@ -417,6 +437,7 @@
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
         state["poison"] = m_poison.dump();
+        state["quotas"] = m_quotas->dump(std::chrono::steady_clock::now());
         m_membership->dump([state, receiver = std::move(receiver)](const Json::Value& membership) {
             auto whole = state;
             whole["membership"] = membership;
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -49,6 +49,8 @@
             + formatReal("retry_ratio", routes.retryRatio)
             + formatReal("retry_slack", routes.retrySlack)
             + formatSeconds("retry_window_seconds", routes.retryWindow)
+            + formatStrings("zones", routes.zones)
+            + formatReal("quota_slack", routes.quotaSlack)
             + formatSeconds("grace_seconds", routes.grace);
     }
 
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -28,6 +28,10 @@
     double retryRatio = 0.2;
     double retrySlack = 0;
     std::chrono::milliseconds retryWindow { 10000 };
+    // Availability zones that share the organisations' limits evenly, this node's among them.
+    std::vector<std::string> zones {};
+    // Requests over a limit that all nodes together may let through at once.
+    double quotaSlack = 0;
     // From SIGTERM until the platform kills the process.
     std::chrono::milliseconds grace { 6000 };
 };
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace vanillashunt {
 
@@ -46,6 +47,8 @@
     const toml_key retryRatioKey { "retry_ratio", "0.2", presence::Optional };
     const toml_key retrySlackKey { "retry_slack", "48", presence::Optional };
     const toml_key retryWindowKey { "retry_window_seconds", "10", presence::Optional };
+    const toml_key zonesKey { "zones", "[\"cyberjaya\", \"bangsar\"]", presence::Optional };
+    const toml_key quotaSlackKey { "quota_slack", "20", presence::Optional };
     const toml_key graceKey { "grace_seconds", "6", presence::Optional };
 
     bool isLabelCharacter(char character)
@@ -241,11 +244,24 @@
             routes.retryRatio = reader.readReal(retryRatioKey, ratioRule).value_or(routes.retryRatio);
             routes.retrySlack = reader.readReal(retrySlackKey, slackRule).value_or(routes.retrySlack);
             routes.retryWindow = readSeconds(reader, retryWindowKey).value_or(routes.retryWindow);
+            routes.zones = reader.readStrings(zonesKey, labelRule);
+            checkZones(routes.zones, reader);
+            routes.quotaSlack = reader.readReal(quotaSlackKey, slackRule).value_or(routes.quotaSlack);
             routes.grace = readSeconds(reader, graceKey).value_or(routes.grace);
             reader.reportUnknownKeys();
             m_settings.routes = routes;
         }
 
+        // Each zone has a part of every limit: this node's has to be among them, once.
+        void checkZones(const std::vector<std::string>& zones, toml_reader& reader)
+        {
+            std::set<std::string> each(zones.begin(), zones.end());
+            bool hasOwn = zones.empty() || each.count(m_settings.availabilityZone) != 0;
+            if (!hasOwn || each.size() != zones.size()) {
+                reader.report(zonesKey, "zones has to name each availability zone once, and " + quoteToml(m_settings.availabilityZone) + " of [node] among them");
+            }
+        }
+
         static std::optional<std::chrono::milliseconds> readSeconds(toml_reader& reader, const toml_key& key)
         {
             auto seconds = reader.readReal(key, secondsRule);
--- a/Tests/FuzzEdges/edge_inputs.cpp
+++ b/Tests/FuzzEdges/edge_inputs.cpp
@@ -7,6 +7,7 @@
 #include "node/poison_document.h"
 #include "peer/call_codec.h"
 #include "peer/gossip_codec.h"
+#include "peer/quota_codec.h"
 #include "platform/request_headers.h"
 #include "platform/route_document.h"
 #include "platform/server_report.h"
@@ -14,6 +15,7 @@
 #include <boost/asio/buffer.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -34,11 +36,12 @@
         ClientBytes,
         ServerBytes,
         RpcAnswer,
+        Quota,
     };
 
-    constexpr unsigned edges = static_cast<unsigned>(edge::RpcAnswer) + 1;
+    constexpr unsigned edges = static_cast<unsigned>(edge::Quota) + 1;
     constexpr std::uint64_t maxBodyBytes = 65536;
-    constexpr std::size_t gossipMagicBytes = 4;
+    constexpr std::size_t datagramMagicBytes = 4;
 
     const std::chrono::steady_clock::time_point now { std::chrono::hours(1) };
     const poison_ledger::wall_time wallNow { std::chrono::hours(24 * 365 * 50) };
@@ -70,6 +73,10 @@
                 require(part.weight >= 0, "a part of a split with a negative weight");
             }
         }
+        for (const auto& each : routes ? routes->organisations : std::vector<organisation>()) {
+            require(!each.name.empty() && each.quota.ratePerSecond >= 0 && each.quota.burst >= 0, "an organisation without a name, or with a negative limit");
+            require(std::count(each.keys.begin(), each.keys.end(), "") == 0, "an empty key");
+        }
     }
 
     void readPoison(std::string_view text)
@@ -84,22 +91,44 @@
         require(again && again->records.size() == ledger.size(), "records that cannot be read again");
     }
 
-    std::vector<char> gossipMagic()
+    std::vector<char> magicOf(std::vector<char> datagram)
     {
-        auto bytes = encodeGossip({});
-        bytes.resize(gossipMagicBytes);
-        return bytes;
+        datagram.resize(datagramMagicBytes);
+        return datagram;
     }
 
     // With the checksum that belongs to it: a damaged datagram ends there.
-    void readGossip(std::string_view payload)
+    std::vector<char> datagramOf(std::vector<char> bytes, std::string_view payload)
     {
-        static const auto magic = gossipMagic();
-        auto bytes = magic;
         auto checksum = XXH3_64bits(payload.data(), payload.size());
-        bytes.resize(gossipMagicBytes + sizeof(checksum));
-        std::memcpy(bytes.data() + gossipMagicBytes, &checksum, sizeof(checksum));
+        bytes.resize(datagramMagicBytes + sizeof(checksum));
+        std::memcpy(bytes.data() + datagramMagicBytes, &checksum, sizeof(checksum));
         bytes.insert(bytes.end(), payload.begin(), payload.end());
+        return bytes;
+    }
+
+    std::string payloadOf(const std::vector<char>& datagram)
+    {
+        return std::string(datagram.begin() + datagramMagicBytes + sizeof(XXH64_hash_t), datagram.end());
+    }
+
+    void readQuota(std::string_view payload)
+    {
+        static const auto magic = magicOf(encodeQuota({}));
+        auto bytes = datagramOf(magic, payload);
+        auto message = decodeQuota(bytes.data(), bytes.size());
+        if (!message) {
+            return;
+        }
+        require(message->accrual.share >= 0 && message->accrual.share <= 1 && message->accrual.time.count() >= 0, "a part that no node has");
+        auto again = encodeQuota(*message);
+        require(again.empty() || decodeQuota(again.data(), again.size()).has_value(), "a message on quotas that cannot be read again");
+    }
+
+    void readGossip(std::string_view payload)
+    {
+        static const auto magic = magicOf(encodeGossip({}));
+        auto bytes = datagramOf(magic, payload);
         auto message = decodeGossip(bytes.data(), bytes.size());
         if (!message) {
             return;
@@ -160,7 +189,8 @@
         }
         auto terms = readRequestTerms(parser.fields);
         require(!terms.remaining || terms.remaining->count() >= 0, "a deadline before the request");
-        writeServerTerms(parser.fields, { std::chrono::milliseconds(1), "i-1", "desk" });
+        writeServerTerms(parser.fields, { std::chrono::milliseconds(1), "i-1", "desk", "guests" });
+        require(fieldValue(parser.fields, "Api-Key").empty() && fieldValue(parser.fields, "Vanillashunt-Tenant") == "guests", "a key, or an organisation that the client named");
         require(fieldValue(parser.fields, "Vanillashunt-Caller-Service") == "desk", "a caller that the client named");
     }
 
@@ -215,8 +245,19 @@
         update.entry.name = "desk-1";
         update.entry.service = "desk";
         message.updates = { update };
-        auto bytes = encodeGossip(message);
-        return std::string(bytes.begin() + gossipMagicBytes + sizeof(XXH64_hash_t), bytes.end());
+        return payloadOf(encodeGossip(message));
+    }
+
+    std::string exampleQuota()
+    {
+        quota_message message;
+        message.kind = quota_kind::Ask;
+        message.senderId = 7;
+        message.sequence = 3;
+        message.accrual = { 7, 0.01, std::chrono::milliseconds(200) };
+        message.asks = { { "guests", 3, 2 } };
+        message.grants = { { "guests", 1, std::chrono::milliseconds(40) } };
+        return payloadOf(encodeQuota(message));
     }
 
     std::string examplePoison()
@@ -262,6 +303,8 @@
     case edge::RpcAnswer:
         readJsonRpcResponse(std::string(input));
         return;
+    case edge::Quota:
+        return readQuota(input);
     }
 }
 
@@ -278,7 +321,7 @@
     return {
         with(edge::Heartbeat, R"({"service":"desk","address":"192.0.2.1:80","zone":"a","version":"v1","capacity":8,"state":"ready","warmup_left_s":0.5,"sequence":4,"born":1800000000123})"),
         with(edge::Deregistration, R"({"born":1800000000123})"),
-        with(edge::Routes, R"({"version":"r12","resources":[{"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","timeout_s":2,"target_latency_s":1,"priority":0,"traffic_split":[{"service":"desk","weight":1}],"max_attempts":2}},{"type":"services","metadata":{"name":"desk"},"spec":{}},{"type":"limits","metadata":{"name":"l"},"spec":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_s":2,"idle_timeout_s":9}}]})"),
+        with(edge::Routes, R"({"version":"r12","resources":[{"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","timeout_s":2,"target_latency_s":1,"priority":0,"traffic_split":[{"service":"desk","weight":1}],"max_attempts":2,"public":true}},{"type":"tenants","metadata":{"name":"guests"},"spec":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":5,"burst":5}},{"type":"services","metadata":{"name":"desk"},"spec":{}},{"type":"limits","metadata":{"name":"l"},"spec":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_s":2,"idle_timeout_s":9}}]})"),
         with(edge::Poison, examplePoison()),
         with(edge::Gossip, exampleGossip()),
         with(edge::RequestFrame, frameOf(request, frameHeadBytes)),
@@ -287,6 +330,7 @@
         with(edge::ClientBytes, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: r.1\r\nVanillashunt-Deadline-Ms: 20\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
         with(edge::ServerBytes, "HTTP/1.1 200 OK\r\nVanillashunt-Request-Id: r.1\r\nVanillashunt-Server-Seal: s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody"),
         with(edge::RpcAnswer, R"({"jsonrpc":"2.0","id":1,"result":{"version":1}})"),
+        with(edge::Quota, exampleQuota()),
     };
 }
 
--- a/Tests/PlatformWire/platform_wire_test.cpp
+++ b/Tests/PlatformWire/platform_wire_test.cpp
@@ -19,6 +19,12 @@
         {"type":"services","metadata":{"name":"old"},"spec":{"health_check_path":"/health","max_connections":934}},
         {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]})";
 
+    // The document with further entries.
+    std::string documentWith(const std::string& entries)
+    {
+        return document.substr(0, document.size() - 2) + "," + entries + "]}";
+    }
+
     bool isReadable(const std::string& text)
     {
         return std::holds_alternative<route_configuration>(parseRouteDocument(text));
@@ -59,6 +65,53 @@
     EXPECT_FALSE(isReadable(R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"x"},"spec":{"prefix":"/x/","timeout_s":"soon","service":"a"}}]})"));
 }
 
+TEST(RouteDocument, TellsTheOrganisations)
+{
+    auto parsed = parseRouteDocument(documentWith(R"({"type":"tenants","metadata":{"name":"pulo"},"spec":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":16.5,"burst":20,"later":"unknown"}},
+        {"type":"tenants","metadata":{"name":"free"},"spec":{"api_keys":["k3"]}},
+        {"type":"tenants","metadata":{"name":"closed"},"spec":{"api_keys":[]}})"));
+    ASSERT_TRUE(std::holds_alternative<route_configuration>(parsed));
+    const auto& configuration = std::get<route_configuration>(parsed);
+    EXPECT_TRUE(configuration.asksForKeys);
+    ASSERT_EQ(configuration.organisations.size(), 3U);
+    const auto& first = configuration.organisations[0];
+    EXPECT_EQ(first.name, "pulo");
+    EXPECT_EQ(first.keys, (std::vector<std::string> { "k1", "k2" }));
+    EXPECT_EQ(first.priority, 1U);
+    EXPECT_EQ(first.quota.ratePerSecond, 16.5);
+    EXPECT_EQ(first.quota.burst, 20);
+    EXPECT_FALSE(configuration.organisations[1].priority);
+    EXPECT_FALSE(configuration.organisations[1].quota.isLimited());
+    EXPECT_FALSE(std::get<route_configuration>(parseRouteDocument(document)).asksForKeys);
+}
+
+// Who asks, and how much may be asked, is never guessed; and no message tells a key.
+TEST(RouteDocument, IsRefusedWithOrganisationsThatCannotBeToldApart)
+{
+    const std::vector<std::string> wrong {
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"]}},{"type":"tenants","metadata":{"name":"b"},"spec":{"api_keys":["other","secret"]}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"]}},{"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["other"]}})",
+        R"({"type":"tenants","metadata":{},"spec":{"api_keys":["secret"]}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":[17]}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":[""]}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":"secret"}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":{"secret":1}}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"],"rate_per_s":-1}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"],"rate_per_s":1e300}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"],"rate_per_s":"many"}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"],"burst":-0.5}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":{"api_keys":["secret"],"priority":-1}})",
+        R"({"type":"tenants","metadata":{"name":"a"},"spec":"secret"})",
+    };
+    for (const auto& organisations : wrong) {
+        auto parsed = parseRouteDocument(documentWith(organisations));
+        const auto* problem = std::get_if<route_document_problem>(&parsed);
+        ASSERT_TRUE(problem) << organisations;
+        EXPECT_EQ(problem->message.find("secret"), std::string::npos) << problem->message;
+        EXPECT_FALSE(problem->message.empty());
+    }
+}
+
 TEST(RouteDocument, SurvivesDamage)
 {
     std::mt19937 random(7);
@@ -97,13 +150,38 @@
 TEST(RequestHeaders, ReplaceWhatTheClientSent)
 {
     http_fields fields { { "vanillashunt-caller-service", "forged" }, { "Vanillashunt-Expect-Instance", "i-9" }, { "Vanillashunt-Deadline-Ms", "99999" }, { "Host", "a.example" } };
-    writeServerTerms(fields, { std::chrono::milliseconds(700), "i-1", "threads" });
+    writeServerTerms(fields, { std::chrono::milliseconds(700), "i-1", "threads", "" });
     EXPECT_EQ(fields.size(), 4U);
     EXPECT_EQ(fieldValue(fields, "Vanillashunt-Caller-Service"), "threads");
     EXPECT_EQ(fieldValue(fields, "Vanillashunt-Expect-Instance"), "i-1");
     EXPECT_EQ(fieldValue(fields, "Vanillashunt-Deadline-Ms"), "700");
 }
 
+TEST(RequestHeaders, TellOfOneKeyOrOfSeveral)
+{
+    EXPECT_FALSE(readRequestTerms({}).key);
+    auto one = readRequestTerms({ { "aPI-kEY", "k1" } });
+    EXPECT_EQ(one.key, "k1");
+    EXPECT_FALSE(one.hasSeveralKeys);
+    EXPECT_TRUE(readRequestTerms({ { "Api-Key", "k1" }, { "X", "y" }, { "api-key", "k1" } }).hasSeveralKeys);
+    EXPECT_TRUE(readRequestTerms({ { "Api-Key", "k1" }, { "api-key", "k2" }, { "API-KEY", "k3" } }).hasSeveralKeys);
+}
+
+TEST(RequestHeaders, TellAServerTheOrganisationAndNoKey)
+{
+    http_fields fields { { "api-key", "k1" }, { "vanillashunt-tenant", "forged" }, { "Host", "a.example" } };
+    auto forwarded = fields;
+    removeClientTerms(forwarded);
+    EXPECT_EQ(forwarded.size(), 1U);
+    writeServerTerms(fields, { std::chrono::milliseconds(700), "i-1", "threads", "pulo" });
+    EXPECT_EQ(fieldValue(fields, "Api-Key"), "");
+    EXPECT_EQ(fieldValue(fields, "Vanillashunt-Tenant"), "pulo");
+    EXPECT_EQ(fields.size(), 5U);
+    http_fields ofNobody { { "Vanillashunt-Tenant", "forged" } };
+    writeServerTerms(ofNobody, { std::chrono::milliseconds(700), "i-1", "threads", "" });
+    EXPECT_EQ(ofNobody.size(), 3U);
+}
+
 TEST(RequestHeaders, ReadADeadlineOnlyFromANumber)
 {
     EXPECT_EQ(readRequestTerms({ { "Vanillashunt-Deadline-Ms", "1500" } }).remaining, std::chrono::milliseconds(1500));
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -19,6 +19,9 @@
     std::string serverAddress;
     // Peer ports of nodes that it joins.
     std::vector<std::string> join;
+    std::string availabilityZone = "a";
+    // Zones that share the organisations' limits.
+    std::vector<std::string> zones {};
 };
 
 // One node as a real process, with ports that it takes itself.
--- a/Tests/SettingsRefusals/settings_refusals_test.cpp
+++ b/Tests/SettingsRefusals/settings_refusals_test.cpp
@@ -76,6 +76,17 @@
             "s.toml:12: [operators]: listen is \"127.0.0.1:7000\", a port that [peer] takes already; give each section a port of its own"));
 }
 
+TEST(SettingsRefusals, TellsZonesThatShareNoLimit)
+{
+    const std::string routes = node + "[routes]\nservice = \"a\"\nserver = \"192.0.2.1:80\"\nquota_slack = 20\nzones = ";
+    const std::string problem = "s.toml:8: [routes]: zones has to name each availability zone once, and \"cyberjaya\" of [node] among them";
+    EXPECT_THAT(refusals(routes + "[\"bangsar\", \"cyberjaya\"]\n"), ElementsAre());
+    EXPECT_THAT(refusals(routes + "[]\n"), ElementsAre());
+    EXPECT_THAT(refusals(routes + "[\"bangsar\"]\n"), ElementsAre(problem));
+    EXPECT_THAT(refusals(routes + "[\"cyberjaya\", \"cyberjaya\"]\n"), ElementsAre(problem));
+    EXPECT_EQ(refusals(node + "[routes]\nservice = \"a\"\nserver = \"192.0.2.1:80\"\nquota_slack = -1\n").size(), 1U);
+}
+
 TEST(SettingsRefusals, TakesAddressesInNumbersOnly)
 {
     for (const std::string good : { "127.0.0.1:0", "192.0.2.1:65535", "[::1]:0", "[2001:db8::10]:7000", "[::ffff:192.0.2.1]:1" }) {
