Go by the era of the platform's store, and write again what a return has lost

A revision names a write only with the era in which it was read. An answer of an earlier era is no answer; a call that was sent in one era and answered in the next fails as one that may have written, so that a write that replaced what nobody had read is told to its writer, who reads again and joins. Watchers end their waits, and read anew within 0.4 s; the ledger of poison is owed to the document again, by the one writer of each zone; seeds are looked after within 0.9 s. Routes only go forward, as before: a version that falls is not taken. Weighed: an era in the value and a check after the write (one more read for each write, and the values of the operator have none); a read in the same era right before (the return may come between). A header that is missing or unreadable counts as the latest era; one that falls for ten seconds is another store's.

Deepen pools to the burst, as far as the settings' tolerance covers what nodes hold, and lend only what is spare: a pool that was short lent half of its rest all the same, and what was borrowed beyond its depth was lost.

--- a/Source/decision/poison_ledger.cpp
+++ b/Source/decision/poison_ledger.cpp
@@ -115,6 +115,19 @@
     m_version = std::max(m_version, version);
 }
 
+void poison_ledger::storedAs(const std::vector<poison_record>& document)
+{
+    std::unordered_map<request_fingerprint, const poison_record*> stored;
+    for (const auto& each : document) {
+        stored[each.content] = &each;
+    }
+    for (auto& [content, record] : m_records) {
+        auto found = stored.find(content);
+        bool isThere = found != stored.end() && isAsMuch(record, *found->second);
+        record.version = isThere ? record.version : 0;
+    }
+}
+
 bool poison_ledger::hasUnshared(wall_time now) const
 {
     return std::any_of(m_records.begin(), m_records.end(), [now](const auto& entry) { return entry.second.version == 0 && !isOver(entry.second, now); });
--- a/Source/decision/poison_ledger.h
+++ b/Source/decision/poison_ledger.h
@@ -75,6 +75,10 @@
     // 0 while nothing is known of the shared document.
     std::int64_t version() const { return m_version; }
 
+    // The shared document as it stands after the store has come back from a copy, or after a
+    // writer that knew less: what it lacks of what is known here it is to get again.
+    void storedAs(const std::vector<poison_record>&);
+
     // Whether anything is known here that the shared document does not have, and what.
     bool hasUnshared(wall_time now) const;
     std::vector<poison_record> unshared(wall_time now) const;
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -27,6 +27,8 @@
 inline constexpr event storeBack { 134, severity::Info, "the platform's store answers again" };
 inline constexpr event poisonChanged { 135, severity::Info, "more is known of requests that end servers" };
 inline constexpr event poisonUnreadable { 136, severity::Error, "the document on requests that end servers cannot be read" };
+inline constexpr event storeReturned { 137, severity::Warning, "the platform's store came back from an earlier copy" };
+inline constexpr event storeEraUnreadable { 138, severity::Warning, "the era of the platform's store cannot be read" };
 inline constexpr event settingsReread { 105, severity::Info, "settings file read again" };
 inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
 inline constexpr event attemptFailed { 203, severity::Info, "attempt brought no answer of a backend server" };
@@ -36,6 +38,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
 
 }
--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -70,6 +70,7 @@
             m_protocol.setSelf(message.self, currentTime());
             publish(currentTime());
         },
+        [this](const store_returned&) { m_seeds.storeReturned(currentTime()); },
         [this](const spread_requested&) { m_protocol.spreadSoon(currentTime()); },
         [this](const member_call_ended& message) {
             m_protocol.callEnded(message.memberId, message.answered, currentTime());
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -49,6 +49,11 @@
     sendActor(spread_requested {});
 }
 
+void membership_service::storeReturned()
+{
+    sendActor(store_returned {});
+}
+
 void membership_service::callEnded(std::uint64_t memberId, bool answered)
 {
     sendActor(member_call_ended { memberId, answered });
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -50,6 +50,9 @@
     // Pushes at once, since one of the own versions has risen.
     void spreadSoon();
 
+    // The store has come back from an earlier copy.
+    void storeReturned();
+
     // What came of a call to a member: whether anything came back. Counts towards
     // whether its availability zone can be reached.
     void callEnded(std::uint64_t memberId, bool answered);
--- a/Source/node/poison_share.cpp
+++ b/Source/node/poison_share.cpp
@@ -110,6 +110,14 @@
     save();
 }
 
+void poison_share::storeReturned()
+{
+    m_revision.reset();
+    m_ledger.storedAs({});
+    m_watched.storeReturned();
+    save();
+}
+
 void poison_share::take(const poison_document& document)
 {
     auto before = m_ledger.version();
@@ -126,6 +134,10 @@
 {
     m_revision = std::max(m_revision.value_or(0), entry.modRevision);
     if (auto document = parsePoisonDocument(entry.value)) {
+        bool isOlder = document->version <= m_ledger.version();
+        if (isOlder && entry.modRevision == m_revision) {
+            m_ledger.storedAs(document->records);
+        }
         take(*document);
     } else {
         logEvent(events::poisonUnreadable, { { "bytes", std::to_string(entry.value.size()) } });
--- a/Source/node/poison_share.h
+++ b/Source/node/poison_share.h
@@ -38,6 +38,10 @@
     // The store may have been away: what was missed is read, what is owed is written.
     void storeBack();
 
+    // The store has come back from an earlier copy: whoever writes for its zone writes again what
+    // is missing there.
+    void storeReturned();
+
     // The server beside this node ended under requests.
     void serverEnded(const server_end&);
 
--- a/Source/node/route_watch.h
+++ b/Source/node/route_watch.h
@@ -27,6 +27,8 @@
     void start() { m_watched.start(); }
     void setMembers(const member_list& members) { m_watched.setMembers(members); }
 
+    void storeReturned() { m_watched.storeReturned(); }
+
     // A member told the version that it has.
     void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version); }
 
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -149,7 +149,7 @@
         result.selfId = selfId;
         result.availabilityZone = settings.availabilityZone;
         result.zones = std::max<std::size_t>(1, settings.routes->zones.size());
-        result.slack = settings.routes->quotaSlack;
+        result.tolerance = { settings.routes->quotaOver, settings.routes->quotaWindow, settings.routes->quotaSlack };
         return result;
     }
 
@@ -170,6 +170,11 @@
         m_config.set("scheduler.max-threads", 1);
         m_system = std::make_unique<caf::actor_system>(m_config);
         m_host = std::make_unique<actor_host>(*m_system, m_context);
+        m_store.whenReturned([this] {
+            m_routes.storeReturned();
+            m_poison.storeReturned();
+            m_membership->storeReturned();
+        });
         m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.joinAddresses, membershipHooks());
         m_clients = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
         m_reports = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
--- a/Source/node/seed_keeper.cpp
+++ b/Source/node/seed_keeper.cpp
@@ -14,6 +14,8 @@
     constexpr milliseconds refreshPeriod { 60000 };
     constexpr milliseconds firstAloneRead { 250 };
     constexpr milliseconds lastAloneRead { 30000 };
+    // From the store's return from a copy until seeds are looked after; spread by half.
+    constexpr milliseconds returnPause { 600 };
     constexpr milliseconds firstBackoff { 1000 };
     constexpr milliseconds lastBackoff { 60000 };
     // Seeds that were read get this many reads' time to answer before a node that
@@ -50,6 +52,11 @@
     read();
 }
 
+void seed_keeper::storeReturned(time_point now)
+{
+    readAgainAfter(returnPause, now);
+}
+
 void seed_keeper::read()
 {
     m_calling = true;
--- a/Source/node/seed_keeper.h
+++ b/Source/node/seed_keeper.h
@@ -44,6 +44,9 @@
 
     void tick(const seed_duty&, time_point now);
 
+    // The store has come back from an earlier copy: whoever keeps a seed looks after it soon.
+    void storeReturned(time_point now);
+
     // Whether a call to the store is under way.
     bool calling() const { return m_calling; }
 
--- a/Source/node/watched_document.cpp
+++ b/Source/node/watched_document.cpp
@@ -18,6 +18,9 @@
     constexpr milliseconds readTimeout { 1000 };
     constexpr milliseconds peerTimeout { 1000 };
 
+    // Over which nodes read anew when the store has come back from a copy.
+    constexpr milliseconds returnSpread { 400 };
+
     constexpr milliseconds firstBackoff { 100 };
     constexpr milliseconds longestBackoff { 1600 };
     constexpr std::uint32_t mostDoublings = 4;
@@ -99,7 +102,10 @@
 {
     m_calling = true;
     ++m_counts.reads;
-    m_store.get(m_terms.key, readTimeout, [this](const store_result<store_range>& result) {
+    m_store.get(m_terms.key, readTimeout, [this, turn = m_turn](const store_result<store_range>& result) {
+        if (turn != m_turn) {
+            return;
+        }
         m_calling = false;
         if (const auto* failure = std::get_if<store_failure>(&result)) {
             failed(failure->message);
@@ -123,7 +129,10 @@
     m_calling = true;
     ++m_counts.waits;
     auto longest = m_terms.shortestWait + milliseconds(m_hooks.chance(static_cast<std::uint64_t>(m_terms.waitSpread.count())));
-    m_store.waitForChanges(m_terms.key, m_storeRevision, longest, [this](const store_result<store_changes>& result) {
+    m_store.waitForChanges(m_terms.key, m_storeRevision, longest, [this, turn = m_turn](const store_result<store_changes>& result) {
+        if (turn != m_turn) {
+            return;
+        }
         m_calling = false;
         if (const auto* failure = std::get_if<store_failure>(&result)) {
             m_storeRevision = 0;
@@ -156,6 +165,15 @@
     });
 }
 
+void watched_document::storeReturned()
+{
+    ++m_turn;
+    m_calling = false;
+    m_storeRevision = 0;
+    auto spread = m_hooks.chance(static_cast<std::uint64_t>(returnSpread.count()));
+    m_nextCall = currentTime() + milliseconds(spread);
+}
+
 void watched_document::failed(const std::string& why)
 {
     ++m_counts.failures;
--- a/Source/node/watched_document.h
+++ b/Source/node/watched_document.h
@@ -71,6 +71,10 @@
     // Reads the store soon, whatever is under way there, if this node follows it.
     void readAgain();
 
+    // The store has come back from an earlier copy: no revision of it holds any more. A wait
+    // that is under way is ended, and the document read anew, not by all at the same moment.
+    void storeReturned();
+
     // The first of the nodes of this zone that wait for changes.
     std::uint64_t firstWatcher() const;
 
@@ -97,6 +101,8 @@
     // Where the next wait goes on; 0 if the store is to be read first.
     std::int64_t m_storeRevision = 0;
     bool m_calling = false;
+    // Answers to calls of an earlier turn are dropped.
+    std::uint64_t m_turn = 0;
     bool m_fetching = false;
     bool m_readOnce = false;
     std::uint32_t m_failuresInARow = 0;
--- a/Source/quota/quota_exchange.cpp
+++ b/Source/quota/quota_exchange.cpp
@@ -25,7 +25,7 @@
     , m_hooks(std::move(hooks))
     , m_census(m_settings.availabilityZone, started)
     , m_owners(m_settings.selfId)
-    , m_pool(m_settings.slack)
+    , m_pool(m_settings.tolerance)
     , m_account(accountHooks())
     , m_measured(started)
 {
@@ -195,12 +195,13 @@
         return;
     }
     m_nextShortage = now + shortagePeriod;
-    auto shortages = m_pool.shortages(now);
+    auto zones = m_owners.zonesBeside(m_settings.availabilityZone);
+    auto shortages = m_pool.shortages(zones.size(), now);
     if (shortages.empty()) {
         return;
     }
     shortages.resize(std::min(shortages.size(), mostQuotaEntries));
-    for (const auto& zone : m_owners.zonesBeside(m_settings.availabilityZone)) {
+    for (const auto& zone : zones) {
         auto poolOwner = m_owners.of(zone, now);
         if (!poolOwner) {
             continue;
--- a/Source/quota/quota_exchange.h
+++ b/Source/quota/quota_exchange.h
@@ -20,8 +20,7 @@
     std::string availabilityZone;
     // Zones that share every limit evenly, in touch or not.
     std::size_t zones = 1;
-    // Requests over a limit that all nodes together may let through at once.
-    double slack = 0;
+    quota_tolerance tolerance;
 };
 
 struct quota_hooks {
--- a/Source/quota/quota_pool.cpp
+++ b/Source/quota/quota_pool.cpp
@@ -25,6 +25,8 @@
     constexpr seconds unmetMemory { 1 };
     // Between two words to the other zones on one organisation.
     constexpr milliseconds shortagePeriod { 40 };
+    // An organisation is short while some of its requests were refused so lately.
+    constexpr milliseconds shortMemory { 200 };
     // Less than this is no shortage.
     constexpr double leastUnmet = 0.5;
 
@@ -37,8 +39,8 @@
 
 }
 
-quota_pool::quota_pool(double slack)
-    : m_slack(slack)
+quota_pool::quota_pool(const quota_tolerance& tolerance)
+    : m_tolerance(tolerance)
 {
 }
 
@@ -58,15 +60,18 @@
     }
 }
 
-// The limit's depth, less what nodes hold, in proportion to the nodes whose pool this is. Less
-// than one would never become a whole request.
+// The limit's burst, less what nodes hold beyond what is tolerated, in proportion to the nodes
+// whose pool this is. Less than one would never become a whole request.
 double quota_pool::capOf(const bucket& entry) const
 {
     if (m_share <= 0) {
         return 0;
     }
-    auto depth = std::max(0.0, entry.quota.burst - entry.quota.ratePerSecond * heldByNodes.count());
-    return std::max(1.0, (depth + spentPartOfSlack * m_slack) * m_share);
+    const auto& [rate, burst] = entry.quota;
+    auto tolerated = m_tolerance.part * (rate * m_tolerance.window.count() + burst);
+    auto held = std::max(0.0, rate * heldByNodes.count() - tolerated);
+    auto depth = std::max(0.0, burst - held) + spentPartOfSlack * m_tolerance.slack;
+    return std::max(1.0, depth * m_share);
 }
 
 double quota_pool::shareNow(time_point now)
@@ -128,7 +133,7 @@
 quota_grant quota_pool::lend(const quota_ask& ask, time_point now)
 {
     auto* entry = refill(ask.organisation, now);
-    if (!entry) {
+    if (!entry || isShort(*entry, now)) {
         return { ask.organisation };
     }
     auto spare = static_cast<std::uint32_t>(std::max(0.0, entry->tokens / 2));
@@ -183,20 +188,32 @@
     return std::max(shortestWait, milliseconds(std::lround(wait)));
 }
 
-std::vector<quota_ask> quota_pool::shortages(time_point now)
+bool quota_pool::isShort(const bucket& entry, time_point now)
+{
+    return entry.unmet >= leastUnmet && now - entry.unmetNoted < shortMemory;
+}
+
+std::vector<quota_ask> quota_pool::shortages(std::size_t otherZones, time_point now)
 {
     std::vector<quota_ask> result;
+    if (otherZones == 0) {
+        return result;
+    }
     for (auto& [organisation, entry] : m_buckets) {
-        bool isShort = entry.unmet >= leastUnmet && now - entry.unmetNoted < unmetMemory;
-        if (!isShort || now < entry.nextShortage) {
+        if (!isShort(entry, now) || now < entry.nextShortage) {
+            continue;
+        }
+        // More than fits would be lost.
+        auto count = std::min(entry.unmet, capOf(entry) - entry.tokens) / static_cast<double>(otherZones);
+        if (count <= 0) {
             continue;
         }
         entry.nextShortage = now + shortagePeriod;
         if (now - entry.othersAsked > borrowMemory) {
             entry.othersAsked = now;
         }
-        auto count = static_cast<std::uint32_t>(std::ceil(std::min(entry.unmet, capOf(entry))));
-        result.push_back({ organisation, count, count });
+        auto whole = static_cast<std::uint32_t>(std::ceil(count));
+        result.push_back({ organisation, whole, whole });
     }
     return result;
 }
--- a/Source/quota/quota_pool.h
+++ b/Source/quota/quota_pool.h
@@ -28,6 +28,14 @@
 
 using quota_table = std::unordered_map<std::string, organisation_quota>;
 
+// What all nodes together may let through beyond a limit, since no node knows all: in any
+// window this part of what the limit allows in it, and so many requests.
+struct quota_tolerance {
+    double part = 0;
+    std::chrono::duration<double> window { 0 };
+    double slack = 0;
+};
+
 // What a node gives away: its part of every limit, for a time that has passed.
 struct quota_accrual {
     // The node; a random number of one start.
@@ -48,8 +56,7 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    // The slack is what all nodes together may have over any limit at once.
-    explicit quota_pool(double slack);
+    explicit quota_pool(const quota_tolerance&);
 
     // Limits by organisation; in force at once, also for what was gathered before.
     void setQuotas(const quota_table&);
@@ -59,7 +66,8 @@
     // Gives as many as there are, up to the count.
     quota_grant take(const quota_ask&, time_point now);
 
-    // The same for the pool of another zone, which gets half of what is there.
+    // The same for the pool of another zone, which gets half of what is there, unless it is
+    // short here, too.
     quota_grant lend(const quota_ask&, time_point now);
 
     // From a node that did not use it.
@@ -70,7 +78,8 @@
 
     // What was asked for in vain lately, and other zones may have; of each organisation now
     // and then only.
-    std::vector<quota_ask> shortages(time_point now);
+    // Each of the other zones is to be asked for its part of what fits in here.
+    std::vector<quota_ask> shortages(std::size_t otherZones, time_point now);
 
     // What there is of an organisation's now.
     double available(const std::string& organisation, time_point now);
@@ -98,11 +107,12 @@
     bucket* refill(const std::string& organisation, time_point now);
     double capOf(const bucket&) const;
     double shareNow(time_point now);
+    static bool isShort(const bucket&, time_point now);
     static void noteUnmet(bucket&, double count, time_point now);
     static bool mayBorrow(const bucket&, time_point now);
     std::chrono::milliseconds waitFor(const bucket&, std::uint32_t count, time_point now) const;
 
-    double m_slack;
+    quota_tolerance m_tolerance;
     std::unordered_map<std::string, bucket> m_buckets;
     std::unordered_map<std::uint64_t, lender> m_lenders;
     // Sum of the lenders' parts.
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -50,6 +50,8 @@
             + formatReal("retry_slack", routes.retrySlack)
             + formatSeconds("retry_window_seconds", routes.retryWindow)
             + formatStrings("zones", routes.zones)
+            + formatReal("quota_over", routes.quotaOver)
+            + formatSeconds("quota_window_seconds", routes.quotaWindow)
             + formatReal("quota_slack", routes.quotaSlack)
             + formatSeconds("grace_seconds", routes.grace);
     }
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -30,7 +30,10 @@
     std::chrono::milliseconds retryWindow { 10000 };
     // Availability zones that share the organisations' limits evenly, this node's among them.
     std::vector<std::string> zones {};
-    // Requests over a limit that all nodes together may let through at once.
+    // What all nodes together may let through beyond a limit: in any window this part of
+    // what the limit allows in it, and so many requests.
+    double quotaOver = 0;
+    std::chrono::milliseconds quotaWindow { 5000 };
     double quotaSlack = 0;
     // From SIGTERM until the platform kills the process.
     std::chrono::milliseconds grace { 6000 };
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -48,6 +48,8 @@
     const toml_key retrySlackKey { "retry_slack", "48", presence::Optional };
     const toml_key retryWindowKey { "retry_window_seconds", "10", presence::Optional };
     const toml_key zonesKey { "zones", "[\"cyberjaya\", \"bangsar\"]", presence::Optional };
+    const toml_key quotaOverKey { "quota_over", "0.1", presence::Optional };
+    const toml_key quotaWindowKey { "quota_window_seconds", "5", presence::Optional };
     const toml_key quotaSlackKey { "quota_slack", "20", presence::Optional };
     const toml_key graceKey { "grace_seconds", "6", presence::Optional };
 
@@ -246,6 +248,8 @@
             routes.retryWindow = readSeconds(reader, retryWindowKey).value_or(routes.retryWindow);
             routes.zones = reader.readStrings(zonesKey, labelRule);
             checkZones(routes.zones, reader);
+            routes.quotaOver = reader.readReal(quotaOverKey, ratioRule).value_or(routes.quotaOver);
+            routes.quotaWindow = readSeconds(reader, quotaWindowKey).value_or(routes.quotaWindow);
             routes.quotaSlack = reader.readReal(quotaSlackKey, slackRule).value_or(routes.quotaSlack);
             routes.grace = readSeconds(reader, graceKey).value_or(routes.grace);
             reader.reportUnknownKeys();
--- a/Tests/PoisonLedger/poison_ledger_test.cpp
+++ b/Tests/PoisonLedger/poison_ledger_test.cpp
@@ -232,4 +232,28 @@
     });
 }
 
+// What the document has lost, or a writer that knew less has replaced, is owed to it again.
+TEST(PoisonLedger, OwesTheDocumentWhatItHasLost)
+{
+    poison_ledger ledger;
+    endServers(ledger, deadly, 1, 3);
+    endServers(ledger, innocent, 1, 1);
+    auto document = ledger.document(4, now);
+    ledger.merge(document, now);
+    ledger.knows(4);
+    ASSERT_FALSE(ledger.hasUnshared(now));
+    ledger.storedAs(document);
+    EXPECT_FALSE(ledger.hasUnshared(now));
+    poison_ledger older;
+    endServers(older, deadly, 1, 2);
+    endServers(older, innocent, 1, 1);
+    ledger.storedAs(older.document(2, now));
+    auto owed = ledger.unshared(now);
+    ASSERT_EQ(owed.size(), 1U);
+    EXPECT_EQ(owed[0].content, deadly);
+    ledger.storedAs({});
+    EXPECT_EQ(ledger.unshared(now).size(), 2U);
+    EXPECT_TRUE(isPoison(ledger, deadly, now));
+}
+
 }
--- a/Tests/QuotaHolds/quota_fleet.cpp
+++ b/Tests/QuotaHolds/quota_fleet.cpp
@@ -52,7 +52,7 @@
     each.entry.availabilityZone = "zone-" + std::to_string(zoneOf(node));
     each.frozen = false;
     m_index[each.entry.id] = node;
-    quota_settings settings { each.entry.id, each.entry.availabilityZone, m_plan.zones, m_plan.slack };
+    quota_settings settings { each.entry.id, each.entry.availabilityZone, m_plan.zones, m_plan.tolerance };
     quota_hooks hooks;
     hooks.send = [this, id = each.entry.id](const member& target, const quota_message& message) { post(id, target.id, message); };
     hooks.chance = [this](std::uint64_t bound) { return m_random() % bound; };
@@ -149,7 +149,7 @@
     std::poisson_distribution<int> arrivals(demand.rate * std::chrono::duration<double>(stepLength).count());
     auto count = arrivals(m_random);
     for (int i = 0; i < count && each.exchange && !each.frozen; ++i) {
-        ++m_asked[demand.organisation];
+        m_asked[demand.organisation].push_back(m_now);
         quota_request request { demand.organisation, static_cast<shedding_position>(m_random() % sheddingPositionCount), m_now + longestHold };
         each.exchange->take(
             request, [this, organisation = demand.organisation](quota_refusal refusal, time_point decided) {
@@ -208,7 +208,24 @@
 std::size_t quota_fleet::asked(const std::string& organisation) const
 {
     auto found = m_asked.find(organisation);
-    return found == m_asked.end() ? 0 : found->second;
+    return found == m_asked.end() ? 0 : found->second.size();
+}
+
+std::size_t quota_fleet::rightful(const std::string& organisation, organisation_quota quota) const
+{
+    double tokens = quota.burst;
+    std::size_t count = 0;
+    std::optional<time_point> last;
+    for (auto time : m_asked.at(organisation)) {
+        auto passed = std::chrono::duration<double>(time - last.value_or(time)).count();
+        tokens = std::min(quota.burst, tokens + passed * quota.ratePerSecond);
+        last = time;
+        if (tokens >= 1) {
+            tokens -= 1;
+            ++count;
+        }
+    }
+    return count;
 }
 
 }
--- a/Tests/QuotaHolds/quota_fleet.h
+++ b/Tests/QuotaHolds/quota_fleet.h
@@ -33,7 +33,7 @@
     struct plan {
         std::size_t zones = 3;
         std::size_t nodesOfZone = 8;
-        double slack = 20;
+        quota_tolerance tolerance { 0.1, std::chrono::seconds(5), 20 };
         double lossOfMessages = 0.01;
         std::uint64_t seed = 1;
     };
@@ -63,6 +63,8 @@
     // Most that were let through in any window of the length.
     std::size_t mostIn(const std::string& organisation, std::chrono::milliseconds window);
     std::size_t asked(const std::string& organisation) const;
+    // Requests that one counter for all, which knows everything at once, would have let through.
+    std::size_t rightful(const std::string& organisation, organisation_quota) const;
     std::size_t messages() const { return m_messages; }
     std::size_t size() const { return m_nodes.size(); }
     std::size_t zoneOf(std::size_t node) const { return node / m_plan.nodesOfZone; }
@@ -103,7 +105,7 @@
     std::vector<quota_demand> m_demand;
     route_configuration m_configuration;
     std::map<std::string, std::vector<time_point>> m_admitted;
-    std::map<std::string, std::size_t> m_asked;
+    std::map<std::string, std::vector<time_point>> m_asked;
     std::size_t m_messages = 0;
 };
 
--- a/Tests/RoutedWorld/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -30,6 +30,16 @@
     // The same with a whole document.
     void putConfiguration(const std::string& document);
 
+    // Keeps what there is now as the copy that the store can come back from.
+    void takeCopy();
+    // The store is as it was when the copy was taken, and a new era begins.
+    void returnToCopy();
+    // What the era's header tells; empty for a store that has none.
+    void setEraText(const std::string&);
+
+    // What the store has under the key; empty for nothing.
+    std::string valueOf(const std::string& key);
+
     // Calls that were to change the key, whether they could or not.
     std::size_t changeCalls(const std::string& key);
 
@@ -54,6 +64,7 @@
     http_response readKey(const std::string& key) const;
     void answerWait(const std::string& target, const std::shared_ptr<http_exchange>&);
     http_response change(const Json::Value& call);
+    http_response json(unsigned status, const Json::Value& body) const;
     void serverCalled(const http_request&, const std::shared_ptr<http_exchange>&);
     http_response answerOf(const http_request&);
     void answerWaiting();
@@ -63,6 +74,10 @@
     std::map<std::string, item> m_items;
     std::map<std::string, std::size_t> m_changeCalls;
     int m_revision = 1;
+    std::map<std::string, item> m_copy;
+    int m_copyRevision = 1;
+    int m_era = 1;
+    std::string m_eraText = "1";
     bool m_down = false;
     bool m_holding = false;
     std::vector<http_request> m_runs;
