--- a/Source/backend/backend_client.cpp
+++ b/Source/backend/backend_client.cpp
@@ -28,7 +28,7 @@
         }
         request.fields.push_back({ header::context, contextText });
         request.fields.push_back({ header::requestId, call.context.requestId });
-        request.fields.push_back({ header::customer, call.context.customer });
+        request.fields.push_back({ header::organisation, call.context.organisation });
         request.fields.push_back({ header::attempt, std::to_string(call.attempt) });
         request.fields.push_back({ header::timeout, std::to_string(remaining.count()) + "ms" });
         request.body = call.body;
--- a/Source/call/header_names.h
+++ b/Source/call/header_names.h
@@ -4,7 +4,7 @@
 
 // The header fields of docs/design/headers.md.
 constexpr const char* service = "Vanillashunt-Service";
-constexpr const char* customer = "Vanillashunt-Customer";
+constexpr const char* organisation = "Vanillashunt-Customer";
 constexpr const char* timeout = "Vanillashunt-Timeout";
 constexpr const char* ticket = "Vanillashunt-Ticket";
 constexpr const char* context = "Vanillashunt-Context";
--- a/Source/caller/caller_request.cpp
+++ b/Source/caller/caller_request.cpp
@@ -92,9 +92,9 @@
     if (!isName(result.service)) {
         return caller_problem { verdict_reason::UnknownService, "name the service in the first segment of the path or in the field Vanillashunt-Service, in a-z, 0-9 and '-'" };
     }
-    result.customer = fieldValue(request.fields, header::customer);
-    if (!result.customer.empty() && !isName(result.customer)) {
-        return malformed(header::customer, "must be a name in a-z, 0-9 and '-'");
+    result.organisation = fieldValue(request.fields, header::organisation);
+    if (!result.organisation.empty() && !isName(result.organisation)) {
+        return malformed(header::organisation, "must be a name in a-z, 0-9 and '-'");
     }
     if (auto text = fieldValue(request.fields, header::timeout); !text.empty()) {
         result.timeout = readTimeout(text);
--- a/Source/caller/caller_request.h
+++ b/Source/caller/caller_request.h
@@ -22,7 +22,7 @@
     std::string path;
     http_fields fields;
     std::string body;
-    std::string customer;
+    std::string organisation;
     // Time that the caller still waits; nothing where it does not say.
     std::optional<std::chrono::milliseconds> timeout;
     std::string idempotencyKey;
--- a/Source/caller/caller_response.cpp
+++ b/Source/caller/caller_response.cpp
@@ -35,7 +35,7 @@
 {
     switch (outcome.reason) {
     case verdict_reason::UnknownService:
-    case verdict_reason::UnknownCustomer:
+    case verdict_reason::UnknownOrganisation:
     case verdict_reason::UnknownClass:
         return 404;
     case verdict_reason::Malformed:
--- a/Source/command/contract_apply.cpp
+++ b/Source/command/contract_apply.cpp
@@ -59,7 +59,7 @@
 
     exit_code accepted(const contract_file& file, std::int64_t revision)
     {
-        std::cout << "accepted: contract of customer '" << file.terms.customer << "' at revision " << revision << '\n';
+        std::cout << "accepted: contract of customer '" << file.terms.organisation << "' at revision " << revision << '\n';
         return exit_code::Ok;
     }
 
@@ -67,7 +67,7 @@
     std::string describeStanding(const contract_file& file, const stored_contract& seen, const std::vector<store_entry>& standing)
     {
         if (standing.empty()) {
-            return "the contract of customer '" + file.terms.customer + "' does not stand any more; apply with --base 0";
+            return "the contract of customer '" + file.terms.organisation + "' does not stand any more; apply with --base 0";
         }
         return describeLostRace(seen, readStored(standing.front()));
     }
@@ -95,7 +95,7 @@
             if (tries > 0) {
                 std::this_thread::sleep_for(betweenTries);
             }
-            auto result = store.swap(file.terms.customer, seen.revision, file.text);
+            auto result = store.swap(file.terms.organisation, seen.revision, file.text);
             if (const auto* failure = std::get_if<store_failure>(&result)) {
                 mayHaveWritten = mayHaveWritten || failure->mayHaveWritten;
                 why = failure->message;
@@ -113,7 +113,7 @@
         if (!mayHaveWritten) {
             return refuse(self, "not accepted: " + why + "; nothing was sent");
         }
-        reportError(self, "not known: the contract was sent and no answer came (" + why + "); ask with 'vanillashunt contract get " + file.terms.customer + "', then apply again");
+        reportError(self, "not known: the contract was sent and no answer came (" + why + "); ask with 'vanillashunt contract get " + file.terms.organisation + "', then apply again");
         return exit_code::Unknown;
     }
 
@@ -133,15 +133,15 @@
         if (base.value_or(0) == standing.revision) {
             return std::nullopt;
         }
-        auto customer = "customer '" + file.terms.customer + "'";
+        auto organisation = "customer '" + file.terms.organisation + "'";
         auto revision = std::to_string(standing.revision);
         if (standing.revision == 0) {
-            return "the file was made from revision " + std::to_string(*base) + ", and no contract of " + customer + " stands; apply with --base 0";
+            return "the file was made from revision " + std::to_string(*base) + ", and no contract of " + organisation + " stands; apply with --base 0";
         }
         if (!base) {
-            return "a contract of " + customer + " stands at revision " + revision + ", and the file does not say that it was made from it; look at 'vanillashunt contract diff', then apply with --base " + revision;
+            return "a contract of " + organisation + " stands at revision " + revision + ", and the file does not say that it was made from it; look at 'vanillashunt contract diff', then apply with --base " + revision;
         }
-        return "the contract of " + customer + " was changed by somebody else from revision " + std::to_string(*base) + " to " + revision + ", and the file, made from the former, would change: " + listChanges(standing, file.terms) + ". Nothing of yours was applied; make your change to revision " + revision + " and apply it again";
+        return "the contract of " + organisation + " was changed by somebody else from revision " + std::to_string(*base) + " to " + revision + ", and the file, made from the former, would change: " + listChanges(standing, file.terms) + ". Nothing of yours was applied; make your change to revision " + revision + " and apply it again";
     }
 
     exit_code apply(const command& self, const apply_options& options, const contract_file& file)
@@ -157,8 +157,8 @@
             reportProblems(problems);
             return exit_code::Refused;
         }
-        auto found = standing.byCustomer.find(file.terms.customer);
-        stored_contract seen = found == standing.byCustomer.end() ? stored_contract {} : found->second;
+        auto found = standing.byOrganisation.find(file.terms.organisation);
+        stored_contract seen = found == standing.byOrganisation.end() ? stored_contract {} : found->second;
         if (seen.revision != 0 && seen.text == file.text) {
             return accepted(file, seen.revision);
         }
--- a/Source/command/contract_check.cpp
+++ b/Source/command/contract_check.cpp
@@ -44,7 +44,7 @@
                 code = exit_code::Refused;
                 continue;
             }
-            std::cout << file.fileName << ": the contract of customer '" << file.terms.customer << "' is in order\n";
+            std::cout << file.fileName << ": the contract of customer '" << file.terms.organisation << "' is in order\n";
         }
         return code;
     }
--- a/Source/command/contract_explain.cpp
+++ b/Source/command/contract_explain.cpp
@@ -30,8 +30,8 @@
             return *problem;
         }
         auto contracts = contractSetOf(std::get<std::vector<contract_file>>(files));
-        for (const auto& [customer, stored] : contracts.byCustomer) {
-            std::cout << explainContract(contracts, customer).value_or("");
+        for (const auto& [organisation, stored] : contracts.byOrganisation) {
+            std::cout << explainContract(contracts, organisation).value_or("");
         }
         return exit_code::Ok;
     }
--- a/Source/command/contract_files.cpp
+++ b/Source/command/contract_files.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-    // Two contracts of one customer can't both be in force.
+    // Two contracts of one organisation can't both be in force.
     bool isTwice(const command& self, const contract_file& file, const std::vector<contract_file>& others)
     {
-        auto found = std::find_if(others.begin(), others.end(), [&](const contract_file& other) { return other.terms.customer == file.terms.customer; });
+        auto found = std::find_if(others.begin(), others.end(), [&](const contract_file& other) { return other.terms.organisation == file.terms.organisation; });
         if (found == others.end()) {
             return false;
         }
-        reportError(self, "'" + found->fileName + "' and '" + file.fileName + "' are both of customer '" + file.terms.customer + "'; name one of them");
+        reportError(self, "'" + found->fileName + "' and '" + file.fileName + "' are both of customer '" + file.terms.organisation + "'; name one of them");
         return true;
     }
 
@@ -60,7 +60,7 @@
 {
     contract_set contracts;
     for (const auto& file : files) {
-        contracts.byCustomer[file.terms.customer] = { file.terms, file.text, 0 };
+        contracts.byOrganisation[file.terms.organisation] = { file.terms, file.text, 0 };
     }
     return contracts;
 }
--- a/Source/command/contract_read.cpp
+++ b/Source/command/contract_read.cpp
@@ -62,9 +62,9 @@
         return reading;
     }
 
-    exit_code noContract(const command& self, const std::string& customer)
+    exit_code noContract(const command& self, const std::string& organisation)
     {
-        reportError(self, "no contract of customer '" + customer + "' stands in the store; 'vanillashunt contract list' shows all");
+        reportError(self, "no contract of customer '" + organisation + "' stands in the store; 'vanillashunt contract list' shows all");
         return exit_code::Unknown;
     }
 
@@ -75,8 +75,8 @@
             return *ended;
         }
         const auto& reading = std::get<store_reading>(result);
-        auto found = reading.contracts.byCustomer.find(reading.words.front());
-        if (found == reading.contracts.byCustomer.end()) {
+        auto found = reading.contracts.byOrganisation.find(reading.words.front());
+        if (found == reading.contracts.byOrganisation.end()) {
             return noContract(self, reading.words.front());
         }
         std::cout << withRevisionLine(found->second.text, found->second.revision);
@@ -90,8 +90,8 @@
             return *ended;
         }
         text_table table({ "CUSTOMER", "REVISION", "CLASSES" });
-        for (const auto& [customer, stored] : std::get<store_reading>(result).contracts.byCustomer) {
-            table.add({ customer, std::to_string(stored.revision), std::to_string(stored.terms.classes.size()) });
+        for (const auto& [organisation, stored] : std::get<store_reading>(result).contracts.byOrganisation) {
+            table.add({ organisation, std::to_string(stored.revision), std::to_string(stored.terms.classes.size()) });
         }
         std::cout << table.text();
         return exit_code::Ok;
@@ -109,9 +109,9 @@
             return *problem;
         }
         const auto& wanted = std::get<std::vector<contract_file>>(files).front().terms;
-        auto found = reading.contracts.byCustomer.find(wanted.customer);
-        if (found == reading.contracts.byCustomer.end()) {
-            return noContract(self, wanted.customer);
+        auto found = reading.contracts.byOrganisation.find(wanted.organisation);
+        if (found == reading.contracts.byOrganisation.end()) {
+            return noContract(self, wanted.organisation);
         }
         for (const auto& difference : diffContracts(found->second.terms, wanted)) {
             std::cout << toString(difference) << '\n';
--- a/Source/command/contract_store.cpp
+++ b/Source/command/contract_store.cpp
@@ -39,7 +39,7 @@
         return { *terms, entry.value, entry.modRevision };
     }
     stored_contract unreadable;
-    unreadable.terms.customer = entry.key.substr(std::min(entry.key.size(), std::string(contractPrefix).size()));
+    unreadable.terms.organisation = entry.key.substr(std::min(entry.key.size(), std::string(contractPrefix).size()));
     unreadable.text = entry.value;
     unreadable.revision = entry.modRevision;
     return unreadable;
@@ -67,18 +67,18 @@
     contract_set contracts;
     for (const auto& entry : std::get<store_range>(result).entries) {
         auto stored = readStored(entry);
-        contracts.byCustomer[stored.terms.customer] = stored;
+        contracts.byOrganisation[stored.terms.organisation] = stored;
         contracts.revision = std::max(contracts.revision, stored.revision);
     }
     return contracts;
 }
 
-store_result<store_swap> contract_store::swap(const std::string& customer, std::int64_t expectedRevision, const std::string& text)
+store_result<store_swap> contract_store::swap(const std::string& organisation, std::int64_t expectedRevision, const std::string& text)
 {
     boost::asio::io_context context;
     store_client client(context, m_options.endpoints, {});
     store_result<store_swap> result = store_failure {};
-    client.swap(contractPrefix + customer, expectedRevision, text, m_options.timeout, [&](store_result<store_swap> answer) {
+    client.swap(contractPrefix + organisation, expectedRevision, text, m_options.timeout, [&](store_result<store_swap> answer) {
         result = std::move(answer);
         context.stop();
     });
--- a/Source/command/contract_store.h
+++ b/Source/command/contract_store.h
@@ -34,9 +34,9 @@
     // All contracts that stand; the error says what to mend.
     std::variant<contract_set, std::string> readAll();
 
-    // Writes a customer's contract if its last write is the one expected. The
+    // Writes an organisation's contract if its last write is the one expected. The
     // answer may be lost, and the write may have taken effect all the same.
-    store_result<store_swap> swap(const std::string& customer, std::int64_t expectedRevision, const std::string& text);
+    store_result<store_swap> swap(const std::string& organisation, std::int64_t expectedRevision, const std::string& text);
 
 private:
     store_options m_options;
--- a/Source/contract/check_contract.cpp
+++ b/Source/contract/check_contract.cpp
@@ -14,17 +14,17 @@
     {
         double othersShare = 0;
         std::string listed;
-        for (const auto& [customer, other] : others.byCustomer) {
-            if (customer == terms.customer || !entersAt(other.terms, service)) {
+        for (const auto& [organisation, other] : others.byOrganisation) {
+            if (organisation == terms.organisation || !entersAt(other.terms, service)) {
                 continue;
             }
             othersShare += other.terms.share;
-            listed += " + " + formatReal(other.terms.share) + " of customer " + customer;
+            listed += " + " + formatReal(other.terms.share) + " of customer " + organisation;
         }
         if (othersShare + terms.share <= 1 + roundingError) {
             return std::nullopt;
         }
-        return "the shares at service " + service + " add up to more than 1: " + formatReal(terms.share) + " of customer " + terms.customer + listed + "; lower a share, or move a class to another service";
+        return "the shares at service " + service + " add up to more than 1: " + formatReal(terms.share) + " of customer " + terms.organisation + listed + "; lower a share, or move a class to another service";
     }
 
 }
--- a/Source/contract/check_contract.h
+++ b/Source/contract/check_contract.h
@@ -17,8 +17,8 @@
 std::optional<std::string> findImpossibleDeadline(const request_class&);
 
 // Checks a contract, each part of which is allowed, beside the contracts of the
-// other customers; one of the same customer is taken as replaced. For each
-// service where a class of the contract enters, the shares of all customers
+// other organisations; one of the same organisation is taken as replaced. For each
+// service where a class of the contract enters, the shares of all organisations
 // with a class that enters there must add up to at most 1.
 std::vector<text_problem> checkAgainstOthers(const contract&, const contract_set& others, const std::string& fileName = "");
 
--- a/Source/contract/contract.h
+++ b/Source/contract/contract.h
@@ -14,7 +14,7 @@
 // Retries that one whole request may cost at most, whatever a contract says.
 constexpr std::uint32_t retryBound = 3;
 
-// One kind of request of one customer, told by where it enters.
+// One kind of request of one organisation, told by where it enters.
 struct request_class {
     std::string name;
     // The entry: service, HTTP method and path prefix.
@@ -31,10 +31,10 @@
     std::uint32_t retries = 0;
 };
 
-// What one customer was promised; every limit follows from it.
+// What one organisation was promised; every limit follows from it.
 struct contract {
-    std::string customer;
-    // Part of each service that is this customer's under overload, in (0, 1].
+    std::string organisation;
+    // Part of each service that is this organisation's under overload, in (0, 1].
     double share = 1;
     std::vector<request_class> classes;
 };
@@ -51,9 +51,9 @@
     std::int64_t revision = 0;
 };
 
-// All contracts in force, by customer, and the highest store revision among them.
+// All contracts in force, by organisation, and the highest store revision among them.
 struct contract_set {
-    std::map<std::string, stored_contract> byCustomer;
+    std::map<std::string, stored_contract> byOrganisation;
     std::int64_t revision = 0;
 };
 
--- a/Source/contract/contract_book.cpp
+++ b/Source/contract/contract_book.cpp
@@ -14,7 +14,7 @@
         ++m_unreadable;
         return false;
     }
-    auto& known = next.byCustomer[terms->customer];
+    auto& known = next.byOrganisation[terms->organisation];
     if (entry.revision <= known.revision) {
         return false;
     }
@@ -50,7 +50,7 @@
     contract_news news;
     news.since = revision;
     news.revision = m_contracts->revision;
-    for (const auto& [customer, stored] : m_contracts->byCustomer) {
+    for (const auto& [organisation, stored] : m_contracts->byOrganisation) {
         if (stored.revision > revision) {
             news.entries.push_back({ stored.text, stored.revision });
         }
--- a/Source/contract/derive_limits.cpp
+++ b/Source/contract/derive_limits.cpp
@@ -15,7 +15,7 @@
         std::vector<service_part> parts;
         for (const auto& service : entryServices(terms)) {
             double sum = 0;
-            for (const auto& [customer, other] : all.byCustomer) {
+            for (const auto& [organisation, other] : all.byOrganisation) {
                 sum += entersAt(other.terms, service) ? other.terms.share : 0;
             }
             parts.push_back({ service, sum, terms.share / sum });
@@ -23,9 +23,9 @@
         return parts;
     }
 
-    customer_limits deriveCustomerLimits(const stored_contract& stored, const contract_set& all)
+    organisation_limits deriveOrganisationLimits(const stored_contract& stored, const contract_set& all)
     {
-        customer_limits limits;
+        organisation_limits limits;
         limits.weight = stored.terms.share;
         limits.revision = stored.revision;
         limits.services = deriveParts(stored.terms, all);
@@ -60,8 +60,8 @@
 {
     derived_limits limits;
     limits.revision = contracts.revision;
-    for (const auto& [customer, stored] : contracts.byCustomer) {
-        limits.byCustomer[customer] = deriveCustomerLimits(stored, contracts);
+    for (const auto& [organisation, stored] : contracts.byOrganisation) {
+        limits.byOrganisation[organisation] = deriveOrganisationLimits(stored, contracts);
     }
     return limits;
 }
--- a/Source/contract/derive_limits.h
+++ b/Source/contract/derive_limits.h
@@ -30,17 +30,17 @@
     std::chrono::milliseconds ledgerRetention { 0 };
 };
 
-// A customer's part of one service where its requests enter.
+// An organisation's part of one service where its requests enter.
 struct service_part {
     std::string service;
-    // Of all customers with a class that enters there.
+    // Of all organisations with a class that enters there.
     double sumOfShares = 0;
-    // What the customer has of the service while all of them have requests waiting.
+    // What the organisation has of the service while all of them have requests waiting.
     double part = 0;
 };
 
-// What the nodes enforce for one customer.
-struct customer_limits {
+// What the nodes enforce for one organisation.
+struct organisation_limits {
     // Capacity under overload is divided in proportion to the weights of those who wait.
     double weight = 0;
     std::int64_t revision = 0;
@@ -50,7 +50,7 @@
 
 // Everything that follows from the contracts in force.
 struct derived_limits {
-    std::map<std::string, customer_limits> byCustomer;
+    std::map<std::string, organisation_limits> byOrganisation;
     std::int64_t revision = 0;
 };
 
--- a/Source/contract/diff_contracts.cpp
+++ b/Source/contract/diff_contracts.cpp
@@ -60,8 +60,8 @@
 
     void diffTerms(const contract& before, const contract& after, std::vector<contract_difference>& differences)
     {
-        if (before.customer != after.customer) {
-            differences.push_back({ contract_change::CustomerChanged, "", "customer", before.customer, after.customer });
+        if (before.organisation != after.organisation) {
+            differences.push_back({ contract_change::OrganisationChanged, "", "customer", before.organisation, after.organisation });
         }
         // The same text reads back as the same number, so that equality is exact.
         if (before.share != after.share) {
@@ -114,7 +114,7 @@
     if (listed.empty()) {
         listed = "its terms are the same";
     }
-    return "customer " + found.terms.customer + " was changed from revision " + std::to_string(seen.revision) + " to " + std::to_string(found.revision) + " by somebody else: " + listed + ". Nothing of yours was applied; make your change to revision " + std::to_string(found.revision) + " and apply it again";
+    return "customer " + found.terms.organisation + " was changed from revision " + std::to_string(seen.revision) + " to " + std::to_string(found.revision) + " by somebody else: " + listed + ". Nothing of yours was applied; make your change to revision " + std::to_string(found.revision) + " and apply it again";
 }
 
 }
--- a/Source/contract/diff_contracts.h
+++ b/Source/contract/diff_contracts.h
@@ -9,7 +9,7 @@
 namespace vanillashunt {
 
 enum class contract_change : std::uint8_t {
-    CustomerChanged,
+    OrganisationChanged,
     ShareChanged,
     ClassAdded,
     ClassRemoved,
--- a/Source/contract/explain_contract.cpp
+++ b/Source/contract/explain_contract.cpp
@@ -48,15 +48,15 @@
 
 }
 
-std::optional<std::string> explainContract(const contract_set& contracts, const std::string& customer)
+std::optional<std::string> explainContract(const contract_set& contracts, const std::string& organisation)
 {
     auto limits = deriveLimits(contracts);
-    auto found = limits.byCustomer.find(customer);
-    if (found == limits.byCustomer.end()) {
+    auto found = limits.byOrganisation.find(organisation);
+    if (found == limits.byOrganisation.end()) {
         return std::nullopt;
     }
     const auto& own = found->second;
-    std::string text = "customer " + customer + ", revision " + std::to_string(own.revision) + "\n"
+    std::string text = "customer " + organisation + ", revision " + std::to_string(own.revision) + "\n"
         + "  weight = share = " + formatReal(own.weight) + "\n";
     for (const auto& service : own.services) {
         text += explainPart(own.weight, service);
--- a/Source/contract/explain_contract.h
+++ b/Source/contract/explain_contract.h
@@ -7,8 +7,8 @@
 
 namespace vanillashunt {
 
-// Shows how each limit of a customer follows from its contract, a line for each
-// with its formula. Gives nothing for a customer without a contract in force.
-std::optional<std::string> explainContract(const contract_set&, const std::string& customer);
+// Shows how each limit of an organisation follows from its contract, a line for each
+// with its formula. Gives nothing for an organisation without a contract in force.
+std::optional<std::string> explainContract(const contract_set&, const std::string& organisation);
 
 }
--- a/Source/contract/parse_contract.cpp
+++ b/Source/contract/parse_contract.cpp
@@ -15,7 +15,7 @@
     constexpr std::chrono::milliseconds leastDeadline { 10 };
     constexpr std::chrono::milliseconds longestDeadline { 60000 };
 
-    const toml_key customerKey { "customer", "\"hotel-seri\"" };
+    const toml_key organisationKey { "customer", "\"hotel-seri\"" };
     const toml_key shareKey { "share", "0.4" };
     const toml_key classKey { "class", "" };
     const toml_key nameKey { "name", "\"desk-reply\"" };
@@ -110,7 +110,7 @@
     {
         toml_reader reader(root, "", problems);
         contract result;
-        result.customer = reader.readString(customerKey, nameRule()).value_or("");
+        result.organisation = reader.readString(organisationKey, nameRule()).value_or("");
         result.share = reader.readReal(shareKey, shareRule).value_or(1);
         result.classes = readClasses(reader.readTables(classKey), problems);
         reader.reportUnknownKeys();
--- a/Source/decision/admission_gate.cpp
+++ b/Source/decision/admission_gate.cpp
@@ -81,7 +81,7 @@
     call.position = std::min(request.position, sheddingPositionCount - 1);
     call.shedAt = call.position;
     call.begun = request.begun;
-    call.customer = m_shares.indexOf(request.customer);
+    call.organisation = m_shares.indexOf(request.organisation);
     call.deadline = request.deadline;
     call.requestClass = m_leastTimes.indexOf(request.requestClass);
     switch (m_settings.policy) {
@@ -112,13 +112,13 @@
     if (cannotFinish(call, now)) {
         return refuse(verdict_reason::DeadlineTooShort);
     }
-    m_cut.arrived(call.customer, call.position);
+    m_cut.arrived(call.organisation, call.position);
     if (call.begun) {
         // Refusing it would waste what was done; the cut keeps the next ones out.
         m_lastBegun = now;
         return arriveAmongBegun(call, now);
     }
-    if (call.position < m_cut.get(call.customer) && mayRefuse(call, now)) {
+    if (call.position < m_cut.get(call.organisation) && mayRefuse(call, now)) {
         return refuseForOverload(call, overloadReason(call), now);
     }
     if (now - m_lastBegun < begunMemory && mayStart(call, now)) {
@@ -159,7 +159,7 @@
         return { admission_outcome::Wait, {} };
     }
     noteNoRoom();
-    auto worst = *m_waiting.worst(importance::Confirmed, call.customer);
+    auto worst = *m_waiting.worst(importance::Confirmed, call.organisation);
     if (!mayShed(worst, now)) {
         return { admission_outcome::Wait, {} };
     }
@@ -201,21 +201,21 @@
         return level > worstLevel ? worst : nullptr;
     }
     auto shared = static_cast<importance>(level);
-    if (m_waiting.load(shared, worst->customer, 0) >= m_waiting.load(shared, call.customer, 1)) {
-        return worst->customer != call.customer || call.position > worst->position ? worst : nullptr;
+    if (m_waiting.load(shared, worst->organisation, 0) >= m_waiting.load(shared, call.organisation, 1)) {
+        return worst->organisation != call.organisation || call.position > worst->position ? worst : nullptr;
     }
-    // The customer of this call is the one furthest over its share.
-    const auto* own = m_waiting.worst(shared, call.customer);
+    // The organisation of this call is the one furthest over its share.
+    const auto* own = m_waiting.worst(shared, call.organisation);
     return own && own->position < call.position ? own : nullptr;
 }
 
 admission_decision admission_gate::run(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
-    m_running.emplace(call.callId, running_call { call.customer, call.requestClass });
-    if (call.customer >= m_runningOf.size()) {
-        m_runningOf.resize(call.customer + 1);
+    m_running.emplace(call.callId, running_call { call.organisation, call.requestClass });
+    if (call.organisation >= m_runningOf.size()) {
+        m_runningOf.resize(call.organisation + 1);
     }
-    ++m_runningOf[call.customer];
+    ++m_runningOf[call.organisation];
     if (!call.begun) {
         m_order.admitted(call.shedAt, now);
     }
@@ -243,11 +243,11 @@
 verdict_reason admission_gate::overloadReason(const waiting_call& call) const
 {
     auto level = static_cast<importance>(call.position / positionsPerImportance);
-    if (!m_waiting.othersWait(level, call.customer)) {
+    if (!m_waiting.othersWait(level, call.organisation)) {
         return verdict_reason::Overload;
     }
-    bool waitsForMore = m_waiting.load(level, call.customer, 0) > m_waiting.meanLoad(level);
-    bool cutHigher = m_cut.get(call.customer) > m_cut.get();
+    bool waitsForMore = m_waiting.load(level, call.organisation, 0) > m_waiting.meanLoad(level);
+    bool cutHigher = m_cut.get(call.organisation) > m_cut.get();
     return waitsForMore || cutHigher ? verdict_reason::OverShare : verdict_reason::Overload;
 }
 
@@ -267,14 +267,14 @@
     if (m_settings.rules.confirmedLast && !call.begun && !m_order.mayAdmit(call.shedAt, now)) {
         return false;
     }
-    if (m_settings.rules.lendUnusedShares || call.customer >= m_runningOf.size()) {
+    if (m_settings.rules.lendUnusedShares || call.organisation >= m_runningOf.size()) {
         return true;
     }
     double shares = 0;
-    for (customer_index customer = 0; customer < m_shares.size(); ++customer) {
-        shares += m_shares.share(customer);
+    for (organisation_index organisation = 0; organisation < m_shares.size(); ++organisation) {
+        shares += m_shares.share(organisation);
     }
-    return m_runningOf[call.customer] < std::max(1.0, m_limitNow * m_shares.share(call.customer) / shares);
+    return m_runningOf[call.organisation] < std::max(1.0, m_limitNow * m_shares.share(call.organisation) / shares);
 }
 
 // An idle backend server is tried all the same: it may have become faster.
@@ -317,7 +317,7 @@
         return;
     }
     const auto& ended = node.mapped();
-    --m_runningOf[ended.customer];
+    --m_runningOf[ended.organisation];
     m_limit.finished(outcome.duration, outcome.refused, inFlight() + 1, now);
     if (outcome.refused) {
         // The backend server itself had no room.
@@ -334,7 +334,7 @@
 {
     advance(now);
     if (auto node = m_running.extract(callId)) {
-        --m_runningOf[node.mapped().customer];
+        --m_runningOf[node.mapped().organisation];
         return;
     }
     m_waiting.remove(callId);
@@ -428,9 +428,9 @@
     }
 }
 
-shedding_position admission_gate::cutFor(const std::string& customer) const
+shedding_position admission_gate::cutFor(const std::string& organisation) const
 {
-    auto known = m_shares.find(customer);
+    auto known = m_shares.find(organisation);
     return known ? m_cut.get(*known) : m_cut.get();
 }
 
--- a/Source/decision/admission_gate.h
+++ b/Source/decision/admission_gate.h
@@ -2,8 +2,8 @@
 
 #include "decision/admission_policy.h"
 #include "decision/concurrency_limit.h"
-#include "decision/customer_shares.h"
 #include "decision/duration_histogram.h"
+#include "decision/organisation_shares.h"
 #include "decision/service_times.h"
 #include "decision/shedding_cut.h"
 #include "decision/shedding_order.h"
@@ -28,7 +28,7 @@
 struct admission_request {
     std::uint64_t callId = 0;
     shedding_position position = 0;
-    std::string customer;
+    std::string organisation;
     std::chrono::steady_clock::time_point deadline;
     // The contract's class; the time that a call needs is measured for each.
     std::string requestClass;
@@ -72,7 +72,7 @@
     bool boundBySlots = true;
     // A call that loses its place in the queue is told so.
     bool answerEvicted = true;
-    // A customer may use what the others leave of the server.
+    // An organisation may use what the others leave of the server.
     bool lendUnusedShares = true;
     // The cut opens again after an overload.
     bool cutOpens = true;
@@ -111,7 +111,7 @@
     void setSlots(std::uint32_t slots, std::chrono::steady_clock::time_point now);
     void setSlots(std::uint32_t slots, std::chrono::milliseconds coldStart, std::chrono::steady_clock::time_point now);
 
-    // Each customer's part of the backend server under overload.
+    // Each organisation's part of the backend server under overload.
     void setShares(const std::map<std::string, double>& shares) { m_shares.setShares(shares); }
 
     // A call that is to wait is released later by release(); it may also take the
@@ -133,8 +133,8 @@
 
     // The lowest shedding position that is admitted now.
     shedding_position cut() const { return m_cut.get(); }
-    // The same for one customer.
-    shedding_position cutFor(const std::string& customer) const;
+    // The same for one organisation.
+    shedding_position cutFor(const std::string& organisation) const;
     std::uint32_t limit() const { return m_limitNow; }
     std::uint32_t slots() const { return m_limit.slots(); }
     std::uint32_t inFlight() const { return static_cast<std::uint32_t>(m_running.size()); }
@@ -148,7 +148,7 @@
 
 private:
     struct running_call {
-        customer_index customer = 0;
+        organisation_index organisation = 0;
         class_index requestClass = 0;
     };
 
@@ -195,7 +195,7 @@
     admission_settings m_settings;
     concurrency_limit m_limit;
     std::uint32_t m_limitNow = 0;
-    customer_shares m_shares;
+    organisation_shares m_shares;
     waiting_calls m_waiting { m_shares };
     // When the last call of a begun request came.
     std::chrono::steady_clock::time_point m_lastBegun;
@@ -204,7 +204,7 @@
     shedding_cut m_cut { m_shares };
     shedding_order m_order;
     std::unordered_map<std::uint64_t, running_call> m_running;
-    // Running calls by customer_index.
+    // Running calls by organisation_index.
     std::vector<std::uint32_t> m_runningOf;
     service_times m_leastTimes;
     duration_histogram m_durations;
--- a/Source/decision/admission_policy.h
+++ b/Source/decision/admission_policy.h
@@ -9,7 +9,7 @@
 enum class admission_policy {
     None, // Lets everything through: a baseline to measure against.
     Hop, // A fixed limit and a bounded first-in-first-out queue: the other baseline.
-    Full, // Adaptive limit, order by importance, customers' shares and a moving cut.
+    Full, // Adaptive limit, order by importance, organisations' shares and a moving cut.
 };
 
 // Returns nothing for a word that names no policy.
--- a/Source/decision/entrance_gate.cpp
+++ b/Source/decision/entrance_gate.cpp
@@ -14,7 +14,7 @@
 
     std::string kindOf(const entrance_request& request)
     {
-        return request.customer + '\n' + request.requestClass;
+        return request.organisation + '\n' + request.requestClass;
     }
 
 }
--- a/Source/decision/entrance_gate.h
+++ b/Source/decision/entrance_gate.h
@@ -16,7 +16,7 @@
 
 // A whole request that enters here.
 struct entrance_request {
-    std::string customer;
+    std::string organisation;
     std::string requestClass;
     shedding_position position = 0;
     std::chrono::steady_clock::time_point deadline;
@@ -43,9 +43,9 @@
 };
 
 // Refuses whole requests where they enter, before any work is done for them: what
-// the deepest service would shed, and what cannot finish in time. Each customer
+// the deepest service would shed, and what cannot finish in time. Each organisation
 // and class is judged for itself, because it has its own call chain and, by the
-// customer's share, its own cut.
+// organisation's share, its own cut.
 class entrance_gate {
 public:
     explicit entrance_gate(entrance_settings);
--- a/Source/decision/importance.h
+++ b/Source/decision/importance.h
@@ -6,7 +6,7 @@
 
 namespace vanillashunt {
 
-// How much a request matters to its customer; the lesser value is shed first.
+// How much a request matters to its organisation; the lesser value is shed first.
 // An onward call carries the importance of the request that it is part of.
 enum class importance : std::uint8_t {
     Deferrable = 0, // Can wait or be asked again: history reads, stand-alone lookups.
--- a/Source/decision/request_context.h
+++ b/Source/decision/request_context.h
@@ -14,7 +14,7 @@
 struct request_context {
     // Names the whole request; every onward call carries the same.
     std::string requestId;
-    std::string customer;
+    std::string organisation;
     // What this call asks for. Not on the wire: each node works it out for itself.
     request_fingerprint content;
     // The contract's class at the entry, for example "desk-reply".
--- a/Source/decision/shedding_cut.cpp
+++ b/Source/decision/shedding_cut.cpp
@@ -65,31 +65,31 @@
 
 }
 
-shedding_cut::shedding_cut(const customer_shares& shares)
+shedding_cut::shedding_cut(const organisation_shares& shares)
     : m_shares(shares)
 {
 }
 
-void shedding_cut::arrived(customer_index customer, shedding_position position)
+void shedding_cut::arrived(organisation_index organisation, shedding_position position)
 {
-    if (customer >= m_tallies.size()) {
-        m_tallies.resize(customer + 1);
+    if (organisation >= m_tallies.size()) {
+        m_tallies.resize(organisation + 1);
     }
-    auto& tally = m_tallies[customer];
+    auto& tally = m_tallies[organisation];
     tally.active = true;
     ++tally.present[std::min<std::size_t>(position / positionsPerBucket, bucketCount - 1)];
 }
 
-shedding_position shedding_cut::get(customer_index customer) const
+shedding_position shedding_cut::get(organisation_index organisation) const
 {
-    return customer < m_tallies.size() ? m_tallies[customer].cut : m_cut;
+    return organisation < m_tallies.size() ? m_tallies[organisation].cut : m_cut;
 }
 
 void shedding_cut::closeWindow(const gate_window& seen)
 {
     smooth(seen.length);
     moveCut(seen);
-    moveCustomerCuts();
+    moveOrganisationCuts();
 }
 
 void shedding_cut::smooth(std::chrono::duration<double> length)
@@ -153,7 +153,7 @@
     cut = std::min(cut, std::max(target, lowest));
 }
 
-void shedding_cut::moveCustomerCuts()
+void shedding_cut::moveOrganisationCuts()
 {
     auto level = std::min<std::size_t>(m_cut / positionsPerImportance, importanceCount - 1);
     auto first = level * bucketsPerImportance;
@@ -161,16 +161,16 @@
     auto base = static_cast<shedding_position>(level) * positionsPerImportance;
     auto amount = rateFrom(m_total, m_cut, last, positionsPerBucket);
     std::vector<double> demands(m_tallies.size(), 0);
-    for (customer_index customer = 0; customer < m_tallies.size(); ++customer) {
-        if (m_tallies[customer].active) {
-            demands[customer] = rateFrom(m_tallies[customer].smoothed, base, last, positionsPerBucket);
+    for (organisation_index organisation = 0; organisation < m_tallies.size(); ++organisation) {
+        if (m_tallies[organisation].active) {
+            demands[organisation] = rateFrom(m_tallies[organisation].smoothed, base, last, positionsPerBucket);
         }
     }
     auto parts = m_shares.divide(amount, demands);
-    for (customer_index customer = 0; customer < m_tallies.size(); ++customer) {
-        auto& tally = m_tallies[customer];
-        auto part = parts[customer] * (1 + roundingError);
-        auto target = demands[customer] > 0 ? positionFor(tally.smoothed, part, first, last, positionsPerBucket) : m_cut;
+    for (organisation_index organisation = 0; organisation < m_tallies.size(); ++organisation) {
+        auto& tally = m_tallies[organisation];
+        auto part = parts[organisation] * (1 + roundingError);
+        auto target = demands[organisation] > 0 ? positionFor(tally.smoothed, part, first, last, positionsPerBucket) : m_cut;
         if (target < tally.cut) {
             fall(tally.cut, target);
             continue;
--- a/Source/decision/shedding_cut.h
+++ b/Source/decision/shedding_cut.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/customer_shares.h"
+#include "decision/organisation_shares.h"
 #include "decision/shedding_position.h"
 
 #include <array>
@@ -25,22 +25,22 @@
 // others it opens, by steps that double, until it is gone.
 class shedding_cut {
 public:
-    explicit shedding_cut(const customer_shares&);
+    explicit shedding_cut(const organisation_shares&);
 
     // Without this the cut only rises; only tests switch it off.
     void setOpens(bool opens) { m_opens = opens; }
 
     // Counts every call that asks, whether it is admitted or not.
-    void arrived(customer_index, shedding_position);
+    void arrived(organisation_index, shedding_position);
 
     void closeWindow(const gate_window&);
 
-    // The cut if all requests were of one customer.
+    // The cut if all requests were of one organisation.
     shedding_position get() const { return m_cut; }
 
-    // The cut for one customer: within the importance that is cut through, the
-    // customers have by their shares what the cut admits.
-    shedding_position get(customer_index) const;
+    // The cut for one organisation: within the importance that is cut through, the
+    // organisations have by their shares what the cut admits.
+    shedding_position get(organisation_index) const;
 
 private:
     static constexpr std::size_t bucketsPerImportance = 64;
@@ -50,7 +50,7 @@
     // Arrivals in a second by position, smoothed over the last windows.
     using rates = std::array<float, bucketCount>;
 
-    struct customer_tally {
+    struct organisation_tally {
         std::array<std::uint32_t, bucketCount> present {};
         rates smoothed {};
         // Whether anything was counted that has not faded yet.
@@ -61,11 +61,11 @@
     void smooth(std::chrono::duration<double> length);
     void moveCut(const gate_window&);
     shedding_position sparingConfirmed(shedding_position target);
-    void moveCustomerCuts();
+    void moveOrganisationCuts();
     void fall(shedding_position& cut, shedding_position target) const;
 
-    const customer_shares& m_shares;
-    std::vector<customer_tally> m_tallies;
+    const organisation_shares& m_shares;
+    std::vector<organisation_tally> m_tallies;
     rates m_total {};
     shedding_position m_cut = 0;
     shedding_position m_step = 0;
--- a/Source/decision/verdict.h
+++ b/Source/decision/verdict.h
@@ -18,12 +18,12 @@
 enum class verdict_reason : std::uint8_t {
     Answered, // The backend server answered.
     UnknownService, // No contract or member names the service.
-    UnknownCustomer, // No contract in force is for the customer.
-    UnknownClass, // The customer's contract has no class for the request.
+    UnknownOrganisation, // No contract in force is for the organisation.
+    UnknownClass, // The organisation's contract has no class for the request.
     Malformed, // A header or frame could not be read.
     TooLarge, // The body is over the bound of the settings.
     Overload, // Shed by position or by a full queue.
-    OverShare, // The customer is over its share while others wait.
+    OverShare, // The organisation is over its share while others wait.
     DeadlineTooShort, // It cannot finish in the time that it has left.
     DeadlinePassed, // Its time ran out.
     CallerGone, // The caller closed its connection.
--- a/Source/decision/waiting_calls.cpp
+++ b/Source/decision/waiting_calls.cpp
@@ -10,9 +10,9 @@
     return std::tie(b.position, a.deadline, a.order) < std::tie(a.position, b.deadline, b.order);
 }
 
-bool waiting_calls::ranked_customer::operator<(const ranked_customer& other) const
+bool waiting_calls::ranked_organisation::operator<(const ranked_organisation& other) const
 {
-    return std::tie(rank, customer) < std::tie(other.rank, other.customer);
+    return std::tie(rank, organisation) < std::tie(other.rank, other.organisation);
 }
 
 bool waiting_calls::by_deadline::operator<(const by_deadline& other) const
@@ -20,7 +20,7 @@
     return std::tie(deadline, callId) < std::tie(other.deadline, other.callId);
 }
 
-waiting_calls::waiting_calls(const customer_shares& shares)
+waiting_calls::waiting_calls(const organisation_shares& shares)
     : m_shares(shares)
 {
 }
@@ -30,27 +30,27 @@
     return m_levels[position / positionsPerImportance];
 }
 
-void waiting_calls::rank(level_queue& level, customer_index customer)
+void waiting_calls::rank(level_queue& level, organisation_index organisation)
 {
-    auto& queue = level.customers.at(customer);
+    auto& queue = level.organisations.at(organisation);
     if (queue.calls.empty()) {
         return;
     }
-    queue.share = m_shares.share(customer);
+    queue.share = m_shares.share(organisation);
     queue.load = static_cast<double>(queue.calls.size()) / queue.share;
-    level.byTurn.insert({ queue.turn, customer });
-    level.byLoad.insert({ queue.load, customer });
+    level.byTurn.insert({ queue.turn, organisation });
+    level.byLoad.insert({ queue.load, organisation });
     level.waitingShares += queue.share;
 }
 
-void waiting_calls::unrank(level_queue& level, customer_index customer)
+void waiting_calls::unrank(level_queue& level, organisation_index organisation)
 {
-    const auto& queue = level.customers.at(customer);
+    const auto& queue = level.organisations.at(organisation);
     if (queue.calls.empty()) {
         return;
     }
-    level.byTurn.erase({ queue.turn, customer });
-    level.byLoad.erase({ queue.load, customer });
+    level.byTurn.erase({ queue.turn, organisation });
+    level.byLoad.erase({ queue.load, organisation });
     level.waitingShares -= queue.share;
 }
 
@@ -58,14 +58,14 @@
 {
     call.order = ++m_arrivals;
     auto& level = levelOf(call.position);
-    auto& queue = level.customers[call.customer];
-    unrank(level, call.customer);
+    auto& queue = level.organisations[call.organisation];
+    unrank(level, call.organisation);
     if (queue.calls.empty()) {
-        // Time in which a customer asked for nothing is not saved up.
+        // Time in which an organisation asked for nothing is not saved up.
         queue.turn = std::max(queue.turn, level.virtualTime);
     }
     queue.calls.insert(call);
-    rank(level, call.customer);
+    rank(level, call.organisation);
     ++level.size;
     m_byDeadline.insert({ call.deadline, call.callId });
     m_byId.emplace(call.callId, call);
@@ -76,7 +76,7 @@
     return remove(callId, 0);
 }
 
-// Charges the customer for so many turns.
+// Charges the organisation for so many turns.
 std::optional<waiting_call> waiting_calls::remove(std::uint64_t callId, double turns)
 {
     auto node = m_byId.extract(callId);
@@ -85,11 +85,11 @@
     }
     const auto& call = node.mapped();
     auto& level = levelOf(call.position);
-    auto& queue = level.customers.at(call.customer);
-    unrank(level, call.customer);
+    auto& queue = level.organisations.at(call.organisation);
+    unrank(level, call.organisation);
     queue.calls.erase(call);
-    queue.turn += turns / m_shares.share(call.customer);
-    rank(level, call.customer);
+    queue.turn += turns / m_shares.share(call.organisation);
+    rank(level, call.organisation);
     --level.size;
     m_byDeadline.erase({ call.deadline, callId });
     return call;
@@ -101,7 +101,7 @@
         if (level->size == 0) {
             continue;
         }
-        return &*level->customers.at(level->byTurn.begin()->customer).calls.begin();
+        return &*level->organisations.at(level->byTurn.begin()->organisation).calls.begin();
     }
     return nullptr;
 }
@@ -110,7 +110,7 @@
 {
     auto call = *next();
     auto& level = levelOf(call.position);
-    level.virtualTime = level.customers.at(call.customer).turn;
+    level.virtualTime = level.organisations.at(call.organisation).turn;
     remove(call.callId, 1);
     return call;
 }
@@ -121,27 +121,27 @@
         if (level.size == 0) {
             continue;
         }
-        return &*level.customers.at(level.byLoad.rbegin()->customer).calls.rbegin();
+        return &*level.organisations.at(level.byLoad.rbegin()->organisation).calls.rbegin();
     }
     return nullptr;
 }
 
-const waiting_call* waiting_calls::worst(importance level, customer_index customer) const
+const waiting_call* waiting_calls::worst(importance level, organisation_index organisation) const
 {
-    const auto& customers = m_levels[static_cast<std::size_t>(level)].customers;
-    auto found = customers.find(customer);
-    if (found == customers.end() || found->second.calls.empty()) {
+    const auto& organisations = m_levels[static_cast<std::size_t>(level)].organisations;
+    auto found = organisations.find(organisation);
+    if (found == organisations.end() || found->second.calls.empty()) {
         return nullptr;
     }
     return &*found->second.calls.rbegin();
 }
 
-double waiting_calls::load(importance level, customer_index customer, std::size_t more) const
+double waiting_calls::load(importance level, organisation_index organisation, std::size_t more) const
 {
-    const auto& customers = m_levels[static_cast<std::size_t>(level)].customers;
-    auto found = customers.find(customer);
-    auto count = more + (found == customers.end() ? 0 : found->second.calls.size());
-    return static_cast<double>(count) / m_shares.share(customer);
+    const auto& organisations = m_levels[static_cast<std::size_t>(level)].organisations;
+    auto found = organisations.find(organisation);
+    auto count = more + (found == organisations.end() ? 0 : found->second.calls.size());
+    return static_cast<double>(count) / m_shares.share(organisation);
 }
 
 double waiting_calls::meanLoad(importance level) const
@@ -150,10 +150,10 @@
     return queue.size == 0 ? 0 : static_cast<double>(queue.size) / queue.waitingShares;
 }
 
-bool waiting_calls::othersWait(importance level, customer_index customer) const
+bool waiting_calls::othersWait(importance level, organisation_index organisation) const
 {
     const auto& waiting = m_levels[static_cast<std::size_t>(level)].byLoad;
-    return waiting.size() > 1 || (waiting.size() == 1 && waiting.begin()->customer != customer);
+    return waiting.size() > 1 || (waiting.size() == 1 && waiting.begin()->organisation != organisation);
 }
 
 std::size_t waiting_calls::ahead(const waiting_call& call) const
@@ -164,16 +164,16 @@
         higher += m_levels[index].size;
     }
     const auto& level = m_levels[levelIndex];
-    auto found = level.customers.find(call.customer);
-    auto share = m_shares.share(call.customer);
+    auto found = level.organisations.find(call.organisation);
+    auto share = m_shares.share(call.organisation);
     auto shares = level.waitingShares;
     double own = 0;
-    if (found == level.customers.end() || found->second.calls.empty()) {
+    if (found == level.organisations.end() || found->second.calls.empty()) {
         shares += share;
     } else {
         own = static_cast<double>(found->second.calls.order_of_key(call));
     }
-    // While the customer's own calls take their turns, the others take theirs.
+    // While the organisation's own calls take their turns, the others take theirs.
     auto withOthers = static_cast<std::size_t>(own * shares / share);
     return higher + std::min(withOthers, level.size);
 }
--- a/Source/decision/waiting_calls.h
+++ b/Source/decision/waiting_calls.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/customer_shares.h"
+#include "decision/organisation_shares.h"
 #include "decision/service_times.h"
 #include "decision/shedding_position.h"
 
@@ -24,7 +24,7 @@
     // another position than the one by which it is shed.
     shedding_position position = 0;
     shedding_position shedAt = 0;
-    customer_index customer = 0;
+    organisation_index organisation = 0;
     std::chrono::steady_clock::time_point deadline;
     class_index requestClass = 0;
     bool begun = false;
@@ -33,13 +33,13 @@
 };
 
 // The calls that wait for a slot. Importance goes first; within one importance
-// the customers take turns by their shares (start-time fair queueing), and each
-// customer's calls go by shedding position and then by deadline. Every
+// the organisations take turns by their shares (start-time fair queueing), and each
+// organisation's calls go by shedding position and then by deadline. Every
 // operation is logarithmic in the number of calls.
 class waiting_calls {
 public:
     // The shares outlive the queue.
-    explicit waiting_calls(const customer_shares&);
+    explicit waiting_calls(const organisation_shares&);
 
     void add(waiting_call);
 
@@ -49,24 +49,24 @@
     // The call whose turn is next; null if none waits.
     const waiting_call* next() const;
 
-    // Removes the call whose turn it is and charges it to its customer.
+    // Removes the call whose turn it is and charges it to its organisation.
     waiting_call takeNext();
 
-    // The call to give up first: of the least importance, of the customer that
+    // The call to give up first: of the least importance, of the organisation that
     // is furthest over its share, the worst placed. Null if none waits.
     const waiting_call* worst() const;
 
-    // The worst placed of one customer's calls of one importance; null if none waits.
-    const waiting_call* worst(importance, customer_index) const;
+    // The worst placed of one organisation's calls of one importance; null if none waits.
+    const waiting_call* worst(importance, organisation_index) const;
 
-    // How often the customer's calls of this importance, and one more, fill its share.
-    double load(importance, customer_index, std::size_t more) const;
+    // How often the organisation's calls of this importance, and one more, fill its share.
+    double load(importance, organisation_index, std::size_t more) const;
 
-    // The same for all customers that have calls of this importance waiting.
+    // The same for all organisations that have calls of this importance waiting.
     double meanLoad(importance) const;
 
-    // Whether calls of another customer wait at the same importance.
-    bool othersWait(importance, customer_index) const;
+    // Whether calls of another organisation wait at the same importance.
+    bool othersWait(importance, organisation_index) const;
 
     // Calls that are to start before one that would be placed here.
     std::size_t ahead(const waiting_call&) const;
@@ -85,29 +85,29 @@
     using ordered_calls = __gnu_pbds::tree<waiting_call, __gnu_pbds::null_type, better_placed,
         __gnu_pbds::rb_tree_tag, __gnu_pbds::tree_order_statistics_node_update>;
 
-    struct customer_queue {
+    struct organisation_queue {
         ordered_calls calls;
-        // Virtual time at which the customer's next call may start.
+        // Virtual time at which the organisation's next call may start.
         double turn = 0;
         // The share and the load that it is ranked by now.
         double share = 0;
         double load = 0;
     };
 
-    struct ranked_customer {
+    struct ranked_organisation {
         double rank;
-        customer_index customer;
-        bool operator<(const ranked_customer&) const;
+        organisation_index organisation;
+        bool operator<(const ranked_organisation&) const;
     };
 
     // The calls of one importance.
     struct level_queue {
-        std::unordered_map<customer_index, customer_queue> customers;
-        // The customers that have calls waiting, by turn and by load.
-        std::set<ranked_customer> byTurn;
-        std::set<ranked_customer> byLoad;
+        std::unordered_map<organisation_index, organisation_queue> organisations;
+        // The organisations that have calls waiting, by turn and by load.
+        std::set<ranked_organisation> byTurn;
+        std::set<ranked_organisation> byLoad;
         double virtualTime = 0;
-        // Of the customers that have calls waiting.
+        // Of the organisations that have calls waiting.
         double waitingShares = 0;
         std::size_t size = 0;
     };
@@ -120,10 +120,10 @@
 
     level_queue& levelOf(shedding_position);
     std::optional<waiting_call> remove(std::uint64_t callId, double turns);
-    void rank(level_queue&, customer_index);
-    void unrank(level_queue&, customer_index);
+    void rank(level_queue&, organisation_index);
+    void unrank(level_queue&, organisation_index);
 
-    const customer_shares& m_shares;
+    const organisation_shares& m_shares;
     std::array<level_queue, importanceCount> m_levels;
     std::unordered_map<std::uint64_t, waiting_call> m_byId;
     std::set<by_deadline> m_byDeadline;
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -57,8 +57,8 @@
     hooks.send = [this](std::uint64_t attemptId, const member& target, const call_request& request) { sendAttempt(attemptId, target, request); };
     hooks.cancelAttempt = [this](std::uint64_t attemptId) { cancelAttempt(attemptId); };
     hooks.ended = m_parts.callEnded;
-    hooks.claim = [this](std::uint64_t callId, const std::string& customer, const std::string& key, const ticket& permit) {
-        m_parts.claims->claim(customer, key, permit, claimTimeout, [this, callId](const claim_result& result) {
+    hooks.claim = [this](std::uint64_t callId, const std::string& organisation, const std::string& key, const ticket& permit) {
+        m_parts.claims->claim(organisation, key, permit, claimTimeout, [this, callId](const claim_result& result) {
             sendSelf(claim_answered { callId, result });
         });
     };
--- a/Source/node/configuration_service.cpp
+++ b/Source/node/configuration_service.cpp
@@ -253,8 +253,8 @@
     state["store_ranges"] = Json::UInt64(m_counts.ranges);
     state["store_watches"] = Json::UInt64(m_counts.watches);
     state["peer_fetches"] = Json::UInt64(m_counts.peerFetches);
-    for (const auto& [customer, stored] : m_book.contracts()->byCustomer) {
-        state["customers"][customer] = Json::Int64(stored.revision);
+    for (const auto& [organisation, stored] : m_book.contracts()->byOrganisation) {
+        state["customers"][organisation] = Json::Int64(stored.revision);
     }
     return state;
 }
--- a/Source/node/inbound_calls.cpp
+++ b/Source/node/inbound_calls.cpp
@@ -63,8 +63,8 @@
 void inbound_calls::setContracts(const contract_set& contracts)
 {
     std::map<std::string, double> shares;
-    for (const auto& [customer, stored] : contracts.byCustomer) {
-        shares[customer] = stored.terms.share;
+    for (const auto& [organisation, stored] : contracts.byOrganisation) {
+        shares[organisation] = stored.terms.share;
     }
     m_gate.setShares(shares);
 }
@@ -102,7 +102,7 @@
         m_arrivalOfNonce[nonce] = id;
     }
     auto refusal = refusalBeforeGate(request);
-    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass };
+    admission_request asking { id, request.context.position, request.context.organisation, request.context.deadline, request.context.requestClass };
     arrival entry;
     entry.tokens = request.context.retryTokens;
     entry.waiters.push_back({ request.callId, request.attempt, std::move(replier) });
@@ -134,7 +134,7 @@
     }
     answer.retryTokens = request.context.retryTokens;
     answer.nextUse = m_ledger.nextUse(request.permit->nonce);
-    fillLoad(answer, request.context.customer);
+    fillLoad(answer, request.context.organisation);
     replier(answer);
 }
 
@@ -235,7 +235,7 @@
     if (entry.request.permit) {
         complete.nextUse = m_ledger.nextUse(entry.request.permit->nonce);
     }
-    fillLoad(complete, entry.request.context.customer);
+    fillLoad(complete, entry.request.context.organisation);
     for (auto& waiter : entry.waiters) {
         complete.callId = waiter.callId;
         complete.attempt = waiter.attempt;
@@ -245,9 +245,9 @@
     }
 }
 
-void inbound_calls::fillLoad(call_answer& answer, const std::string& customer) const
+void inbound_calls::fillLoad(call_answer& answer, const std::string& organisation) const
 {
-    answer.cut = std::max(answer.cut, m_gate.cutFor(customer));
+    answer.cut = std::max(answer.cut, m_gate.cutFor(organisation));
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
 }
--- a/Source/node/inbound_calls.h
+++ b/Source/node/inbound_calls.h
@@ -41,7 +41,7 @@
     // Nothing while no backend server is announced.
     void setBackend(std::optional<backend_announcement>, std::chrono::steady_clock::time_point now);
 
-    // The customers' parts of the backend server under overload.
+    // The organisations' parts of the backend server under overload.
     void setContracts(const contract_set&);
 
     // Refuses new calls while set; calls in progress end normally.
@@ -100,7 +100,7 @@
     void settleTicket(const call_request&, const call_answer&);
     void keepAnswer(std::uint64_t nonce, const call_answer&);
     void reply(arrival&, const call_answer&) const;
-    void fillLoad(call_answer&, const std::string& customer) const;
+    void fillLoad(call_answer&, const std::string& organisation) const;
 
     inbound_hooks m_hooks;
     std::optional<backend_announcement> m_backend;
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -50,7 +50,7 @@
 
     entrance_request entranceRequest(const request_context& context)
     {
-        return { context.customer, context.requestClass, context.position, context.deadline };
+        return { context.organisation, context.requestClass, context.position, context.deadline };
     }
 
 }
@@ -102,15 +102,15 @@
 {
     auto& context = call.request.context;
     context.requestId = brought ? brought->requestId : hexText(m_hooks.random());
-    auto found = m_contracts->byCustomer.find(asked.customer);
-    if (found == m_contracts->byCustomer.end()) {
-        return early_refusal { verdict::notRun(verdict_reason::UnknownCustomer), "no contract in force is for customer '" + asked.customer + "'; apply one or mend the field Vanillashunt-Customer" };
+    auto found = m_contracts->byOrganisation.find(asked.organisation);
+    if (found == m_contracts->byOrganisation.end()) {
+        return early_refusal { verdict::notRun(verdict_reason::UnknownOrganisation), "no contract in force is for customer '" + asked.organisation + "'; apply one or mend the field Vanillashunt-Customer" };
     }
     const auto* kind = findClass(found->second.terms, asked.service, asked.method, pathWithoutQuery(asked.path));
     if (!kind) {
-        return early_refusal { verdict::notRun(verdict_reason::UnknownClass), "the contract of customer '" + asked.customer + "' has no class for " + asked.method + " of service '" + asked.service + "' at " + pathWithoutQuery(asked.path) };
+        return early_refusal { verdict::notRun(verdict_reason::UnknownClass), "the contract of customer '" + asked.organisation + "' has no class for " + asked.method + " of service '" + asked.service + "' at " + pathWithoutQuery(asked.path) };
     }
-    context.customer = asked.customer;
+    context.organisation = asked.organisation;
     context.requestClass = kind->name;
     context.level = kind->level;
     context.position = sheddingPosition(kind->level, context.requestId);
@@ -204,7 +204,7 @@
         claimAnswered(callId, claim_unknown {}, now);
         return;
     }
-    m_hooks.claim(callId, call.request.context.customer, idempotencyKey, *call.claiming);
+    m_hooks.claim(callId, call.request.context.organisation, idempotencyKey, *call.claiming);
 }
 
 void outbound_calls::claimAnswered(std::uint64_t callId, const claim_result& result, std::chrono::steady_clock::time_point now)
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -36,7 +36,7 @@
     // Told of each attempt that ended, and whether anything came back from the member.
     std::function<void(std::uint64_t memberId, bool answered)> ended;
     // Writes a claim to the platform's store; what came of it comes back by claimAnswered().
-    std::function<void(std::uint64_t callId, const std::string& customer, const std::string& idempotencyKey, const ticket&)> claim;
+    std::function<void(std::uint64_t callId, const std::string& organisation, const std::string& idempotencyKey, const ticket&)> claim;
     std::function<std::uint64_t()> random;
     // Told of each step of each call; may be empty.
     call_observer observed;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -138,7 +138,7 @@
     context.requestId = std::move(request.requestId);
     context.content = fingerprintOf(sent.path, sent.body);
     context.requestClass = found->name;
-    context.customer = origin.asker ? origin.asker->name : "";
+    context.organisation = origin.asker ? origin.asker->name : "";
     context.level = importanceOf(found->priority);
     context.position = sheddingPosition(context.level, context.requestId);
     context.idempotent = found->idempotent;
@@ -153,7 +153,7 @@
         // A call is part of the request that it is made for, and matters as much.
         const auto& parent = maker->context;
         call.parentRun = maker->runId;
-        context.customer = parent.customer;
+        context.organisation = parent.organisation;
         context.level = parent.level;
         context.position = parent.position;
         context.depth = parent.depth + 1;
@@ -188,7 +188,7 @@
     const auto& context = m_calls.at(callId).request.context;
     auto waitUntil = std::min(now + std::min(targetLatency / targetPartToWait, longestQuotaWait), context.deadline);
     auto waitUntilStarted = std::min(now + targetLatency / 2, context.deadline);
-    quota_request request { context.customer, context.position, waitUntil, waitUntilStarted };
+    quota_request request { context.organisation, context.position, waitUntil, waitUntilStarted };
     auto wait = m_hooks.takeQuota(
         request, [this, callId](quota_refusal refusal, time_point decided) { quotaDecided(callId, refusal, decided); }, now);
     auto found = m_calls.find(callId);
@@ -465,7 +465,7 @@
         m_hooks.cancelQuota(std::exchange(call.quotaWait, 0));
     }
     if (call.reached == 0 && !call.mayHaveRun && std::exchange(call.hasQuota, false)) {
-        m_hooks.giveBackQuota(call.request.context.customer, now);
+        m_hooks.giveBackQuota(call.request.context.organisation, now);
     }
 }
 
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -114,7 +114,10 @@
     if (!refusal && request.refuseIfFull && !m_gate.hasFreeSlot(now)) {
         refusal = verdict::notRun(verdict_reason::NoFreeSlot);
     }
-    admission_request asking { id, request.context.position, request.context.customer, request.context.deadline, request.context.requestClass, request.context.depth > 0 };
+    // The gate is not told the organisation: each is shed in proportion to what it asks, since
+    // places in the order are drawn by request, and what is beyond a limit never comes here. With
+    // parts for each a gate that sees a few calls of each would refuse those of the large ones.
+    admission_request asking { id, request.context.position, "", request.context.deadline, request.context.requestClass, request.context.depth > 0 };
     m_arrivals.emplace(id, arrival { std::move(request), std::move(replier) });
     if (refusal) {
         refuse(id, *refusal, now);
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -35,7 +35,7 @@
 {
     auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
     http_request message { request.method, request.path, request.fields, request.body };
-    writeServerTerms(message.fields, { std::max(left, leastTime), server.start.instanceId, request.callerService, request.context.customer });
+    writeServerTerms(message.fields, { std::max(left, leastTime), server.start.instanceId, request.callerService, request.context.organisation });
     m_sent[runId] = m_client.send(m_address, request.context.requestId, message,
         [this, runId, start = server.start](instance_result result) { ended(runId, start, std::move(result)); });
 }
--- a/Source/operator/call_log.cpp
+++ b/Source/operator/call_log.cpp
@@ -31,7 +31,7 @@
     if (!leftOut) {
         return;
     }
-    logEvent(what, { { "request_id", seen.context.requestId }, { "customer", seen.context.customer }, { "class", seen.context.requestClass }, { "verdict", toString(seen.outcome.run) }, { "reason", toString(seen.outcome.reason) }, { "detail", seen.detail }, { "status", std::to_string(seen.status) }, { "elapsed_us", std::to_string(seen.duration.count()) }, { "position", std::to_string(seen.context.position) }, { "cut", std::to_string(seen.inputs.cut) }, { "cut_age_ms", std::to_string(seen.inputs.cutAge.count()) }, { "version", std::to_string(seen.inputs.version) }, { "content", toString(seen.context.content) }, { "left_out", std::to_string(*leftOut) } });
+    logEvent(what, { { "request_id", seen.context.requestId }, { "customer", seen.context.organisation }, { "class", seen.context.requestClass }, { "verdict", toString(seen.outcome.run) }, { "reason", toString(seen.outcome.reason) }, { "detail", seen.detail }, { "status", std::to_string(seen.status) }, { "elapsed_us", std::to_string(seen.duration.count()) }, { "position", std::to_string(seen.context.position) }, { "cut", std::to_string(seen.inputs.cut) }, { "cut_age_ms", std::to_string(seen.inputs.cutAge.count()) }, { "version", std::to_string(seen.inputs.version) }, { "content", toString(seen.context.content) }, { "left_out", std::to_string(*leftOut) } });
 }
 
 }
--- a/Source/operator/operator_state.cpp
+++ b/Source/operator/operator_state.cpp
@@ -11,9 +11,9 @@
         Json::Value json;
         json["revision"] = Json::Int64(contracts.revision);
         json["customers"] = Json::Value(Json::objectValue);
-        for (const auto& [customer, stored] : contracts.byCustomer) {
-            json["customers"][customer]["revision"] = Json::Int64(stored.revision);
-            json["customers"][customer]["classes"] = Json::UInt64(stored.terms.classes.size());
+        for (const auto& [organisation, stored] : contracts.byOrganisation) {
+            json["customers"][organisation]["revision"] = Json::Int64(stored.revision);
+            json["customers"][organisation]["classes"] = Json::UInt64(stored.terms.classes.size());
         }
         return json;
     }
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -320,7 +320,7 @@
     writer.beginTexts(requestTexts + textsOfField * request.fields.size());
     writer.text(context.requestId);
     history.learnRequestId(context.requestId);
-    writer.text(context.customer);
+    writer.text(context.organisation);
     writer.text(context.requestClass);
     writer.text(request.service);
     writer.text(request.callerService);
@@ -384,7 +384,7 @@
     reader.beginTexts({});
     context.requestId = reader.text();
     history.learnRequestId(context.requestId);
-    context.customer = reader.text();
+    context.organisation = reader.text();
     context.requestClass = reader.text();
     request.service = reader.text();
     request.callerService = reader.text();
--- a/Source/routes/organisation.h
+++ b/Source/routes/organisation.h
@@ -17,7 +17,7 @@
     bool isLimited() const { return ratePerSecond > 0; }
 };
 
-// What an operator says of a customer whose requests name it by a key.
+// What an operator says of an organisation whose requests name it by a key.
 struct organisation {
     std::string name;
     // Secret: they are compared, and stand in no log, dump, metric or message.
--- a/Source/store/claim_store.cpp
+++ b/Source/store/claim_store.cpp
@@ -37,10 +37,10 @@
 {
 }
 
-void claim_store::claim(const std::string& customer, const std::string& idempotencyKey, const ticket& permit,
+void claim_store::claim(const std::string& organisation, const std::string& idempotencyKey, const ticket& permit,
     std::chrono::milliseconds timeout, std::function<void(claim_result)> handler)
 {
-    auto key = claimPrefix + customer + "/" + idempotencyKey;
+    auto key = claimPrefix + organisation + "/" + idempotencyKey;
     m_store.swap(key, noKeyYet, toString(permit), timeout, [handler = std::move(handler), permit](const store_result<store_swap>& result) {
         handler(readClaim(result, permit));
     });
--- a/Source/store/claim_store.h
+++ b/Source/store/claim_store.h
@@ -33,7 +33,7 @@
     explicit claim_store(store_client&);
 
     // Writes the ticket for the key unless another stands there.
-    void claim(const std::string& customer, const std::string& idempotencyKey, const ticket&,
+    void claim(const std::string& organisation, const std::string& idempotencyKey, const ticket&,
         std::chrono::milliseconds timeout, std::function<void(claim_result)>);
 
 private:
--- a/Tests/AdmissionCost/admission_cost.cpp
+++ b/Tests/AdmissionCost/admission_cost.cpp
@@ -17,14 +17,14 @@
     constexpr std::chrono::microseconds service { 10000 };
     constexpr std::size_t prepared = 1 << 16;
 
-    // Calls of many customers, drawn beforehand.
-    std::vector<admission_request> drawRequests(int customers)
+    // Calls of many organisations, drawn beforehand.
+    std::vector<admission_request> drawRequests(int organisations)
     {
         std::mt19937 random(1);
         std::vector<admission_request> requests(prepared);
         for (auto& request : requests) {
             request.position = random() % sheddingPositionCount;
-            request.customer = "customer-" + std::to_string(random() % customers);
+            request.organisation = "customer-" + std::to_string(random() % organisations);
             request.requestClass = "class-" + std::to_string(random() % 8);
         }
         return requests;
@@ -74,7 +74,7 @@
 
 }
 
-// Load in tenths of the capacity, and customers.
+// Load in tenths of the capacity, and organisations.
 BENCHMARK(admission)->Args({ 5, 1 })->Args({ 11, 10 })->Args({ 50, 1 })->Args({ 50, 100 })->Args({ 50, 1000 });
 
 }
--- a/Tests/AdmissionHolds/admission_holds_test.cpp
+++ b/Tests/AdmissionHolds/admission_holds_test.cpp
@@ -191,7 +191,7 @@
     EXPECT_GT(refusedAfter(run.calls(), run.now() - std::chrono::seconds(1)), 0);
 }
 
-TEST(AdmissionHolds, ACustomerWithinItsShareIsServedBesideAGreedyOne)
+TEST(AdmissionHolds, AOrganisationWithinItsShareIsServedBesideAGreedyOne)
 {
     gate_run run({}, 7);
     run.run({ std::chrono::seconds(3), 4, 0, 1, 0.9 });
@@ -201,7 +201,7 @@
     std::ptrdiff_t overShare = 0;
     for (const auto& call : run.calls()) {
         overShare += std::count(call.refusals.begin(), call.refusals.end(), verdict_reason::OverShare);
-        if (call.customer == "small") {
+        if (call.organisation == "small") {
             ++asked;
             served += static_cast<int>(call.runs.size());
         }
--- a/Tests/AdmissionHolds/gate_run.cpp
+++ b/Tests/AdmissionHolds/gate_run.cpp
@@ -77,12 +77,12 @@
                                                      : importance::Deferrable;
     call_record call;
     call.position = static_cast<shedding_position>(level) * positionsPerImportance + static_cast<shedding_position>(m_random() % positionsPerImportance);
-    call.customer = uniform() < phase.big ? "big" : "small";
+    call.organisation = uniform() < phase.big ? "big" : "small";
     call.arrived = m_now;
     m_calls.push_back(call);
     auto callId = m_calls.size() - 1;
     auto deadline = m_now + std::chrono::milliseconds(300 + m_random() % 700);
-    decided(callId, m_gate.arrive({ callId, call.position, call.customer, deadline, toString(level) }, m_now));
+    decided(callId, m_gate.arrive({ callId, call.position, call.organisation, deadline, toString(level) }, m_now));
     release();
 }
 
--- a/Tests/AdmissionHolds/gate_run.h
+++ b/Tests/AdmissionHolds/gate_run.h
@@ -22,14 +22,14 @@
     // Parts of the arrivals that are confirmed and interactive.
     double confirmed = 0.2;
     double interactive = 0.3;
-    // Part of the arrivals that is customer "big"'s; the others are "small"'s.
+    // Part of the arrivals that is organisation "big"'s; the others are "small"'s.
     double big = 0.5;
 };
 
 // What became of one call.
 struct call_record {
     shedding_position position = 0;
-    std::string customer;
+    std::string organisation;
     test_time arrived;
     // Each outcome that the gate gave: when it ran, or why it did not.
     std::vector<test_time> runs;
--- a/Tests/ContractBook/contract_book_test.cpp
+++ b/Tests/ContractBook/contract_book_test.cpp
@@ -11,40 +11,40 @@
 namespace {
 
     constexpr std::size_t bookCount = 4;
-    constexpr std::size_t customerCount = 3;
+    constexpr std::size_t organisationCount = 3;
     constexpr int stepsPerRun = 300;
     constexpr std::uint64_t runs = 40;
 
-    std::string customerName(std::size_t number)
+    std::string organisationName(std::size_t number)
     {
         return "hotel-" + std::to_string(number);
     }
 
     // A contract that is written at the revision, and says so by its deadline.
-    std::string textOf(const std::string& customer, std::int64_t revision)
+    std::string textOf(const std::string& organisation, std::int64_t revision)
     {
-        return "customer = \"" + customer + "\"\nshare = 0.1\n[[class]]\nname = \"read\"\nservice = \"threads\"\nmethod = \"GET\"\npath = \"/\"\n"
-                                            "idempotent = true\nimportance = \"deferrable\"\ndeadline = \""
+        return "customer = \"" + organisation + "\"\nshare = 0.1\n[[class]]\nname = \"read\"\nservice = \"threads\"\nmethod = \"GET\"\npath = \"/\"\n"
+                                                "idempotent = true\nimportance = \"deferrable\"\ndeadline = \""
             + std::to_string(1000 + revision) + "ms\"\ntarget = 0.9\nretries = 1\n";
     }
 
     // The store's history: each write of a contract, between writes of other things.
     class written_history {
     public:
-        void write(const std::string& customer, std::int64_t revisionsBetween)
+        void write(const std::string& organisation, std::int64_t revisionsBetween)
         {
             m_revision += 1 + revisionsBetween;
-            m_writes[m_revision] = customer;
+            m_writes[m_revision] = organisation;
         }
 
         std::int64_t revision() const { return m_revision; }
 
-        // The revision of the customer's last write up to one; 0 for none.
-        std::int64_t lastOf(const std::string& customer, std::int64_t upTo) const
+        // The revision of the organisation's last write up to one; 0 for none.
+        std::int64_t lastOf(const std::string& organisation, std::int64_t upTo) const
         {
             std::int64_t last = 0;
             for (const auto& [revision, writer] : m_writes) {
-                last = writer == customer && revision <= upTo ? revision : last;
+                last = writer == organisation && revision <= upTo ? revision : last;
             }
             return last;
         }
@@ -54,11 +54,11 @@
         {
             contract_news told;
             told.since = since;
-            for (std::size_t number = 0; number < customerCount; ++number) {
-                auto customer = customerName(number);
-                auto revision = lastOf(customer, upTo);
+            for (std::size_t number = 0; number < organisationCount; ++number) {
+                auto organisation = organisationName(number);
+                auto revision = lastOf(organisation, upTo);
                 if (revision > since) {
-                    told.entries.push_back({ textOf(customer, revision), revision });
+                    told.entries.push_back({ textOf(organisation, revision), revision });
                     told.revision = std::max(told.revision, revision);
                 }
             }
@@ -83,7 +83,7 @@
         {
             switch (below(6)) {
             case 0:
-                m_store.write(customerName(below(customerCount)), static_cast<std::int64_t>(below(4)));
+                m_store.write(organisationName(below(organisationCount)), static_cast<std::int64_t>(below(4)));
                 return;
             case 1:
                 m_underWay.push_back(m_store.news(0, static_cast<std::int64_t>(below(static_cast<std::uint64_t>(m_store.revision()) + 1))));
@@ -111,8 +111,8 @@
         void expectAllKnown() const
         {
             for (const auto& book : m_books) {
-                for (std::size_t number = 0; number < customerCount; ++number) {
-                    EXPECT_EQ(revisionOf(book, customerName(number)), m_store.lastOf(customerName(number), m_store.revision()));
+                for (std::size_t number = 0; number < organisationCount; ++number) {
+                    EXPECT_EQ(revisionOf(book, organisationName(number)), m_store.lastOf(organisationName(number), m_store.revision()));
                 }
             }
         }
@@ -136,10 +136,10 @@
             take(anyBook(), m_underWay[below(m_underWay.size())]);
         }
 
-        static std::int64_t revisionOf(const contract_book& book, const std::string& customer)
+        static std::int64_t revisionOf(const contract_book& book, const std::string& organisation)
         {
-            auto found = book.contracts()->byCustomer.find(customer);
-            return found == book.contracts()->byCustomer.end() ? 0 : found->second.revision;
+            auto found = book.contracts()->byOrganisation.find(organisation);
+            return found == book.contracts()->byOrganisation.end() ? 0 : found->second.revision;
         }
 
         void take(contract_book& book, const contract_news& news)
@@ -148,15 +148,15 @@
             bool changed = book.take(news);
             EXPECT_EQ(changed, before != book.contracts());
             EXPECT_GE(book.revision(), before->revision);
-            for (const auto& [customer, stored] : before->byCustomer) {
-                EXPECT_GE(revisionOf(book, customer), stored.revision);
+            for (const auto& [organisation, stored] : before->byOrganisation) {
+                EXPECT_GE(revisionOf(book, organisation), stored.revision);
             }
-            for (const auto& [customer, stored] : book.contracts()->byCustomer) {
-                EXPECT_EQ(stored.text, textOf(customer, stored.revision));
-                EXPECT_GE(stored.revision, m_store.lastOf(customer, book.revision())) << "a gap is hidden below revision " << book.revision();
+            for (const auto& [organisation, stored] : book.contracts()->byOrganisation) {
+                EXPECT_EQ(stored.text, textOf(organisation, stored.revision));
+                EXPECT_GE(stored.revision, m_store.lastOf(organisation, book.revision())) << "a gap is hidden below revision " << book.revision();
             }
-            for (std::size_t number = 0; number < customerCount; ++number) {
-                EXPECT_GE(revisionOf(book, customerName(number)), m_store.lastOf(customerName(number), book.revision()));
+            for (std::size_t number = 0; number < organisationCount; ++number) {
+                EXPECT_GE(revisionOf(book, organisationName(number)), m_store.lastOf(organisationName(number), book.revision()));
             }
         }
 
@@ -189,14 +189,14 @@
     EXPECT_EQ(book.revision(), 3);
     EXPECT_TRUE(book.take({ { { textOf("hotel-1", 5), 5 } }, 3, 9 }));
     EXPECT_EQ(book.revision(), 9);
-    EXPECT_EQ(book.contracts()->byCustomer.at("hotel-1").revision, 5);
+    EXPECT_EQ(book.contracts()->byOrganisation.at("hotel-1").revision, 5);
 }
 
 TEST(ContractBook, AnEntryWithoutARevisionIsNoContract)
 {
     contract_book book;
     EXPECT_TRUE(book.take({ { { textOf("hotel-1", 0), 0 }, { textOf("hotel-2", 4), 4 } }, 0, 4 }));
-    EXPECT_EQ(book.contracts()->byCustomer.count("hotel-1"), 0U);
+    EXPECT_EQ(book.contracts()->byOrganisation.count("hotel-1"), 0U);
 }
 
 TEST(ContractBook, AnUnreadableEntryIsCountedOnce)
--- a/Tests/ContractLimits/contract_limits_test.cpp
+++ b/Tests/ContractLimits/contract_limits_test.cpp
@@ -34,7 +34,7 @@
 
     void add(contract_set& set, const contract& terms, std::int64_t revision)
     {
-        set.byCustomer[terms.customer] = { terms, "", revision };
+        set.byOrganisation[terms.organisation] = { terms, "", revision };
         set.revision = std::max(set.revision, revision);
     }
 
@@ -83,7 +83,7 @@
 {
     auto limits = deriveLimits(twoHotels());
     EXPECT_EQ(limits.revision, 9);
-    const auto& seri = limits.byCustomer.at("seri");
+    const auto& seri = limits.byOrganisation.at("seri");
     EXPECT_EQ(seri.weight, 0.4);
     EXPECT_EQ(seri.revision, 7);
     ASSERT_EQ(seri.services.size(), 2U);
--- a/Tests/ContractRefusals/contract_refusals_test.cpp
+++ b/Tests/ContractRefusals/contract_refusals_test.cpp
@@ -38,7 +38,7 @@
 {
     auto result = parseContract(head + deskReply + "retries = 2\npath = \"/replies\"\n", "c.toml");
     const auto& terms = std::get<contract>(result);
-    EXPECT_EQ(terms.customer, "hotel-seri");
+    EXPECT_EQ(terms.organisation, "hotel-seri");
     EXPECT_EQ(terms.share, 0.4);
     ASSERT_EQ(terms.classes.size(), 1U);
     const auto& only = terms.classes.front();
--- a/Tests/EntranceRefuses/entrance_refuses_test.cpp
+++ b/Tests/EntranceRefuses/entrance_refuses_test.cpp
@@ -11,9 +11,9 @@
     constexpr std::chrono::steady_clock::time_point start { std::chrono::hours(1) };
     constexpr shedding_position confirmedBase = 2 * positionsPerImportance;
 
-    entrance_request asked(shedding_position position, const std::string& customer = "hotel")
+    entrance_request asked(shedding_position position, const std::string& organisation = "hotel")
     {
-        return { customer, "reply", position, start + std::chrono::seconds(10) };
+        return { organisation, "reply", position, start + std::chrono::seconds(10) };
     }
 
     // A gate whose every chance falls the same way.
--- a/Tests/Harness/contract_texts.h
+++ b/Tests/Harness/contract_texts.h
@@ -4,7 +4,7 @@
 
 namespace vanillashunt {
 
-// Contracts of customer hotel-seri that several tests put in force.
+// Contracts of organisation hotel-seri that several tests put in force.
 
 // Services "threads" (reads of /history, 5 s) and "desk" (replies at /reply, 5 s).
 std::string threadsAndDeskContract();
--- a/Tests/Harness/mesh.cpp
+++ b/Tests/Harness/mesh.cpp
@@ -66,13 +66,13 @@
     m_endpoints += (m_endpoints.empty() ? "\"" : ", \"") + address + "\"";
 }
 
-void mesh::putContractAt(const stand_in& platform, const std::string& customer, const std::string& text)
+void mesh::putContractAt(const stand_in& platform, const std::string& organisation, const std::string& text)
 {
-    auto body = R"({"key":")" + base64Text("/vanillashunt/contracts/" + customer) + R"(","value":")" + base64Text(text) + "\"}";
+    auto body = R"({"key":")" + base64Text("/vanillashunt/contracts/" + organisation) + R"(","value":")" + base64Text(text) + "\"}";
     auto result = request("POST", platform.address(), "/v3/kv/put", { { "Content-Type", "application/json" } }, body);
     auto* answer = std::get_if<http_answer>(&result);
     if (!answer || answer->status != statusOk) {
-        throw std::runtime_error("the platform stand-in took no contract of " + customer);
+        throw std::runtime_error("the platform stand-in took no contract of " + organisation);
     }
 }
 
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -62,8 +62,8 @@
     mesh& operator=(const mesh&) = delete;
 
     // Writes a contract into the platform's store.
-    void putContract(const std::string& customer, const std::string& text) { putContractAt(m_platform, customer, text); }
-    static void putContractAt(const stand_in& platform, const std::string& customer, const std::string& text);
+    void putContract(const std::string& organisation, const std::string& text) { putContractAt(m_platform, organisation, text); }
+    static void putContractAt(const stand_in& platform, const std::string& organisation, const std::string& text);
 
     // Names a further endpoint of the platform to nodes that are added later.
     void addEndpoint(const std::string& address);
--- a/Tests/Measure/mesh_plan.cpp
+++ b/Tests/Measure/mesh_plan.cpp
@@ -26,7 +26,7 @@
 {
     const std::vector<std::string> zones { "cyberjaya", "shah-alam", "bangsar" };
     mesh_plan plan;
-    plan.customer = "hotel-seri";
+    plan.organisation = "hotel-seri";
     plan.scale = scaleToOneMachine;
     plan.deepService = "notices";
     plan.services = {
@@ -48,7 +48,7 @@
 {
     const std::vector<std::string> three { "athlone", "tullamore", "mullingar" };
     mesh_plan plan;
-    plan.customer = "corrib-hire";
+    plan.organisation = "corrib-hire";
     plan.scale = scaleToOneMachine;
     plan.deepService = "transport";
     plan.services = {
@@ -81,7 +81,7 @@
 std::string contractText(const mesh_plan& plan)
 {
     std::ostringstream text;
-    text << "customer = \"" << plan.customer << "\"\nshare = 1.0\n";
+    text << "customer = \"" << plan.organisation << "\"\nshare = 1.0\n";
     for (const auto& request : plan.requests) {
         text << "[[class]]\nname = \"" << request.name << "\"\nservice = \"" << request.service << "\"\nmethod = \"" << request.method
              << "\"\npath = \"" << request.path << "\"\nidempotent = " << (request.idempotent ? "true" : "false")
@@ -96,7 +96,7 @@
     std::ostringstream mix;
     for (const auto& request : plan.requests) {
         mix << (mix.tellp() > 0 ? ";" : "") << "name=" << request.name << ",method=" << request.method << ",path=/" << request.service << request.path
-            << ",customer=" << plan.customer << ",weight=" << request.weight << ",keyed=" << (request.idempotent ? 0 : 1)
+            << ",customer=" << plan.organisation << ",weight=" << request.weight << ",keyed=" << (request.idempotent ? 0 : 1)
             << ",timeout_ms=" << request.deadline.count() << ",tree=" << request.treeSize;
     }
     return mix.str();
--- a/Tests/Measure/mesh_plan.h
+++ b/Tests/Measure/mesh_plan.h
@@ -35,7 +35,7 @@
 
 // One of the two meshes of the brief.
 struct mesh_plan {
-    std::string customer;
+    std::string organisation;
     std::vector<service_plan> services;
     std::vector<request_plan> requests;
     // The deep service that scenarios slow down, and that bounds the whole.
@@ -52,7 +52,7 @@
 // Requests a second that the deep service's slots carry.
 double nominalCapacity(const mesh_plan&);
 
-// The customer's contract in TOML.
+// The organisation's contract in TOML.
 std::string contractText(const mesh_plan&);
 
 // The option --mix of the load stand-in.
--- a/Tests/Measure/scenario.cpp
+++ b/Tests/Measure/scenario.cpp
@@ -69,7 +69,7 @@
         scenario_mesh(const mesh_plan& plan, const std::string& policy)
             : m_plan(plan)
         {
-            m_mesh.putContract(plan.customer, contractText(plan));
+            m_mesh.putContract(plan.organisation, contractText(plan));
             for (const auto& service : plan.services) {
                 addServers(service, policy);
             }
@@ -140,7 +140,7 @@
         void waitUntilServing()
         {
             const auto& first = m_plan.requests.front();
-            http_fields fields { { "Vanillashunt-Customer", m_plan.customer }, { "X-Nonce", "warm-up" } };
+            http_fields fields { { "Vanillashunt-Customer", m_plan.organisation }, { "X-Nonce", "warm-up" } };
             if (!m_mesh.waitUntilServing("/" + first.service + first.path, fields)) {
                 throw std::runtime_error("the mesh does not serve " + first.name);
             }
--- a/Tests/MetricsPage/metrics_page_test.cpp
+++ b/Tests/MetricsPage/metrics_page_test.cpp
@@ -68,7 +68,7 @@
 TEST(MetricsPage, HasEveryMetricAndNoOther)
 {
     node_metrics metrics({});
-    metrics.observe(finished({}, verdict::notRun(verdict_reason::UnknownCustomer), 0));
+    metrics.observe(finished({}, verdict::notRun(verdict_reason::UnknownOrganisation), 0));
     EXPECT_EQ(inTheText(metrics.text()), onThePage());
 }
 
--- a/Tests/OrganisationKeys/keys_at_entry_test.cpp
+++ b/Tests/OrganisationKeys/keys_at_entry_test.cpp
@@ -91,9 +91,9 @@
     EXPECT_EQ(world.arrive("/read/1", "key-old"), 0U);
     EXPECT_EQ(world.arrive("/read/1", "key-first"), 0U);
     ASSERT_EQ(world.sent.size(), 3U);
-    EXPECT_EQ(world.sent[0].context.customer, "large");
-    EXPECT_EQ(world.sent[1].context.customer, "large");
-    EXPECT_EQ(world.sent[2].context.customer, "first");
+    EXPECT_EQ(world.sent[0].context.organisation, "large");
+    EXPECT_EQ(world.sent[1].context.organisation, "large");
+    EXPECT_EQ(world.sent[2].context.organisation, "first");
 }
 
 TEST(OrganisationKeys, ThatNobodyHasAreRefused)
@@ -119,7 +119,7 @@
     world.configuration->asksForKeys = false;
     world.configure();
     EXPECT_EQ(world.arrive("/read/1", std::nullopt), 0U);
-    EXPECT_EQ(world.sent.at(0).context.customer, "");
+    EXPECT_EQ(world.sent.at(0).context.organisation, "");
 }
 
 TEST(OrganisationKeys, AreNotNeededOnPublicRoutes)
@@ -129,9 +129,9 @@
     EXPECT_EQ(world.arrive("/open/1", std::nullopt), 0U);
     EXPECT_EQ(world.arrive("/open/1", "key-other"), 0U);
     EXPECT_EQ(world.arrive("/open/1", "key-first"), 0U);
-    EXPECT_EQ(world.sent.at(0).context.customer, "");
-    EXPECT_EQ(world.sent.at(1).context.customer, "");
-    EXPECT_EQ(world.sent.at(2).context.customer, "first");
+    EXPECT_EQ(world.sent.at(0).context.organisation, "");
+    EXPECT_EQ(world.sent.at(1).context.organisation, "");
+    EXPECT_EQ(world.sent.at(2).context.organisation, "first");
 }
 
 TEST(OrganisationKeys, GoAndComeWithTheVersion)
@@ -155,11 +155,11 @@
     keyed_world world;
     world.configure();
     request_context parent;
-    parent.customer = "first";
+    parent.organisation = "first";
     parent.position = 9000;
     world.running = parent_run { 5, parent };
     EXPECT_EQ(world.arrive("/read/1", std::nullopt, "r1.1", "r1"), 0U);
-    EXPECT_EQ(world.sent.at(0).context.customer, "first");
+    EXPECT_EQ(world.sent.at(0).context.organisation, "first");
     EXPECT_EQ(world.sent.at(0).context.position, 9000U);
 }
 
@@ -187,11 +187,11 @@
     keyed_world world;
     world.configure();
     request_context parent;
-    parent.customer = "first";
+    parent.organisation = "first";
     parent.position = 12000;
     world.running = parent_run { 5, parent };
     EXPECT_EQ(world.arrive("/read/1", "key-large", "r1.1", "r1"), 0U);
-    EXPECT_EQ(world.sent.at(0).context.customer, "large");
+    EXPECT_EQ(world.sent.at(0).context.organisation, "large");
     EXPECT_LT(world.sent.at(0).context.position, 12000U);
     EXPECT_EQ(world.sent.at(0).context.depth, 0U);
 }
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -44,7 +44,7 @@
         call_request request;
         request.callId = 7;
         request.context.requestId = "0123456789abcdef";
-        request.context.customer = "hotel-seri";
+        request.context.organisation = "hotel-seri";
         request.context.level = importance::Confirmed;
         request.permit = ticket { 1, std::chrono::milliseconds(2), 3, 4, true };
         request.service = "desk";
--- a/Tests/StandIn/backend_stand_in.cpp
+++ b/Tests/StandIn/backend_stand_in.cpp
@@ -194,7 +194,7 @@
     record.nonce = std::string(request["X-Nonce"]);
     record.idempotencyKey = std::string(request["Idempotency-Key"]);
     record.attempt = std::string(request["Vanillashunt-Attempt"]);
-    record.customer = std::string(request["Vanillashunt-Customer"]);
+    record.organisation = std::string(request["Vanillashunt-Customer"]);
     record.method = std::string(request.method_string());
     record.path = path;
     record.start = std::chrono::system_clock::now();
--- a/Tests/StandIn/load_request.cpp
+++ b/Tests/StandIn/load_request.cpp
@@ -60,7 +60,7 @@
     object["nonce"] = result.nonce;
     object["key"] = result.key;
     object["name"] = result.kind->name;
-    object["customer"] = result.kind->customer;
+    object["customer"] = result.kind->organisation;
     object["at_ms"] = toMilliseconds(result.sent);
     object["latency_ms"] = toMilliseconds(result.latency);
     object["attempts"] = static_cast<Json::UInt64>(result.attempts);
@@ -104,7 +104,7 @@
     request.set("X-Nonce", m_result.nonce);
     request.set("Vanillashunt-Timeout", std::to_string(timeout.count()) + "ms");
     request.set("Vanillashunt-Attempt", std::to_string(m_result.attempts));
-    setUnlessEmpty(request, "Vanillashunt-Customer", m_kind.customer);
+    setUnlessEmpty(request, "Vanillashunt-Customer", m_kind.organisation);
     setUnlessEmpty(request, "Idempotency-Key", m_result.key);
     setUnlessEmpty(request, "Vanillashunt-Context", m_context);
     setUnlessEmpty(request, "Vanillashunt-Ticket", m_ticket);
--- a/Tests/StandIn/load_settings.cpp
+++ b/Tests/StandIn/load_settings.cpp
@@ -21,7 +21,7 @@
             { "name", [&](const std::string& value) { kind.name = value; } },
             { "method", [&](const std::string& value) { kind.method = value; } },
             { "path", [&](const std::string& value) { kind.path = value; } },
-            { "customer", [&](const std::string& value) { kind.customer = value; } },
+            { "customer", [&](const std::string& value) { kind.organisation = value; } },
             { "weight", [&](const std::string& value) { kind.weight = std::stod(value); } },
             { "keyed", [&](const std::string& value) { kind.keyed = value != "0"; } },
             { "timeout_ms", [&](const std::string& value) { kind.timeout = parseMilliseconds(value); } },
--- a/Tests/StandIn/load_settings.h
+++ b/Tests/StandIn/load_settings.h
@@ -14,7 +14,7 @@
     std::string name;
     std::string method = "GET";
     std::string path;
-    std::string customer;
+    std::string organisation;
     double weight = 1;
     // Whether each request has an Idempotency-Key.
     bool keyed = false;
--- a/Tests/StandIn/run_log.cpp
+++ b/Tests/StandIn/run_log.cpp
@@ -20,7 +20,7 @@
         object["nonce"] = run.nonce;
         object["key"] = run.idempotencyKey;
         object["attempt"] = run.attempt;
-        object["customer"] = run.customer;
+        object["customer"] = run.organisation;
         object["method"] = run.method;
         object["path"] = run.path;
         object["start_ms"] = toMilliseconds(run.start);
--- a/Tests/StandIn/run_log.h
+++ b/Tests/StandIn/run_log.h
@@ -16,7 +16,7 @@
     std::string nonce;
     std::string idempotencyKey;
     std::string attempt;
-    std::string customer;
+    std::string organisation;
     std::string method;
     std::string path;
     std::chrono::system_clock::time_point start;
