Log what the store's client notices where the node is put together

The test EventCatalogue reads Source/ and found the two events of the store's era in no place there: platform/ had logged them itself, which only translates. It tells them by hooks now. With it what the linter found: an unused constant, three lists grown one by one.

--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -81,6 +81,7 @@
         void logStop(std::chrono::steady_clock::time_point now);
         void endActors();
         routed_call_hooks callHooks();
+        key_value_store_hooks storeHooks();
         route_watch_hooks routeHooks();
         poison_share_hooks poisonHooks();
         pipeline_server_hooks serverHooks();
@@ -170,11 +171,7 @@
         m_config.set("scheduler.max-threads", 1);
         m_system = std::make_unique<caf::actor_system>(m_config);
         m_host = std::make_unique<actor_host>(*m_system, m_context);
-        m_store.whenReturned([this] {
-            m_routes.storeReturned();
-            m_poison.storeReturned();
-            m_membership->storeReturned();
-        });
+        m_store.setHooks(storeHooks());
         m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.joinAddresses, membershipHooks());
         m_clients = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
         m_reports = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
@@ -216,6 +213,19 @@
         return hooks;
     }
 
+    key_value_store_hooks routed_process::storeHooks()
+    {
+        key_value_store_hooks hooks;
+        hooks.returned = [this](std::int64_t era, std::int64_t before) {
+            logEvent(events::storeReturned, { { "era", std::to_string(era) }, { "before", std::to_string(before) } });
+            m_routes.storeReturned();
+            m_poison.storeReturned();
+            m_membership->storeReturned();
+        };
+        hooks.eraUnreadable = [](std::size_t bytes) { logEvent(events::storeEraUnreadable, { { "bytes", std::to_string(bytes) } }); };
+        return hooks;
+    }
+
     route_watch_hooks routed_process::routeHooks()
     {
         route_watch_hooks hooks;
--- a/Source/quota/quota_account.cpp
+++ b/Source/quota/quota_account.cpp
@@ -13,7 +13,6 @@
     constexpr milliseconds askTimeout { 60 };
 
     // Between two asks while the pool has nothing: other zones may have lent it some.
-    constexpr milliseconds shortestAskPause { 15 };
     constexpr milliseconds longestAskPause { 40 };
 
     // Advice where the pool said nothing: another node's pool is found by then.
--- a/Tests/QuotaHolds/quota_holds_test.cpp
+++ b/Tests/QuotaHolds/quota_holds_test.cpp
@@ -36,6 +36,7 @@
         void demand(double times, const std::vector<std::size_t>& nodes)
         {
             std::vector<quota_demand> all;
+            all.reserve(nodes.size());
             for (auto node : nodes) {
                 all.push_back({ node, "guests", times * quota.ratePerSecond / static_cast<double>(nodes.size()) });
             }
@@ -59,6 +60,7 @@
     std::vector<std::size_t> everyNode(const quota_fleet& fleet)
     {
         std::vector<std::size_t> nodes;
+        nodes.reserve(fleet.size());
         for (std::size_t node = 0; node < fleet.size(); ++node) {
             nodes.push_back(node);
         }
@@ -191,6 +193,7 @@
     fleet.setQuota("guests", quota);
     fleet.spreadMembers(false);
     std::vector<quota_demand> demand;
+    demand.reserve(fleet.size());
     for (auto node : everyNode(fleet)) {
         demand.push_back({ node, "guests", 6 * quota.ratePerSecond / static_cast<double>(fleet.size()) });
     }
--- a/Tests/StoreGoesBack/store_goes_back_test.cpp
+++ b/Tests/StoreGoesBack/store_goes_back_test.cpp
@@ -23,7 +23,7 @@
         explicit calling_store(const platform_world& world)
             : m_store(m_loop.context, world.storeAddress(), {})
         {
-            m_store.whenReturned([this] { ++m_returned; });
+            m_store.setHooks({ [this](std::int64_t, std::int64_t) { ++m_returned; }, [this](std::size_t) { ++m_unreadable; } });
         }
 
         store_result<store_range> get(const std::string& key)
@@ -41,9 +41,11 @@
         }
 
         int returned() const { return m_returned; }
+        int unreadable() const { return m_unreadable; }
 
     private:
         std::atomic<int> m_returned { 0 };
+        std::atomic<int> m_unreadable { 0 };
         context_thread m_loop;
         key_value_store m_store;
     };
@@ -111,6 +113,7 @@
         EXPECT_FALSE(hasFailed(store.get("mine"))) << text;
     }
     EXPECT_EQ(store.returned(), 0);
+    EXPECT_EQ(store.unreadable(), 1);
     world.setEraText("3");
     EXPECT_FALSE(hasFailed(store.get("mine")));
     world.setEraText("2");
@@ -133,7 +136,7 @@
     hooks.chance = [](std::uint64_t bound) { return bound / 2; };
     hooks.wallNow = [] { return std::chrono::system_clock::now(); };
     poison_share share(loop.context, store, peers, 1, "a", hooks);
-    store.whenReturned([&] { share.storeReturned(); });
+    store.setHooks({ [&](std::int64_t, std::int64_t) { share.storeReturned(); }, {} });
     auto storedEnds = [&]() -> std::size_t {
         auto document = parsePoisonDocument(world.valueOf(key));
         return document && !document->records.empty() ? document->records[0].ends.size() : 0;
