--- a/Source/command/explain_command.cpp
+++ b/Source/command/explain_command.cpp
@@ -53,22 +53,14 @@
     exit_code run(const command& self, const command_arguments& arguments)
     {
         node_options options;
-        auto accepted = optionsOf(options);
-        accepted.push_back(allOption(options));
-        auto read = readCommandLine(self, arguments, accepted);
+        auto read = readSubjectAndNodes(self, arguments, "name a request by its id", options);
         if (auto* ended = std::get_if<exit_code>(&read)) {
             return *ended;
         }
-        const auto& words = std::get<std::vector<std::string>>(read);
-        if (words.empty()) {
-            return reportUsage(self, "name a request by its id");
-        }
-        if (auto problem = takeNodes(self, { words.begin() + 1, words.end() }, options)) {
-            return *problem;
-        }
+        const auto& subject = std::get<std::string>(read);
         auto code = addMembers(self, options);
         Json::Value parameters;
-        parameters["request_id"] = words.front();
+        parameters["request_id"] = subject;
         auto found = askNodes(self, options, "explain", parameters);
         code = std::max(code, found.code);
         auto& answers = found.answers;
@@ -78,7 +70,7 @@
             return code;
         }
         if (code == exit_code::Ok) {
-            reportError(self, "no node asked remembers request '" + words.front() + "'; ask the node that it entered at, or all with --all");
+            reportError(self, "no node asked remembers request '" + subject + "'; ask the node that it entered at, or all with --all");
         }
         return std::max(code, exit_code::Unknown);
     }
--- a/Source/command/node_options.cpp
+++ b/Source/command/node_options.cpp
@@ -79,4 +79,22 @@
     return std::nullopt;
 }
 
+std::variant<exit_code, std::string> readSubjectAndNodes(const command& self, const command_arguments& arguments, const std::string& missing, node_options& options)
+{
+    auto accepted = optionsOf(options);
+    accepted.push_back(allOption(options));
+    auto read = readCommandLine(self, arguments, accepted);
+    if (auto* ended = std::get_if<exit_code>(&read)) {
+        return *ended;
+    }
+    const auto& words = std::get<std::vector<std::string>>(read);
+    if (words.empty()) {
+        return reportUsage(self, missing);
+    }
+    if (auto problem = takeNodes(self, { words.begin() + 1, words.end() }, options)) {
+        return *problem;
+    }
+    return words.front();
+}
+
 }
--- a/Source/command/node_options.h
+++ b/Source/command/node_options.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace vanillashunt {
@@ -28,6 +29,10 @@
 // Returns how the command ends where they are wrong, or ask for help.
 std::optional<exit_code> readNodeOptions(const command&, const command_arguments&, node_options&);
 
+// The same for a command whose first word names what it asks about: returns that word. The
+// message says what to name where there is none.
+std::variant<exit_code, std::string> readSubjectAndNodes(const command&, const command_arguments&, const std::string& missing, node_options&);
+
 // Takes words that are no options as further nodes; reports one that is no address.
 std::optional<exit_code> takeNodes(const command&, const std::vector<std::string>& words, node_options&);
 
--- a/Source/command/quota_command.cpp
+++ b/Source/command/quota_command.cpp
@@ -48,29 +48,21 @@
     exit_code run(const command& self, const command_arguments& arguments)
     {
         node_options options;
-        auto accepted = optionsOf(options);
-        accepted.push_back(allOption(options));
-        auto read = readCommandLine(self, arguments, accepted);
+        auto read = readSubjectAndNodes(self, arguments, "name an organisation", options);
         if (auto* ended = std::get_if<exit_code>(&read)) {
             return *ended;
         }
-        const auto& words = std::get<std::vector<std::string>>(read);
-        if (words.empty()) {
-            return reportUsage(self, "name an organisation");
-        }
-        if (auto problem = takeNodes(self, { words.begin() + 1, words.end() }, options)) {
-            return *problem;
-        }
+        const auto& subject = std::get<std::string>(read);
         auto code = addMembers(self, options);
         Json::Value parameters;
-        parameters["organisation"] = words.front();
+        parameters["organisation"] = subject;
         auto found = askNodes(self, options, "quota", parameters);
         code = std::max(code, found.code);
         auto& answers = found.answers;
         auto isUnknown = [](const node_answer& answer) { return !answer.result["known"].asBool(); };
         answers.erase(std::remove_if(answers.begin(), answers.end(), isUnknown), answers.end());
         if (answers.empty()) {
-            reportError(self, "no node asked has a limit for organisation '" + words.front() + "'; see its name in the operator's configuration");
+            reportError(self, "no node asked has a limit for organisation '" + subject + "'; see its name in the operator's configuration");
             return std::max(code, exit_code::Unknown);
         }
         if (options.json) {
--- a/Source/peer/gossip_codec.cpp
+++ b/Source/peer/gossip_codec.cpp
@@ -1,20 +1,17 @@
 #include "peer/gossip_codec.h"
 
+#include "peer/datagram_seal.h"
+
 #include <caf/binary_deserializer.hpp>
 #include <caf/binary_serializer.hpp>
 #include <caf/meta/type_name.hpp>
 
-#include <boost/endian/conversion.hpp>
-#include <xxhash.h>
-
 namespace vanillashunt {
 
 namespace {
 
     // "VSG2", little-endian; the digit is the version of the format.
     constexpr std::uint32_t magic = 0x32475356;
-    constexpr std::size_t checksumOffset = 4;
-    constexpr std::size_t headBytes = 12;
     // Bounds what a datagram can make this node allocate.
     constexpr std::size_t mostElements = 1000;
     constexpr std::int64_t longestUptimeMilliseconds = 1000LL * 60 * 60 * 24 * 3650;
@@ -129,30 +126,25 @@
 
 std::vector<char> encodeGossip(const gossip_message& message)
 {
-    std::vector<char> bytes(headBytes);
+    std::vector<char> bytes(datagramHeadBytes);
     caf::binary_serializer sink(nullptr, bytes);
-    sink.seek(headBytes);
+    sink.seek(datagramHeadBytes);
     auto copy = message;
     auto kind = static_cast<std::uint8_t>(message.kind);
     if (!inspectHeader(sink, copy, kind) || !inspectBody(sink, copy) || !writeLists(sink, message)) {
         return {};
     }
-    auto* raw = reinterpret_cast<unsigned char*>(bytes.data());
-    boost::endian::store_little_u32(raw, magic);
-    boost::endian::store_little_u64(raw + checksumOffset, XXH3_64bits(raw + headBytes, bytes.size() - headBytes));
+    sealDatagram(bytes, magic);
     return bytes;
 }
 
 std::optional<gossip_message> decodeGossip(const char* bytes, std::size_t size)
 {
-    const auto* raw = reinterpret_cast<const unsigned char*>(bytes);
-    if (size < headBytes || boost::endian::load_little_u32(raw) != magic) {
-        return std::nullopt;
-    }
-    if (boost::endian::load_little_u64(raw + checksumOffset) != XXH3_64bits(raw + headBytes, size - headBytes)) {
+    auto payload = openDatagram({ bytes, size }, magic);
+    if (!payload) {
         return std::nullopt;
     }
-    caf::binary_deserializer source(nullptr, bytes + headBytes, size - headBytes);
+    caf::binary_deserializer source(nullptr, payload->data(), payload->size());
     gossip_message message;
     std::uint8_t kind = 0;
     if (!inspectHeader(source, message, kind) || kind == 0 || kind >= gossipKindCount) {
--- a/Source/peer/quota_codec.cpp
+++ b/Source/peer/quota_codec.cpp
@@ -1,11 +1,10 @@
 #include "peer/quota_codec.h"
 
+#include "peer/datagram_seal.h"
+
 #include <caf/binary_deserializer.hpp>
 #include <caf/binary_serializer.hpp>
 
-#include <boost/endian/conversion.hpp>
-#include <xxhash.h>
-
 #include <cmath>
 
 namespace vanillashunt {
@@ -14,8 +13,6 @@
 
     // "VSQ1", little-endian; the digit is the version of the format.
     constexpr std::uint32_t magic = 0x31515356;
-    constexpr std::size_t checksumOffset = 4;
-    constexpr std::size_t headBytes = 12;
     constexpr std::size_t longestDatagram = 1400;
 
     // No node gives away more time than this, and nobody is told to wait for longer.
@@ -72,31 +69,26 @@
 
 std::vector<char> encodeQuota(const quota_message& message)
 {
-    std::vector<char> bytes(headBytes);
+    std::vector<char> bytes(datagramHeadBytes);
     caf::binary_serializer sink(nullptr, bytes);
-    sink.seek(headBytes);
+    sink.seek(datagramHeadBytes);
     auto kind = static_cast<std::uint8_t>(message.kind);
     double time = message.accrual.time.count();
     bool isWritten = !sink(kind, message.senderId, message.sequence, message.accrual.share, time, message.isFromPool) && writeEntries(sink, message);
     if (!isWritten || bytes.size() > longestDatagram) {
         return {};
     }
-    auto* raw = reinterpret_cast<unsigned char*>(bytes.data());
-    boost::endian::store_little_u32(raw, magic);
-    boost::endian::store_little_u64(raw + checksumOffset, XXH3_64bits(raw + headBytes, bytes.size() - headBytes));
+    sealDatagram(bytes, magic);
     return bytes;
 }
 
 std::optional<quota_message> decodeQuota(const char* bytes, std::size_t size)
 {
-    const auto* raw = reinterpret_cast<const unsigned char*>(bytes);
-    if (size < headBytes || boost::endian::load_little_u32(raw) != magic) {
-        return std::nullopt;
-    }
-    if (boost::endian::load_little_u64(raw + checksumOffset) != XXH3_64bits(raw + headBytes, size - headBytes)) {
+    auto payload = openDatagram({ bytes, size }, magic);
+    if (!payload) {
         return std::nullopt;
     }
-    caf::binary_deserializer source(nullptr, bytes + headBytes, size - headBytes);
+    caf::binary_deserializer source(nullptr, payload->data(), payload->size());
     quota_message message;
     std::uint8_t kind = 0;
     double time = 0;
