Count what is recent in one place, and drop what nothing reads

Found in a last reading of the change: recent_admissions wrote the parts of a sliding window again that retry_allowance had; recent_count serves both. zone_census kept ids that nobody read; takeQuota checked what the returned 0 says already; a comment had the users' word for reachability.

--- a/Source/decision/retry_allowance.cpp
+++ b/Source/decision/retry_allowance.cpp
@@ -1,7 +1,6 @@
 #include "decision/retry_allowance.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace vanillashunt {
 
@@ -33,25 +32,14 @@
     m_nodes = std::max<std::size_t>(1, nodes);
 }
 
-retry_allowance::service_window& retry_allowance::windowOf(const std::string& service, time_point now)
+retry_allowance::service_window& retry_allowance::windowOf(const std::string& service)
 {
-    auto bucketLength = m_settings.window / static_cast<int>(bucketCount);
-    auto number = static_cast<std::int64_t>(now.time_since_epoch() / bucketLength);
-    auto& window = m_windows[service];
-    auto passed = std::min<std::int64_t>(number - window.newest, bucketCount);
-    for (std::int64_t i = 1; i <= passed; ++i) {
-        auto cleared = static_cast<std::size_t>((number - passed + i) % static_cast<std::int64_t>(bucketCount));
-        window.requests.at(cleared) = 0;
-        window.repeats.at(cleared) = 0;
-    }
-    window.newest = number;
-    return window;
+    return m_windows.try_emplace(service, service_window { recent_count(m_settings.window), recent_count(m_settings.window) }).first->second;
 }
 
 void retry_allowance::requested(const std::string& service, time_point now)
 {
-    auto& window = windowOf(service, now);
-    ++window.requests.at(static_cast<std::size_t>(window.newest) % bucketCount);
+    windowOf(service).requests.add(now);
 }
 
 double retry_allowance::ownSlack(time_point now) const
@@ -64,14 +52,12 @@
 
 bool retry_allowance::take(const std::string& service, time_point now)
 {
-    auto& window = windowOf(service, now);
-    auto requests = std::accumulate(window.requests.begin(), window.requests.end(), 0U);
-    auto repeats = std::accumulate(window.repeats.begin(), window.repeats.end(), 0U);
-    auto most = spentPartOfRatio * m_settings.ratio * requests + ownSlack(now);
-    if (repeats + 1 > most) {
+    auto& window = windowOf(service);
+    auto most = spentPartOfRatio * m_settings.ratio * window.requests.sum(now) + ownSlack(now);
+    if (window.repeats.sum(now) + 1 > most) {
         return false;
     }
-    ++window.repeats.at(static_cast<std::size_t>(window.newest) % bucketCount);
+    window.repeats.add(now);
     return true;
 }
 
--- a/Source/decision/retry_allowance.h
+++ b/Source/decision/retry_allowance.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <array>
+#include "decision/recent_count.h"
+
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -38,17 +38,12 @@
     bool take(const std::string& service, time_point now);
 
 private:
-    static constexpr std::size_t bucketCount = 20;
-
-    // Both sums are of the window that ends now.
     struct service_window {
-        std::array<std::uint32_t, bucketCount> requests {};
-        std::array<std::uint32_t, bucketCount> repeats {};
-        // Number of the newest bucket since the clock began.
-        std::int64_t newest = 0;
+        recent_count requests;
+        recent_count repeats;
     };
 
-    service_window& windowOf(const std::string& service, time_point now);
+    service_window& windowOf(const std::string& service);
 
     double ownSlack(time_point now) const;
 
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -192,7 +192,7 @@
     auto wait = m_hooks.takeQuota(
         request, [this, callId](quota_refusal refusal, time_point decided) { quotaDecided(callId, refusal, decided); }, now);
     auto found = m_calls.find(callId);
-    if (found != m_calls.end() && !found->second.hasQuota) {
+    if (found != m_calls.end()) {
         found->second.quotaWait = wait;
     }
 }
--- a/Source/quota/quota_exchange.h
+++ b/Source/quota/quota_exchange.h
@@ -18,7 +18,7 @@
 struct quota_settings {
     std::uint64_t selfId = 0;
     std::string availabilityZone;
-    // Zones that share every limit evenly, in touch or not.
+    // Zones that share every limit evenly, whether they reach each other or not.
     std::size_t zones = 1;
     quota_tolerance tolerance;
 };
--- a/Source/quota/quota_pool.h
+++ b/Source/quota/quota_pool.h
@@ -77,8 +77,7 @@
     void borrowed(const quota_grant&, time_point now);
 
     // What was asked for in vain lately, and other zones may have; of each organisation now
-    // and then only.
-    // Each of the other zones is to be asked for its part of what fits in here.
+    // and then only. The counts are what each of the other zones is to be asked for.
     std::vector<quota_ask> shortages(std::size_t otherZones, time_point now);
 
     // What there is of an organisation's now.
--- a/Source/quota/recent_admissions.h
+++ b/Source/quota/recent_admissions.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <array>
+#include "decision/recent_count.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -25,18 +26,7 @@
     void forgetIdle(time_point now);
 
 private:
-    static constexpr std::size_t parts = 10;
-
-    struct entry {
-        std::array<std::uint32_t, parts> counts {};
-        // Number of the newest part since the clock began.
-        std::int64_t newest = 0;
-    };
-
-    static std::int64_t partAt(time_point);
-    static std::uint32_t sum(const entry&, std::int64_t part);
-
-    std::unordered_map<std::string, entry> m_entries;
+    std::unordered_map<std::string, recent_count> m_entries;
 };
 
 }
--- a/Source/quota/zone_census.cpp
+++ b/Source/quota/zone_census.cpp
@@ -39,7 +39,7 @@
         if (isNew) {
             m_lastGrown = now;
         }
-        known->second = { each->id, each->state, std::nullopt };
+        known->second = { each->state, std::nullopt };
     }
     for (auto known = m_places.begin(); known != m_places.end();) {
         auto& [name, entry] = *known;
--- a/Source/quota/zone_census.h
+++ b/Source/quota/zone_census.h
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,9 +29,8 @@
     std::optional<std::size_t> count(time_point now) const;
 
 private:
-    // A name and who goes by it.
+    // What is known of whoever goes by a name.
     struct place {
-        std::uint64_t memberId = 0;
         member_state state = member_state::Alive;
         // Since when nobody does; nothing while somebody does.
         std::optional<time_point> vacant;
