Hand over the tickets of a home that leaves

Now the home mints one successor for another home and names it in each refusal; the entry follows it within the call.

Ruled out: a swap of the claim in the store (needs the store in every stop), and new work at a home that leaves.

--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -3,9 +3,11 @@
 #include "call/http_field.h"
 #include "decision/cost_order.h"
 #include "decision/shedding_position.h"
+#include "decision/ticket.h"
 #include "decision/verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace vanillashunt {
@@ -22,6 +24,9 @@
     std::string body;
     // The use of the request's ticket that can be claimed next, after a refusal.
     std::uint32_t nextUse = 0;
+    // The ticket that stands for the request's one from now on, after a refusal by a home that
+    // can run nothing more.
+    std::optional<ticket> successor;
     // What is left of the retry tokens that the request carried.
     std::uint32_t retryTokens = 0;
     // The highest cut on the call chain below, so that the entrance can refuse
--- a/Source/decision/call_progress.cpp
+++ b/Source/decision/call_progress.cpp
@@ -61,6 +61,11 @@
     bool neverSent = result.outcome.reason == verdict_reason::PeerUnreachable;
     m_tokens += neverSent ? m_tokensSent : std::min(result.tokens, m_tokensSent);
     m_tokensSent = 0;
+    bool othersHoldIt = m_origin == permit_origin::Brought || result.outcome.run == execution::MayHaveRun;
+    if (result.successor && m_permit && othersHoldIt) {
+        handedOver(result);
+        return;
+    }
     if (result.outcome.run == execution::MayHaveRun) {
         m_attemptMayHaveRun = true;
         return;
@@ -89,12 +94,29 @@
     }
     m_earlierMayHaveRun = false;
     m_permit->use = result.nextUse;
-    if (result.outcome.reason == verdict_reason::TicketNeeded && !m_useRepeated) {
-        m_repeatsUse = true;
-        m_useRepeated = true;
+    if (result.outcome.reason == verdict_reason::TicketNeeded) {
+        repeatUse();
     }
 }
 
+// The ticket ran nowhere, and never will; another try may have used the successor before, of
+// which only the successor's home can tell.
+void call_progress::handedOver(const attempt_result& result)
+{
+    m_earlierMayHaveRun = false;
+    m_attemptMayHaveRun = result.outcome.run == execution::MayHaveRun;
+    m_permit = result.successor;
+    m_origin = permit_origin::Brought;
+    repeatUse();
+}
+
+// Once for each call, so that homes which all leave do not send it round for ever.
+void call_progress::repeatUse()
+{
+    m_repeatsUse = !m_useRepeated;
+    m_useRepeated = true;
+}
+
 void call_progress::abandoned()
 {
     m_attemptMayHaveRun = true;
--- a/Source/decision/call_progress.h
+++ b/Source/decision/call_progress.h
@@ -34,6 +34,8 @@
     // Whether the call's shedding position is below the cut that came back: then
     // every other server sheds it too.
     bool belowCut = false;
+    // Stands for the ticket from now on: its home can run nothing more, and handed it over.
+    std::optional<ticket> successor = std::nullopt;
 };
 
 // How a call's attempts may follow each other, and what may be said of the
@@ -68,8 +70,8 @@
 
     // Whether another attempt may follow the last one; retry() spends its token.
     bool mayRetry(std::chrono::steady_clock::time_point deadline, std::chrono::steady_clock::time_point now) const;
-    // Whether the next attempt only tells the home the ticket's next use, which
-    // is no retry of work: the home answered that it did nothing.
+    // Whether the next attempt only tells the home the ticket's next use, or goes to the home
+    // of its successor, which is no retry of work: the home answered that it did nothing.
     bool repeatsUse() const { return m_repeatsUse; }
     void retry();
 
@@ -81,6 +83,8 @@
 
 private:
     void refused(const attempt_result&);
+    void handedOver(const attempt_result&);
+    void repeatUse();
 
     bool m_idempotent = true;
     bool m_earlierMayHaveRun = false;
--- a/Source/decision/once_ledger.cpp
+++ b/Source/decision/once_ledger.cpp
@@ -30,7 +30,13 @@
     auto& known = found->second;
     // The same nonce with a later time must not be forgotten before that time.
     known.validUntil = std::max(known.validUntil, permit.validUntil);
-    if (known.state != ledger_finding::Superseded || permit.use < known.leastUse) {
+    if (known.state != ledger_finding::Superseded) {
+        return known.state;
+    }
+    if (permit.use < known.leastUse) {
+        // The caller is told that nothing has run or will: that has to hold for an attempt with
+        // the later use, too, that may be on its way.
+        refused(permit.nonce);
         return known.state;
     }
     known.state = ledger_finding::Running;
@@ -60,6 +66,22 @@
     }
 }
 
+void once_ledger::handOver(std::uint64_t nonce, const ticket& successor)
+{
+    m_entries.at(nonce).state = ledger_finding::HandedOver;
+    if (m_rules.oneSuccessor) {
+        m_successors.emplace(nonce, successor);
+    } else {
+        m_successors.insert_or_assign(nonce, successor);
+    }
+}
+
+const ticket* once_ledger::successor(std::uint64_t nonce) const
+{
+    auto found = m_successors.find(nonce);
+    return found == m_successors.end() ? nullptr : &found->second;
+}
+
 std::uint32_t once_ledger::nextUse(std::uint64_t nonce) const
 {
     auto found = m_entries.find(nonce);
@@ -77,6 +99,7 @@
             continue;
         }
         forgotten.push_back(position->first);
+        m_successors.erase(position->first);
         position = m_entries.erase(position);
     }
     return forgotten;
--- a/Source/decision/once_ledger.h
+++ b/Source/decision/once_ledger.h
@@ -17,6 +17,7 @@
     Ran, // An earlier attempt ran to its end.
     Lost, // An earlier attempt may have run, and its answer never came.
     Superseded, // This use was refused before; the ticket has a later one now.
+    HandedOver, // It never runs here: another ticket, of another home, stands for it.
     Foreign, // The ticket names another incarnation, so nobody here can know.
     Expired, // Too old to be remembered, so nobody can know.
 };
@@ -30,6 +31,8 @@
     bool foreignNeverRuns = true;
     // A ticket is remembered after its run.
     bool remembersRuns = true;
+    // One successor at most stands for a ticket that was handed over.
+    bool oneSuccessor = true;
 };
 
 // The home's memory of the tickets that it has seen, which makes each
@@ -51,6 +54,14 @@
     // not run. Only the next use can be claimed from now on.
     void refused(std::uint64_t nonce);
 
+    // For a call that was refused before it ran at a home that can run nothing more: from now
+    // on the successor stands for its ticket, which never runs here. A ticket that was handed
+    // over already keeps its first successor.
+    void handOver(std::uint64_t nonce, const ticket& successor);
+
+    // The ticket that stands for one that was handed over; null for any other.
+    const ticket* successor(std::uint64_t nonce) const;
+
     // The least use that can be claimed; 0 for a nonce that is not known.
     std::uint32_t nextUse(std::uint64_t nonce) const;
 
@@ -72,6 +83,8 @@
     std::uint64_t m_incarnation;
     std::chrono::steady_clock::time_point m_started;
     std::unordered_map<std::uint64_t, entry> m_entries;
+    // By the nonce of the ticket that was handed over.
+    std::unordered_map<std::uint64_t, ticket> m_successors;
 };
 
 }
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -39,6 +39,7 @@
     hooks.run = [this](std::uint64_t runId, const std::string& address, const call_request& request) { runAtBackend(runId, address, request); };
     hooks.cancelRun = [this](std::uint64_t runId) { cancelRun(runId); };
     hooks.abandoned = [this](std::uint64_t runId) { m_outbound.cancelOnwardOf(runId, currentTime()); };
+    hooks.otherHome = [this](const std::string& service, std::chrono::steady_clock::time_point now) { return m_outbound.homeBeside(m_parts.incarnation, service, now); };
     hooks.random = m_parts.random;
     return hooks;
 }
--- a/Source/node/inbound_calls.cpp
+++ b/Source/node/inbound_calls.cpp
@@ -30,6 +30,9 @@
             return verdict::notRun(verdict_reason::TicketNeeded);
         case ledger_finding::Lost:
             return verdict::mayHaveRun(verdict_reason::AnswerLost);
+        case ledger_finding::HandedOver:
+            // Another try may have used the successor by now.
+            return verdict::mayHaveRun(verdict_reason::TicketNeeded);
         default:
             return verdict::mayHaveRun(verdict_reason::TicketUnknown);
         }
@@ -109,12 +112,12 @@
     entry.request = std::move(request);
     m_arrivals.emplace(id, std::move(entry));
     if (refusal) {
-        refuse(id, *refusal);
+        refuse(id, *refusal, now);
         return id;
     }
     auto decision = m_gate.arrive(asking, now);
     if (decision.outcome == admission_outcome::Refuse) {
-        refuse(id, decision.refusal);
+        refuse(id, decision.refusal, now);
     } else if (decision.outcome == admission_outcome::Run) {
         start(id, now);
     }
@@ -133,7 +136,7 @@
         answer.attempt = request.attempt;
     }
     answer.retryTokens = request.context.retryTokens;
-    answer.nextUse = m_ledger.nextUse(request.permit->nonce);
+    fillTicket(answer, request.permit->nonce);
     fillLoad(answer, request.context.organisation);
     replier(answer);
 }
@@ -146,15 +149,33 @@
     m_hooks.run(arrivalId, m_backend->address, entry.request);
 }
 
-void inbound_calls::refuse(std::uint64_t arrivalId, const verdict& why)
+void inbound_calls::refuse(std::uint64_t arrivalId, const verdict& why, std::chrono::steady_clock::time_point now)
 {
     auto node = m_arrivals.extract(arrivalId);
     auto& entry = node.mapped();
     auto answer = answerWithout(0, 0, why);
     settleTicket(entry.request, answer);
+    handOver(entry.request, why, now);
     reply(entry, answer);
 }
 
+// A ticket can run at its home only. Where the home leaves, or has no backend server, its
+// request would be refused until the ticket ends, however often the caller repeats it.
+void inbound_calls::handOver(const call_request& request, const verdict& why, std::chrono::steady_clock::time_point now)
+{
+    bool canRunNothing = why.reason == verdict_reason::Draining || why.reason == verdict_reason::NoBackendServer;
+    if (!request.permit || !canRunNothing || !m_hooks.otherHome) {
+        return;
+    }
+    auto home = m_hooks.otherHome(request.service, now);
+    if (!home) {
+        return;
+    }
+    auto successor = mintTicket(*home, m_hooks.random(), now);
+    successor.claimed = request.permit->claimed;
+    m_ledger.handOver(request.permit->nonce, successor);
+}
+
 void inbound_calls::cancel(std::uint64_t arrivalId, std::chrono::steady_clock::time_point now)
 {
     auto found = m_arrivals.find(arrivalId);
@@ -233,7 +254,7 @@
     complete.retryTokens = entry.tokens;
     complete.cut = entry.onwardCut;
     if (entry.request.permit) {
-        complete.nextUse = m_ledger.nextUse(entry.request.permit->nonce);
+        fillTicket(complete, entry.request.permit->nonce);
     }
     fillLoad(complete, entry.request.context.organisation);
     for (auto& waiter : entry.waiters) {
@@ -245,6 +266,14 @@
     }
 }
 
+void inbound_calls::fillTicket(call_answer& answer, std::uint64_t nonce) const
+{
+    answer.nextUse = m_ledger.nextUse(nonce);
+    if (const auto* successor = m_ledger.successor(nonce)) {
+        answer.successor = *successor;
+    }
+}
+
 void inbound_calls::fillLoad(call_answer& answer, const std::string& organisation) const
 {
     answer.cut = std::max(answer.cut, m_gate.cutFor(organisation));
@@ -260,12 +289,12 @@
             continue;
         }
         if (released.decision.outcome == admission_outcome::Refuse) {
-            refuse(released.callId, released.decision.refusal);
+            refuse(released.callId, released.decision.refusal, now);
             continue;
         }
         if (!m_backend) {
             m_gate.cancel(released.callId, now);
-            refuse(released.callId, verdict::notRun(verdict_reason::NoBackendServer));
+            refuse(released.callId, verdict::notRun(verdict_reason::NoBackendServer), now);
             continue;
         }
         start(released.callId, now);
--- a/Source/node/inbound_calls.h
+++ b/Source/node/inbound_calls.h
@@ -5,6 +5,7 @@
 #include "call/call_request.h"
 #include "contract/contract.h"
 #include "decision/admission_gate.h"
+#include "decision/member.h"
 #include "decision/once_ledger.h"
 
 #include <chrono>
@@ -28,6 +29,8 @@
     std::function<void(std::uint64_t runId)> cancelRun;
     // Told when a run was given up, so that its onward calls are cancelled too.
     std::function<void(std::uint64_t runId)> abandoned;
+    // Another node that could run calls of the service; nothing where none is known, or without the hook.
+    std::function<std::optional<member>(const std::string& service, std::chrono::steady_clock::time_point now)> otherHome;
     std::function<std::uint64_t()> random;
 };
 
@@ -95,11 +98,13 @@
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void answerRepeat(const call_request&, ledger_finding, const call_replier&);
     void start(std::uint64_t arrivalId, std::chrono::steady_clock::time_point now);
-    void refuse(std::uint64_t arrivalId, const verdict&);
+    void refuse(std::uint64_t arrivalId, const verdict&, std::chrono::steady_clock::time_point now);
+    void handOver(const call_request&, const verdict&, std::chrono::steady_clock::time_point now);
     void startReleased(std::chrono::steady_clock::time_point now);
     void settleTicket(const call_request&, const call_answer&);
     void keepAnswer(std::uint64_t nonce, const call_answer&);
     void reply(arrival&, const call_answer&) const;
+    void fillTicket(call_answer&, std::uint64_t nonce) const;
     void fillLoad(call_answer&, const std::string& organisation) const;
 
     inbound_hooks m_hooks;
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -290,7 +290,7 @@
     if (answer.outcome.reason != verdict_reason::Answered) {
         observe(call, call_decision::AttemptFailed, now, answer, "");
     }
-    call.progress.finished({ answer.outcome, answer.retryTokens, answer.nextUse, call.request.context.position < answer.cut });
+    call.progress.finished({ answer.outcome, answer.retryTokens, answer.nextUse, call.request.context.position < answer.cut, answer.successor });
     bool retry = call.progress.mayRetry(call.request.context.deadline, now)
         && (call.progress.repeatsUse() || m_retryBudget.takeRetry(call.request.service));
     if (!retry) {
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -69,6 +69,9 @@
     // Gives up the calls whose time is over; to be called every few milliseconds.
     void tick(std::chrono::steady_clock::time_point now);
 
+    // A node other than the excluded one that could run a call of the service.
+    std::optional<member> homeBeside(std::uint64_t excluded, const std::string& service, std::chrono::steady_clock::time_point now) { return m_router.choose({ service, { excluded } }, now); }
+
     const entrance_gate& entrance() const { return m_entrance; }
     std::size_t inProgress() const { return m_calls.size(); }
 
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -99,6 +99,20 @@
     constexpr std::size_t answerTexts = 1;
     constexpr std::size_t textsOfField = 2;
 
+    // The field in which an answer carries the ticket that succeeds its request's one. A field, so
+    // that nodes of the version before can read the answer.
+    constexpr const char* successorField = "Vanillashunt-Successor";
+
+    void takeSuccessor(call_answer& answer)
+    {
+        bool mayHaveOne = answer.outcome.run != execution::Ran && !answer.fields.empty();
+        if (!mayHaveOne || answer.fields.back().name != successorField) {
+            return;
+        }
+        answer.successor = parseTicket(answer.fields.back().value);
+        answer.fields.pop_back();
+    }
+
     // Writes the payload of a frame; texts go straight from where they are, as their
     // difference from those of the frame before.
     class frame_writer {
@@ -354,9 +368,13 @@
     numbers.zoneCrossings.value = answer.zoneCrossings;
     frame_writer writer(history, requestId);
     writer.numbers(numbers);
-    writer.beginTexts(answerTexts + textsOfField * answer.fields.size());
+    auto fieldCount = answer.fields.size() + (answer.successor ? 1 : 0);
+    writer.beginTexts(answerTexts + textsOfField * fieldCount);
     writer.text(answer.cost.service);
     writer.fields(answer.fields);
+    if (answer.successor) {
+        writer.fields({ { successorField, toString(*answer.successor) } });
+    }
     writer.bytes(answer.body);
     return writer.finish(frame_kind::Answer);
 }
@@ -428,6 +446,7 @@
     reader.beginTexts(requestId);
     answer.cost.service = reader.text();
     answer.fields = reader.fields();
+    takeSuccessor(answer);
     answer.body = std::string(reader.bytes());
     if (!reader.isWhole()) {
         return std::nullopt;
--- a/Tests/AtMostOnce/at_most_once_test.cpp
+++ b/Tests/AtMostOnce/at_most_once_test.cpp
@@ -27,9 +27,10 @@
     // restarts and repeats through other nodes.
     class schedule {
     public:
-        schedule(std::uint64_t seed, once_rules rules)
+        schedule(std::uint64_t seed, once_rules rules, bool homesLeave)
             : m_random(seed)
             , m_rules(rules)
+            , m_homesLeave(homesLeave)
         {
             for (int i = 0; i < 3; ++i) {
                 m_homes.push_back(newHome());
@@ -41,6 +42,9 @@
         {
             std::optional<ticket> brought;
             bool mayHaveRun = false;
+            if (m_homesLeave) {
+                brought = m_claimed = mintFor(m_random() % m_homes.size());
+            }
             for (int tries = 0; tries < 6 && m_problem.empty(); ++tries) {
                 call_progress progress(false, 2, mayHaveRun);
                 if (brought) {
@@ -55,7 +59,8 @@
                     m_forbiddenSince = m_runs;
                 }
                 mayHaveRun = run == execution::MayHaveRun;
-                brought = progress.permit();
+                // A repeat with nothing but its key gets the ticket that its claim names.
+                brought = m_homesLeave && chance(0.5) ? m_claimed : progress.permit();
                 // What is still on its way may arrive before the caller asks again.
                 deliverSome(run == execution::NotRun);
             }
@@ -71,6 +76,14 @@
             return { incarnation, once_ledger(incarnation, m_now, m_rules) };
         }
 
+        ticket mintFor(std::size_t home)
+        {
+            member entry;
+            entry.id = m_homes[home].incarnation;
+            entry.uptimeReceived = time_point();
+            return mintTicket(entry, m_random(), m_now);
+        }
+
         bool chance(double probability) { return std::bernoulli_distribution(probability)(m_random); }
 
         void check(bool holds, const std::string& what)
@@ -92,10 +105,7 @@
                     return progress.overall(execution::MayHaveRun);
                 }
                 if (progress.needsPermit()) {
-                    member entry;
-                    entry.id = m_homes[home].incarnation;
-                    entry.uptimeReceived = time_point();
-                    progress.setPermit(mintTicket(entry, m_random(), m_now), permit_origin::Minted);
+                    progress.setPermit(mintFor(home), permit_origin::Minted);
                 }
                 progress.begin(m_homes[home].incarnation);
                 auto result = send(*progress.permit(), home);
@@ -156,11 +166,20 @@
                 return { verdict::answered(), 1, 0, false };
             case ledger_finding::Superseded:
                 return { verdict::notRun(verdict_reason::TicketNeeded), 1, ledger.nextUse(permit.nonce), false };
+            case ledger_finding::HandedOver:
+                if (!m_rules.oneSuccessor) {
+                    ledger.handOver(permit.nonce, mintFor(otherThan(home)));
+                }
+                return { verdict::mayHaveRun(verdict_reason::TicketNeeded), 1, 0, false, *ledger.successor(permit.nonce) };
             default:
                 return { verdict::mayHaveRun(verdict_reason::TicketUnknown), 1, 0, false };
             }
             if (chance(0.4)) {
                 ledger.refused(permit.nonce);
+                if (m_homesLeave && chance(0.7)) {
+                    ledger.handOver(permit.nonce, mintFor(otherThan(home)));
+                    return { verdict::notRun(verdict_reason::Draining), 1, 0, false, *ledger.successor(permit.nonce) };
+                }
                 return { verdict::notRun(verdict_reason::Draining), 1, ledger.nextUse(permit.nonce), false };
             }
             ++m_runs;
@@ -168,6 +187,8 @@
             return { verdict::answered(), 1, 0, false };
         }
 
+        std::size_t otherThan(std::size_t home) { return (home + 1 + m_random() % (m_homes.size() - 1)) % m_homes.size(); }
+
         void deliverSome(bool toldNotRun)
         {
             std::shuffle(m_delayed.begin(), m_delayed.end(), m_random);
@@ -181,6 +202,9 @@
 
         std::mt19937_64 m_random;
         once_rules m_rules;
+        // Homes hand over what they refuse, and callers repeat with their keys.
+        bool m_homesLeave;
+        std::optional<ticket> m_claimed;
         time_point m_now;
         std::vector<home_node> m_homes;
         std::vector<delayed_frame> m_delayed;
@@ -192,10 +216,10 @@
     constexpr std::uint64_t schedules = 20000;
 
     // The first problem of many schedules; empty if none has one.
-    std::string firstProblem(once_rules rules)
+    std::string firstProblem(once_rules rules, bool homesLeave = false)
     {
         for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
-            auto problem = schedule(seed, rules).play();
+            auto problem = schedule(seed, rules, homesLeave).play();
             if (!problem.empty()) {
                 return problem + " (seed " + std::to_string(seed) + ")";
             }
@@ -231,6 +255,35 @@
     EXPECT_NE(firstProblem(rules), "");
 }
 
+TEST(AtMostOnce, HoldsWhileHomesLeaveAndHandOver)
+{
+    EXPECT_EQ(firstProblem({}, true), "");
+}
+
+TEST(AtMostOnce, BreaksIfATicketHasTwoSuccessors)
+{
+    once_rules rules;
+    rules.oneSuccessor = false;
+    EXPECT_NE(firstProblem(rules, true), "");
+}
+
+TEST(AtMostOnce, ATicketThatWasHandedOverNeverRunsAtItsHome)
+{
+    time_point start;
+    once_ledger ledger(7, start);
+    ticket permit { 7, std::chrono::milliseconds(100), 1, 0, false };
+    ticket successor { 8, std::chrono::milliseconds(100), 2, 0, false };
+    EXPECT_EQ(ledger.begin(permit, start), ledger_finding::Run);
+    ledger.refused(1);
+    ledger.handOver(1, successor);
+    permit.use = ledger.nextUse(1);
+    EXPECT_EQ(ledger.begin(permit, start), ledger_finding::HandedOver);
+    ASSERT_NE(ledger.successor(1), nullptr);
+    EXPECT_EQ(*ledger.successor(1), successor);
+    EXPECT_EQ(ledger.forgetExpired(start + std::chrono::milliseconds(100)).size(), 1U);
+    EXPECT_EQ(ledger.successor(1), nullptr);
+}
+
 TEST(AtMostOnce, AnExpiredTicketIsNeitherRunNorCalledUnrun)
 {
     time_point start;
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -141,6 +141,26 @@
     }
 }
 
+TEST(OutsideBytes, ARefusalCarriesTheTicketsSuccessorAndAnAnswerCannot)
+{
+    frame_history sent;
+    frame_history received;
+    ticket successor { 8, std::chrono::milliseconds(900), 5, 0, true };
+    auto refusal = answerWithout(7, 1, verdict::notRun(verdict_reason::Draining));
+    refusal.successor = successor;
+    auto read = decodeAnswer(payloadOf(encodeFrame(refusal, "r", sent)), "r", received);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->successor, successor);
+    EXPECT_TRUE(read->fields.empty());
+    // A backend server cannot name one.
+    auto answer = answerWithout(7, 1, verdict::answered());
+    answer.fields = { { "Vanillashunt-Successor", toString(successor) } };
+    read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(read->successor);
+    EXPECT_EQ(read->fields.size(), 1U);
+}
+
 TEST(OutsideBytes, AFrameThatNeedsAnotherBeforeItIsNotRead)
 {
     auto now = std::chrono::steady_clock::now();
