Take no request behind an unanswered one while a node stops

Cause: answers of one connection go in the order of its requests.

Test: PipelinedClients.AreNotTakenBehindAnUnansweredRequestDuringAStop, red before (the request behind was taken), green now.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -22,6 +22,9 @@
     // Requests of one connection that are worked on at once; the others wait in the socket.
     constexpr std::size_t mostExchanges = 32;
 
+    // What is read of requests that are not taken; more waits in the socket.
+    constexpr std::size_t mostUntakenBytes = 65536;
+
     // How long a client may leave an answer unread, and its end of the connection open.
     constexpr std::chrono::milliseconds longestUnread { 10000 };
     constexpr std::chrono::milliseconds longestLeaving { 2000 };
@@ -142,7 +145,7 @@
 
 void pipeline_session::read()
 {
-    bool full = m_exchanges.size() >= mostExchanges;
+    bool full = m_exchanges.size() >= mostExchanges || (!mayTakeRequest() && m_stream.received().size() >= mostUntakenBytes);
     if (m_reading || m_closed || full) {
         return;
     }
@@ -166,9 +169,20 @@
     read();
 }
 
+// While the server stops, nothing is taken behind an unanswered request: its answer could come
+// only after that one's, which may be later than the end of the stop. The client sends it
+// again elsewhere.
+bool pipeline_session::mayTakeRequest() const
+{
+    if (m_closed || m_closing || m_exchanges.size() >= mostExchanges) {
+        return false;
+    }
+    return !m_server->closingAfterAnswers || m_exchanges.empty();
+}
+
 void pipeline_session::parse()
 {
-    while (!m_closed && !m_closing && m_exchanges.size() < mostExchanges && m_stream.received().size() > 0) {
+    while (mayTakeRequest() && m_stream.received().size() > 0) {
         if (!parseOne()) {
             break;
         }
@@ -295,9 +309,7 @@
     while (!m_exchanges.empty() && m_exchanges.front()->answered) {
         auto each = m_exchanges.front();
         m_exchanges.pop_front();
-        // A connection is closed early only where nothing that was read goes unanswered.
-        bool last = m_exchanges.empty() && m_stream.received().size() == 0 && !m_parser;
-        bool closes = each->closes || (m_server->closingAfterAnswers && last);
+        bool closes = each->closes || (m_server->closingAfterAnswers && m_exchanges.empty());
         m_closing = m_closing || closes;
         m_outgoing += answerText(*each, closes);
     }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -60,6 +60,7 @@
 
     void read();
     void bytesArrived(const boost::system::error_code&);
+    bool mayTakeRequest() const;
     void parse();
     bool parseOne();
     void beginParser();
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -206,6 +206,28 @@
     EXPECT_NE(client.readToEnd().find("Connection: close"), std::string::npos);
 }
 
+// A node that stops while the first of several requests of one connection is unanswered: the
+// later ones' answers could not be sent before its answer, which may take longer than the stop.
+TEST(PipelinedClients, AreNotTakenBehindAnUnansweredRequestDuringAStop)
+{
+    edge server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.request(0);
+    server.closeAfterAnswers();
+    client.send(get("/1"));
+    // Another connection shows that the server has had the time to read it.
+    auto other = server.connect();
+    other.send(get("/2"));
+    ASSERT_EQ(server.request(1).target, "/2");
+    server.answer(1, "second");
+    EXPECT_NE(other.readUntil("second").find("Connection: close"), std::string::npos);
+    server.answer(0, "first");
+    EXPECT_NE(client.readUntil("first").find("Connection: close"), std::string::npos);
+    EXPECT_EQ(client.readToEnd(), "");
+    EXPECT_EQ(server.requests(), 2U);
+}
+
 TEST(PipelinedClients, MayAskThatTheConnectionBeClosed)
 {
     edge server;
