Give routing and admission folders of their own

No behaviour changes: router, target_view and service_room go to Source/routing; the gates, the queue, the limit and the order go to Source/admission; narrowest_cost, which answers carry, gets a header of its own.

--- a/Source/decision/admission_gate.cpp
+++ b/Source/admission/admission_gate.cpp
@@ -1,6 +1,6 @@
-#include "decision/admission_gate.h"
+#include "admission/admission_gate.h"
 
-#include "decision/queue_bounds.h"
+#include "admission/queue_bounds.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/decision/admission_gate.h
+++ b/Source/admission/admission_gate.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "decision/admission_policy.h"
-#include "decision/concurrency_limit.h"
-#include "decision/duration_histogram.h"
-#include "decision/organisation_shares.h"
-#include "decision/service_times.h"
-#include "decision/shedding_cut.h"
-#include "decision/shedding_order.h"
+#include "admission/admission_policy.h"
+#include "admission/concurrency_limit.h"
+#include "admission/duration_histogram.h"
+#include "admission/organisation_shares.h"
+#include "admission/service_times.h"
+#include "admission/shedding_cut.h"
+#include "admission/shedding_order.h"
+#include "admission/waiting_calls.h"
 #include "decision/shedding_position.h"
 #include "decision/verdict.h"
-#include "decision/waiting_calls.h"
 
 #include <array>
 #include <chrono>
--- a/Source/decision/admission_policy.cpp
+++ b/Source/admission/admission_policy.cpp
@@ -1,4 +1,4 @@
-#include "decision/admission_policy.h"
+#include "admission/admission_policy.h"
 
 namespace vanillashunt {
 
--- a/Source/decision/concurrency_limit.cpp
+++ b/Source/admission/concurrency_limit.cpp
@@ -1,4 +1,4 @@
-#include "decision/concurrency_limit.h"
+#include "admission/concurrency_limit.h"
 
 #include <algorithm>
 
--- a/Source/decision/concurrency_limit.h
+++ b/Source/admission/concurrency_limit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/duration_histogram.h"
+#include "admission/duration_histogram.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/decision/cost_order.h
+++ b/Source/admission/cost_order.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/importance.h"
+#include "decision/narrowest_cost.h"
 #include "decision/shedding_position.h"
 
 #include <chrono>
@@ -11,14 +12,6 @@
 
 namespace vanillashunt {
 
-// What one whole request took of the service that is narrowest on its call chain.
-struct narrowest_cost {
-    // The service; the deepest one while none on the chain is overloaded.
-    std::string service;
-    // Time for which the request held slots there, over all calls of its chain.
-    std::chrono::microseconds slotTime { 0 };
-};
-
 // Where the classes of requests stand in the shedding order beside each other. Among
 // classes of one importance that press on the same narrowest service, those that
 // hold its slots for longest are shed first, because the same slots answer more
--- a/Source/decision/cut_memory.cpp
+++ b/Source/admission/cut_memory.cpp
@@ -1,4 +1,4 @@
-#include "decision/cut_memory.h"
+#include "admission/cut_memory.h"
 
 #include <cmath>
 
--- a/Source/decision/duration_histogram.cpp
+++ b/Source/admission/duration_histogram.cpp
@@ -1,4 +1,4 @@
-#include "decision/duration_histogram.h"
+#include "admission/duration_histogram.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/decision/entrance_gate.h
+++ b/Source/admission/entrance_gate.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "decision/admission_policy.h"
-#include "decision/cut_memory.h"
-#include "decision/service_times.h"
+#include "admission/admission_policy.h"
+#include "admission/cut_memory.h"
+#include "admission/service_times.h"
 #include "decision/shedding_position.h"
 #include "decision/verdict.h"
 
--- a/Source/decision/least_time.cpp
+++ b/Source/admission/least_time.cpp
@@ -1,4 +1,4 @@
-#include "decision/least_time.h"
+#include "admission/least_time.h"
 
 #include <algorithm>
 
--- a/Source/decision/organisation_shares.cpp
+++ b/Source/admission/organisation_shares.cpp
@@ -1,4 +1,4 @@
-#include "decision/organisation_shares.h"
+#include "admission/organisation_shares.h"
 
 #include <algorithm>
 
--- a/Source/decision/queue_bounds.cpp
+++ b/Source/admission/queue_bounds.cpp
@@ -1,4 +1,4 @@
-#include "decision/queue_bounds.h"
+#include "admission/queue_bounds.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Source/decision/service_times.cpp
+++ b/Source/admission/service_times.cpp
@@ -1,4 +1,4 @@
-#include "decision/service_times.h"
+#include "admission/service_times.h"
 
 namespace vanillashunt {
 
--- a/Source/decision/service_times.h
+++ b/Source/admission/service_times.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/least_time.h"
+#include "admission/least_time.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/decision/shedding_cut.cpp
+++ b/Source/admission/shedding_cut.cpp
@@ -1,4 +1,4 @@
-#include "decision/shedding_cut.h"
+#include "admission/shedding_cut.h"
 
 #include <algorithm>
 
--- a/Source/decision/shedding_cut.h
+++ b/Source/admission/shedding_cut.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/organisation_shares.h"
+#include "admission/organisation_shares.h"
 #include "decision/shedding_position.h"
 
 #include <array>
--- a/Source/decision/shedding_order.cpp
+++ b/Source/admission/shedding_order.cpp
@@ -1,4 +1,4 @@
-#include "decision/shedding_order.h"
+#include "admission/shedding_order.h"
 
 namespace vanillashunt {
 
--- a/Source/decision/usable_slots.cpp
+++ b/Source/admission/usable_slots.cpp
@@ -1,4 +1,4 @@
-#include "decision/usable_slots.h"
+#include "admission/usable_slots.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/decision/waiting_calls.cpp
+++ b/Source/admission/waiting_calls.cpp
@@ -1,4 +1,4 @@
-#include "decision/waiting_calls.h"
+#include "admission/waiting_calls.h"
 
 #include <algorithm>
 #include <tuple>
--- a/Source/decision/waiting_calls.h
+++ b/Source/admission/waiting_calls.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decision/organisation_shares.h"
-#include "decision/service_times.h"
+#include "admission/organisation_shares.h"
+#include "admission/service_times.h"
 #include "decision/shedding_position.h"
 
 #include <ext/pb_ds/assoc_container.hpp>
--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "call/http_field.h"
-#include "decision/cost_order.h"
+#include "decision/narrowest_cost.h"
 #include "decision/shedding_position.h"
 #include "decision/ticket.h"
 #include "decision/verdict.h"
--- a/Source/node/admission_dump.h
+++ b/Source/node/admission_dump.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decision/admission_gate.h"
-#include "decision/entrance_gate.h"
+#include "admission/admission_gate.h"
+#include "admission/entrance_gate.h"
 
 #include <json/value.h>
 
--- a/Source/node/inbound_calls.h
+++ b/Source/node/inbound_calls.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "admission/admission_gate.h"
 #include "backend/backend_announcement.h"
 #include "call/call_answer.h"
 #include "call/call_request.h"
 #include "contract/contract.h"
-#include "decision/admission_gate.h"
 #include "decision/member.h"
 #include "decision/once_ledger.h"
 
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/entrance_gate.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
@@ -9,9 +10,8 @@
 #include "contract/contract.h"
 #include "decision/call_progress.h"
 #include "decision/claim_budget.h"
-#include "decision/entrance_gate.h"
 #include "decision/retry_budget.h"
-#include "decision/router.h"
+#include "routing/router.h"
 #include "store/claim_store.h"
 
 #include <chrono>
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -1,20 +1,20 @@
 #pragma once
 
+#include "admission/cost_order.h"
+#include "admission/entrance_gate.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
-#include "decision/cost_order.h"
-#include "decision/entrance_gate.h"
 #include "decision/poison_ledger.h"
 #include "decision/retry_allowance.h"
-#include "decision/router.h"
-#include "decision/service_room.h"
 #include "http/http_message.h"
 #include "node/routed_target.h"
 #include "quota/quota_account.h"
 #include "routes/destination_rotation.h"
 #include "routes/organisation_book.h"
 #include "routes/route_table.h"
+#include "routing/router.h"
+#include "routing/service_room.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -1,6 +1,6 @@
 #include "node/routed_target.h"
 
-#include "decision/usable_slots.h"
+#include "admission/usable_slots.h"
 
 #include <algorithm>
 
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "admission/admission_gate.h"
 #include "backend/lost_runs.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
-#include "decision/admission_gate.h"
 #include "decision/poison_ledger.h"
 #include "decision/recent_contents.h"
 #include "decision/run_deadlines.h"
--- a/Source/decision/router.h
+++ b/Source/routing/router.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/member.h"
-#include "decision/target_view.h"
+#include "routing/target_view.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/decision/service_room.cpp
+++ b/Source/routing/service_room.cpp
@@ -1,4 +1,4 @@
-#include "decision/service_room.h"
+#include "routing/service_room.h"
 
 #include <cmath>
 
--- a/Source/decision/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -1,4 +1,4 @@
-#include "decision/target_view.h"
+#include "routing/target_view.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Tests/AdmissionCost/admission_cost.cpp
+++ b/Tests/AdmissionCost/admission_cost.cpp
@@ -1,6 +1,6 @@
 // What one admission costs: the decision, its start or refusal, and its end.
 
-#include "decision/admission_gate.h"
+#include "admission/admission_gate.h"
 
 #include <benchmark/benchmark.h>
 
--- a/Tests/AdmissionHolds/gate_run.h
+++ b/Tests/AdmissionHolds/gate_run.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/admission_gate.h"
+#include "admission/admission_gate.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Tests/CheapRequestsFirst/cheap_requests_first_test.cpp
+++ b/Tests/CheapRequestsFirst/cheap_requests_first_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/cost_order.h"
+#include "admission/cost_order.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/ConcurrencyLimitWeighed/concurrency_limit_test.cpp
+++ b/Tests/ConcurrencyLimitWeighed/concurrency_limit_test.cpp
@@ -1,7 +1,7 @@
 #include "ConcurrencyLimitWeighed/backend_model.h"
 #include "ConcurrencyLimitWeighed/gradient_limit.h"
 
-#include "decision/concurrency_limit.h"
+#include "admission/concurrency_limit.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/EntranceRefuses/entrance_refuses_test.cpp
+++ b/Tests/EntranceRefuses/entrance_refuses_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/entrance_gate.h"
+#include "admission/entrance_gate.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/NearlyFullServers/nearly_full_servers_test.cpp
+++ b/Tests/NearlyFullServers/nearly_full_servers_test.cpp
@@ -1,5 +1,5 @@
-#include "decision/admission_gate.h"
-#include "decision/usable_slots.h"
+#include "admission/admission_gate.h"
+#include "admission/usable_slots.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/router.h"
+#include "routing/router.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/SheddingWeighed/chain_model.h
+++ b/Tests/SheddingWeighed/chain_model.h
@@ -2,8 +2,8 @@
 
 #include "SheddingWeighed/event_queue.h"
 
-#include "decision/admission_gate.h"
-#include "decision/entrance_gate.h"
+#include "admission/admission_gate.h"
+#include "admission/entrance_gate.h"
 
 #include <array>
 #include <deque>
--- a/Tests/WholeRequestsBesideCalls/whole_requests_beside_calls_test.cpp
+++ b/Tests/WholeRequestsBesideCalls/whole_requests_beside_calls_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/admission_gate.h"
+#include "admission/admission_gate.h"
 
 #include <gtest/gtest.h>
 
