Balance servers that differ in speed by what they tell

Cause: a server at half the speed got as many calls as the others, and one whose machine is slow for half a second as many as ever; the load header was read nowhere. Now the node reads it (three figures or four, rubbish dropped, counted and logged once), passes calls on that asked to be while its server is slow, and tells the usual time of a class with its answers; entries draw targets by what they end and take the one with the shorter expected time while there is room. On only where servers tell the fourth figure; balance_by_pace switches it off.

--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -6,6 +6,7 @@
 #include "decision/ticket.h"
 #include "decision/verdict.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,6 +41,9 @@
     // Load of the answering node: calls at its backend server, and their limit.
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 0;
+    // The time that calls of this class usually take at its backend server; zero where the
+    // node does not tell.
+    std::chrono::microseconds usualTime { 0 };
 };
 
 // An answer that a node gives in the place of a backend server.
--- a/Source/call/request_terms.h
+++ b/Source/call/request_terms.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/http_field.h"
+#include "call/server_load.h"
 
 #include <chrono>
 #include <optional>
@@ -46,6 +47,9 @@
     bool isNotExecuted = false;
     // Whether the body is another than the server's own bytes.
     bool isEncoded = false;
+    // What it tells of its load; nothing where it does not tell, or nobody can read it.
+    std::optional<server_load> load;
+    bool isLoadUnreadable = false;
 };
 
 }
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -55,7 +55,7 @@
     , m_hooks(std::move(hooks))
     , m_peers(context, peerSettings(settings))
     , m_runs(context, settings.routes->server, instanceSettings(settings), runHooks())
-    , m_target(targetHooks())
+    , m_target(targetHooks(), settings.routes->balanceByPace)
     , m_entry(entrySettings(settings), entryHooks(), started)
 {
 }
@@ -103,6 +103,13 @@
     hooks.misdirected = [this](const server_start& start) {
         m_hooks.misdirected(start);
     };
+    hooks.loadTold = [this](const server_start& start, const std::optional<server_load>& load) {
+        if (load) {
+            m_target.serverTold(start, *load, std::chrono::steady_clock::now());
+        } else {
+            m_hooks.loadUnreadable(start);
+        }
+    };
     return hooks;
 }
 
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -27,6 +27,8 @@
     std::function<void(std::uint64_t memberId, bool answered)> ended;
     // The server beside this node is another one than was meant.
     std::function<void(const server_start&)> misdirected;
+    // That server told a load that cannot be read.
+    std::function<void(const server_start&)> loadUnreadable;
     // That server has ended while it had requests.
     std::function<void(const server_end&)> serverEnded;
     // What servers' ends say of the content.
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -13,6 +13,28 @@
 
 }
 
+namespace {
+
+    // How this node sees the targets that it has sent calls to: why a call goes where it goes.
+    Json::Value dumpTargets(const std::vector<target_standing>& targets)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const auto& each : targets) {
+            Json::Value target;
+            target["name"] = each.name;
+            target["service"] = each.service;
+            target["load"] = each.load;
+            target["limit"] = each.limit;
+            if (each.pace) {
+                target["pace"] = *each.pace;
+            }
+            json.append(target);
+        }
+        return json;
+    }
+
+}
+
 Json::Value dumpCalls(const routed_parts& parts)
 {
     const auto& target = parts.calls.target();
@@ -24,6 +46,11 @@
     inbound["limit"] = target.gate().limit();
     inbound["cut"] = target.gate().cut();
     inbound["draining"] = parts.draining;
+    auto now = std::chrono::steady_clock::now();
+    inbound["slowdown"] = target.pace().slowdown(now);
+    inbound["loads_contradicted"] = Json::UInt64(target.pace().contradictions());
+    inbound["loads_unreadable"] = Json::UInt64(parts.unreadableLoads);
+    calls["targets"] = dumpTargets(parts.calls.entry().targets(now));
     calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
     calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
@@ -42,6 +69,9 @@
     gauges.damagedFrames = parts.peers.damagedFrames();
     gauges.refusedReports = parts.server.refused();
     gauges.poisonContents = parts.poison.poisonCount();
+    gauges.serverSlowdown = parts.calls.target().pace().slowdown(std::chrono::steady_clock::now());
+    gauges.contradictedLoads = parts.calls.target().pace().contradictions();
+    gauges.unreadableLoads = parts.unreadableLoads;
     gauges.storeReturns = parts.storeReturns;
     gauges.quotaWaiting = parts.quotas.waiting();
     gauges.quotaAsks = parts.quotas.counts().asks;
--- a/Source/node/routed_dump.h
+++ b/Source/node/routed_dump.h
@@ -23,6 +23,7 @@
     std::uint64_t storeReturns = 0;
     std::size_t members = 0;
     bool draining = false;
+    std::uint64_t unreadableLoads = 0;
 };
 
 // The calls in progress, as the dump of a node with contracts has them, so that one
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -265,10 +265,11 @@
     }
     auto passedOver = call.tried;
     passedOver.insert(passedOver.end(), call.full.begin(), call.full.end());
-    auto chosen = m_router.choose({ call.request.service, std::move(passedOver) }, now);
-    bool asksOthers = chosen && call.full.size() < mostFull && !m_router.knowsLoad(chosen->id, now) && m_room.isLikely(call.request.service, now);
+    bool hasRoom = m_room.isLikely(call.request.service, now);
+    auto chosen = m_router.choose({ call.request.service, std::move(passedOver), hasRoom }, now);
+    bool asksOthers = chosen && call.full.size() < mostFull && !m_router.knowsLoad(chosen->id, now) && hasRoom;
     if (!chosen && !call.full.empty()) {
-        chosen = m_router.choose({ call.request.service, call.tried }, now);
+        chosen = m_router.choose({ call.request.service, call.tried, hasRoom }, now);
     }
     call.request.refuseIfFull = asksOthers;
     return chosen;
@@ -337,12 +338,17 @@
     auto& call = m_calls.at(callId);
     call.attemptId = 0;
     auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted);
-    m_router.finished(call.target, { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit, answer.zoneCrossings }, now);
+    route_outcome seen { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit, answer.zoneCrossings };
+    if (answer.usualTime.count() > 0) {
+        seen.pace = m_paces.learn(call.request.context.requestClass, answer.usualTime);
+    }
+    m_router.finished(call.target, seen, now);
     // A node that answers tells its limit, also where its server lost the answer.
     bool nothingCameBack = answer.limit == 0 && (answer.outcome.reason == verdict_reason::PeerUnreachable || answer.outcome.reason == verdict_reason::AnswerLost);
     m_hooks.ended(call.target, !nothingCameBack);
     if (answer.limit != 0) {
-        m_room.answered(call.request.service, answer.inFlight >= answer.limit, now);
+        bool hasNoRoom = answer.inFlight >= answer.limit || answer.outcome.reason == verdict_reason::NoFreeSlot;
+        m_room.answered(call.request.service, hasNoRoom, now);
     }
     if (answer.outcome.reason == verdict_reason::NoFreeSlot) {
         call.full.push_back(call.target);
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -13,6 +13,7 @@
 #include "routes/destination_rotation.h"
 #include "routes/organisation_book.h"
 #include "routes/route_table.h"
+#include "routing/relative_pace.h"
 #include "routing/router.h"
 #include "routing/service_room.h"
 
@@ -106,6 +107,7 @@
     void tick(time_point now);
 
     std::size_t inProgress() const { return m_calls.size(); }
+    std::vector<target_standing> targets(time_point now) const { return m_router.standings(now); }
     std::int64_t version() const { return m_table.configuration().version; }
     // Whether the configuration has a service of that name.
     bool knowsService(const std::string& name) const;
@@ -181,6 +183,7 @@
     entrance_gate m_entrance;
     cost_order m_costs;
     service_room m_room;
+    relative_pace m_paces;
     std::unordered_map<std::uint64_t, entry_call> m_calls;
     std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -93,6 +93,7 @@
         void collectMetrics(const std::function<void(std::string)>&);
         operator_reply explain(const std::string& requestId) const;
         void observe(const call_observation&);
+        void noteLoadUnreadable(const server_start&);
 
         node_settings m_settings;
         std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
@@ -129,6 +130,9 @@
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
         call_log m_callLog;
+        std::uint64_t m_unreadableLoads = 0;
+        // The start of which that was logged last.
+        server_start m_unreadableStart;
     };
 
     http_client_settings clientSettings(const node_settings& settings)
@@ -199,6 +203,7 @@
         hooks.begins = [this] { workBegins(); };
         hooks.ended = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
         hooks.misdirected = [this](const server_start& start) { m_server.misdirected(start); };
+        hooks.loadUnreadable = [this](const server_start& start) { noteLoadUnreadable(start); };
         hooks.serverEnded = [this](const server_end& end) {
             logServerEnd(end);
             m_poison.serverEnded(end);
@@ -445,7 +450,7 @@
 
     routed_parts routed_process::parts() const
     {
-        return { m_calls, m_server, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, m_store.returns(), m_members->size(), m_stop.draining() };
+        return { m_calls, m_server, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, m_store.returns(), m_members->size(), m_stop.draining(), m_unreadableLoads };
     }
 
     void routed_process::collectState(state_receiver receiver)
@@ -487,6 +492,16 @@
         m_callLog.observe(seen);
     }
 
+    void routed_process::noteLoadUnreadable(const server_start& start)
+    {
+        ++m_unreadableLoads;
+        if (start == m_unreadableStart) {
+            return;
+        }
+        m_unreadableStart = start;
+        logEvent(events::serverLoadUnreadable, { { "instance", start.instanceId } });
+    }
+
     // What the loop left undone may be mail that keeps an actor, and so the process, for ever.
     void routed_process::endActors()
     {
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -22,8 +22,9 @@
 
 }
 
-routed_target::routed_target(target_hooks hooks)
+routed_target::routed_target(target_hooks hooks, bool balanceByPace)
     : m_hooks(std::move(hooks))
+    , m_balanceByPace(balanceByPace)
     , m_gate(gateSettings(m_hooks.random))
 {
 }
@@ -34,6 +35,7 @@
     if (replaced) {
         // Another start: what the gate has learnt of the last one does not hold.
         m_gate.setSlots(0, now);
+        m_pace.restart();
     }
     bool startedAgain = replaced && isLaterStart(server->start, m_server->start);
     m_server = server;
@@ -111,7 +113,7 @@
     auto id = m_hooks.random();
     request.context.content = fingerprintOf(request.path, request.body);
     auto refusal = refusalBeforeGate(request);
-    if (!refusal && request.refuseIfFull && !m_gate.hasFreeSlot(now)) {
+    if (!refusal && request.refuseIfFull && isBetterElsewhere(now)) {
         refusal = verdict::notRun(verdict_reason::NoFreeSlot);
     }
     // The gate is not told the organisation: each is shed in proportion to what it asks, since
@@ -134,6 +136,21 @@
     return id;
 }
 
+// Whether a call whose sender goes on to other targets is better run there: no slot is free, or
+// the server's machine is slow at this moment, which only the node beside it knows in time.
+bool routed_target::isBetterElsewhere(time_point now)
+{
+    return !m_gate.hasFreeSlot(now) || m_pace.isSlow(now);
+}
+
+void routed_target::serverTold(const server_start& start, const server_load& load, time_point now)
+{
+    if (!m_balanceByPace || !m_server || m_server->start != start) {
+        return;
+    }
+    m_pace.told(load, m_server->slots, m_gate.inFlight(), now);
+}
+
 content_standing routed_target::standingOf(const call_request& request) const
 {
     return m_hooks.standingOf ? m_hooks.standingOf(request.context.content) : content_standing::Harmless;
@@ -204,6 +221,7 @@
     if (answer.outcome.run == execution::Ran) {
         if (answer.status < leastServerError) {
             noteServed(entry.request);
+            m_pace.ran(entry.request.context.requestClass, std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started));
         }
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
@@ -233,6 +251,7 @@
     answer.zoneCrossings = entry.zoneCrossings;
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
+    answer.usualTime = m_pace.usualTime(entry.request.context.requestClass, now).value_or(answer.usualTime);
     entry.replier(answer);
 }
 
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -9,6 +9,7 @@
 #include "decision/poison_ledger.h"
 #include "decision/recent_contents.h"
 #include "decision/run_deadlines.h"
+#include "routing/server_pace.h"
 
 #include <chrono>
 #include <cstdint>
@@ -62,7 +63,8 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    explicit routed_target(target_hooks);
+    // Whether what the server tells of its speed counts: calls then go elsewhere while it is slow.
+    explicit routed_target(target_hooks, bool balanceByPace = true);
 
     // The server that is there now, and whether it takes new work. Where the same one has
     // started again, its runs are over, and are answered as such.
@@ -79,6 +81,9 @@
 
     void serverAnswered(std::uint64_t runId, const call_answer&, time_point now);
 
+    // That start of the server told its load.
+    void serverTold(const server_start&, const server_load&, time_point now);
+
     // Whether the server is there, which some lost answers had put in doubt.
     void serverAsked(server_presence, time_point now);
 
@@ -95,6 +100,7 @@
     // Whether lost answers have put in doubt that the server is there.
     bool doubtsServer() const { return m_lostRuns.inDoubt(); }
     const admission_gate& gate() const { return m_gate; }
+    const server_pace& pace() const { return m_pace; }
 
 private:
     // The cuts that a run's own calls have met at the servers of one service. The
@@ -127,6 +133,7 @@
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
     content_standing standingOf(const call_request&) const;
+    bool isBetterElsewhere(time_point now);
     bool isInProgress(request_fingerprint) const;
     std::optional<verdict> refusalOfContent(const call_request&) const;
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
@@ -136,7 +143,9 @@
     void forgetRun(std::uint64_t runId, const arrival&);
 
     target_hooks m_hooks;
+    bool m_balanceByPace;
     admission_gate m_gate;
+    server_pace m_pace;
     std::optional<server_report> m_server;
     bool m_takesWork = false;
     bool m_stopping = false;
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -66,6 +66,9 @@
             m_hooks.misdirected(start);
         }
     }
+    if (marks.load || marks.isLoadUnreadable) {
+        m_hooks.loadTold(start, marks.load);
+    }
     m_hooks.answered(runId, judgeAnswer(std::move(result), marks));
 }
 
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -5,6 +5,7 @@
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_request.h"
+#include "call/server_load.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,6 +22,8 @@
     std::function<void(std::uint64_t runId, const call_answer&)> answered;
     // The server at the address is another one than was meant.
     std::function<void(const server_start&)> misdirected;
+    // That start of the server told its load; nothing where it cannot be read.
+    std::function<void(const server_start&, const std::optional<server_load>&)> loadTold;
 };
 
 // The requests that are with the server beside this node, in the headers that the
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -127,6 +127,9 @@
     counter& damagedAnswers = oneCounter("vanillashunt_peer_answers_damaged_total", "Answers of peers that could not be read, and were dropped.");
     counter& damagedFrames = oneCounter("vanillashunt_peer_frames_damaged_total", "Connections of peers closed because of bytes that were no frame.");
     counter& refusedReports = oneCounter("vanillashunt_server_reports_refused_total", "Reports to the backend port that no server wrote.");
+    gauge& serverSlowdown = oneGauge("vanillashunt_server_slowdown", "How much longer than usually work takes at the own backend server now.");
+    counter& contradictedLoads = oneCounter("vanillashunt_server_loads_contradicted_total", "Loads told by the own backend server that contradict what the node knows.");
+    counter& unreadableLoads = oneCounter("vanillashunt_server_loads_unreadable_total", "Loads told by the own backend server that cannot be read.");
     counter& storeReturns = oneCounter("vanillashunt_store_returns_total", "Returns of the platform's store from an earlier copy.");
     counter& quotaAsks = oneCounter("vanillashunt_quota_asks_total", "Asks for requests of organisations, to the pool of the zone.");
     counter& quotaUnanswered = oneCounter("vanillashunt_quota_unanswered_total", "Messages on quotas that were not answered in time.");
@@ -206,6 +209,9 @@
     raiseTo(all.damagedFrames, gauges.damagedFrames);
     raiseTo(all.connectsFailed, gauges.connectsFailed);
     raiseTo(all.refusedReports, gauges.refusedReports);
+    all.serverSlowdown.Set(gauges.serverSlowdown);
+    raiseTo(all.contradictedLoads, gauges.contradictedLoads);
+    raiseTo(all.unreadableLoads, gauges.unreadableLoads);
     raiseTo(all.storeReturns, gauges.storeReturns);
     raiseTo(all.quotaAsks, gauges.quotaAsks);
     raiseTo(all.quotaUnanswered, gauges.quotaUnanswered);
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -27,12 +27,16 @@
     std::uint64_t poisonContents = 0;
     // Requests that wait for their organisation's limit.
     std::uint64_t quotaWaiting = 0;
+    // How much longer than usually work takes at the own backend server now.
+    double serverSlowdown = 1;
     // Totals since the start of the process.
     std::uint64_t crossedAnswers = 0;
     std::uint64_t damagedAnswers = 0;
     std::uint64_t damagedFrames = 0;
     std::uint64_t connectsFailed = 0;
     std::uint64_t refusedReports = 0;
+    std::uint64_t contradictedLoads = 0;
+    std::uint64_t unreadableLoads = 0;
     std::uint64_t storeReturns = 0;
     std::uint64_t quotaAsks = 0;
     std::uint64_t quotaUnanswered = 0;
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 
 namespace vanillashunt {
@@ -99,17 +100,47 @@
     constexpr std::size_t answerTexts = 1;
     constexpr std::size_t textsOfField = 2;
 
-    // The field in which an answer carries the ticket that succeeds its request's one. A field, so
-    // that nodes of the version before can read the answer.
+    // What a frame says is left of a request, or is to be waited, at the most; both fit
+    // into 32 bits.
+    constexpr std::chrono::microseconds longestRemaining { std::chrono::hours(1) };
+    constexpr std::chrono::milliseconds longestRetryAfter { std::chrono::hours(1) };
+
+    // A field behind an answer's own ones in which its node tells more, so that nodes of the
+    // version before can read the answer: the successor of the request's ticket where it did not
+    // run, else the usual time of its class in microseconds.
     constexpr const char* successorField = "Vanillashunt-Successor";
+    constexpr const char* usualTimeField = "Vanillashunt-Usual-Time";
+
+    std::optional<http_field> ownField(const call_answer& answer)
+    {
+        if (answer.outcome.run != execution::Ran) {
+            return answer.successor ? std::optional(http_field { successorField, toString(*answer.successor) }) : std::nullopt;
+        }
+        // A server's field of that name would be taken for the node's.
+        bool isTaken = !answer.fields.empty() && answer.fields.back().name == usualTimeField;
+        if (answer.usualTime.count() == 0 && !isTaken) {
+            return std::nullopt;
+        }
+        return http_field { usualTimeField, std::to_string(answer.usualTime.count()) };
+    }
 
-    void takeSuccessor(call_answer& answer)
+    void takeOwnField(call_answer& answer)
     {
-        bool mayHaveOne = answer.outcome.run != execution::Ran && !answer.fields.empty();
-        if (!mayHaveOne || answer.fields.back().name != successorField) {
+        if (answer.fields.empty()) {
+            return;
+        }
+        const auto& last = answer.fields.back();
+        bool ran = answer.outcome.run == execution::Ran;
+        if (last.name != (ran ? usualTimeField : successorField)) {
             return;
         }
-        answer.successor = parseTicket(answer.fields.back().value);
+        if (ran) {
+            std::int64_t microseconds = 0;
+            std::from_chars(last.value.data(), last.value.data() + last.value.size(), microseconds);
+            answer.usualTime = std::clamp(std::chrono::microseconds(microseconds), std::chrono::microseconds(0), longestRemaining);
+        } else {
+            answer.successor = parseTicket(last.value);
+        }
         answer.fields.pop_back();
     }
 
@@ -252,11 +283,6 @@
         bool m_damaged = false;
     };
 
-    // What a frame says is left of a request, or is to be waited, at the most; both fit
-    // into 32 bits.
-    constexpr std::chrono::microseconds longestRemaining { std::chrono::hours(1) };
-    constexpr std::chrono::milliseconds longestRetryAfter { std::chrono::hours(1) };
-
     std::uint64_t checksum(const char* bytes, std::size_t size)
     {
         return XXH3_64bits(bytes, size);
@@ -368,12 +394,13 @@
     numbers.zoneCrossings.value = answer.zoneCrossings;
     frame_writer writer(history, requestId);
     writer.numbers(numbers);
-    auto fieldCount = answer.fields.size() + (answer.successor ? 1 : 0);
-    writer.beginTexts(answerTexts + textsOfField * fieldCount);
+    auto own = ownField(answer);
+    writer.beginTexts(answerTexts + textsOfField * (answer.fields.size() + (own ? 1 : 0)));
     writer.text(answer.cost.service);
     writer.fields(answer.fields);
-    if (answer.successor) {
-        writer.fields({ { successorField, toString(*answer.successor) } });
+    if (own) {
+        writer.text(own->name);
+        writer.text(own->value);
     }
     writer.bytes(answer.body);
     return writer.finish(frame_kind::Answer);
@@ -446,7 +473,7 @@
     reader.beginTexts(requestId);
     answer.cost.service = reader.text();
     answer.fields = reader.fields();
-    takeSuccessor(answer);
+    takeOwnField(answer);
     answer.body = std::string(reader.bytes());
     if (!reader.isWhole()) {
         return std::nullopt;
--- a/Source/routing/router.cpp
+++ b/Source/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "routing/router.h"
 
 #include "decision/rendezvous.h"
+#include "routing/expected_time.h"
 
 #include <algorithm>
 #include <limits>
@@ -24,6 +25,7 @@
     constexpr double roomyLoad = 0.75;
 
     constexpr std::uint64_t chanceSteps = 1024;
+    constexpr std::uint64_t capacitySteps = 1U << 20U;
 
     struct zone_mean {
         double sum = 0;
@@ -93,7 +95,15 @@
         }
         bool known = view != m_views.end();
         double crossings = (wanted == 0 ? 0 : 1) + (known ? view->second.zoneCrossings(now) : 0);
-        result.push_back({ target, known ? view->second.load(target->slots, now) : 0, crossings });
+        candidate each;
+        each.target = target;
+        each.load = known ? view->second.load(target->slots, now) : 0;
+        each.zoneCrossings = crossings;
+        if (known && view->second.knowsPace()) {
+            each.pace = view->second.pace();
+        }
+        each.limit = known ? view->second.limit(target->slots) : std::max(target->slots, 1U);
+        result.push_back(each);
     }
     return result;
 }
@@ -126,11 +136,39 @@
     }
 }
 
-std::optional<router::candidate> router::drawTwo(const std::vector<candidate>& from) const
+const router::candidate& router::drawByCapacity(const std::vector<candidate>& from) const
+{
+    double all = 0;
+    for (const auto& each : from) {
+        all += each.limit / each.pace.value_or(1);
+    }
+    auto place = all * static_cast<double>(m_chance(capacitySteps)) / capacitySteps;
+    for (const auto& each : from) {
+        place -= each.limit / each.pace.value_or(1);
+        if (place < 0) {
+            return each;
+        }
+    }
+    return from.back();
+}
+
+// With old news of the loads the fastest would get nearly all calls, also when they are full:
+// then only the drawing tells the targets apart.
+std::optional<router::candidate> router::drawTwo(const std::vector<candidate>& from, bool hasRoom) const
 {
     if (from.empty()) {
         return std::nullopt;
     }
+    bool tellPace = std::any_of(from.begin(), from.end(), [](const candidate& each) { return each.pace.has_value(); });
+    if (tellPace && from.size() > 1) {
+        const auto& first = drawByCapacity(from);
+        const auto& second = drawByCapacity(from);
+        if (!hasRoom) {
+            return second.load < first.load ? second : first;
+        }
+        auto timeAt = [](const candidate& each) { return expectedTime(each.pace.value_or(1), each.load, each.limit); };
+        return timeAt(second) < timeAt(first) ? second : first;
+    }
     const auto& first = from[m_chance(from.size())];
     if (from.size() == 1) {
         return first;
@@ -145,7 +183,7 @@
     for (int wanted = 0; wanted <= farthest; ++wanted) {
         auto candidates = candidatesAt(wanted, avoided, request, now);
         keepFewestCrossings(candidates);
-        auto drawn = drawTwo(candidates);
+        auto drawn = drawTwo(candidates, request.hasRoom);
         if (!drawn) {
             continue;
         }
@@ -202,7 +240,22 @@
 bool router::knowsLoad(std::uint64_t memberId, std::chrono::steady_clock::time_point now) const
 {
     auto view = m_views.find(memberId);
-    return view != m_views.end() && view->second.toldLoadLately(now);
+    return view != m_views.end() && view->second.toldLoadLately(now) && !view->second.knowsPace();
+}
+
+std::vector<target_standing> router::standings(std::chrono::steady_clock::time_point now) const
+{
+    std::vector<target_standing> result;
+    for (const auto& [id, view] : m_views) {
+        auto found = m_byId.find(id);
+        if (found == m_byId.end()) {
+            continue;
+        }
+        const auto& target = *found->second;
+        auto pace = view.knowsPace() ? std::optional(view.pace()) : std::nullopt;
+        result.push_back({ target.name, target.service, view.load(target.slots, now), view.limit(target.slots), pace });
+    }
+    return result;
 }
 
 bool router::knowsService(const std::string& service) const
--- a/Source/routing/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -29,6 +29,9 @@
     constexpr double crossingsWeight = 0.2;
     constexpr std::chrono::duration<double> crossingsHalfLife { 5 };
 
+    // Weight of one answer in the pace, which each tells for its own class of requests.
+    constexpr double paceWeight = 0.3;
+
     // From so many on, a target without a connection gets one attempt at a time.
     constexpr std::uint32_t unreachedBeforeProbing = 2;
 
@@ -102,6 +105,7 @@
         m_usualLatency += latencyWeight * (outcome.latency - m_usualLatency);
     }
     if (outcome.result.run == execution::Ran) {
+        notePace(outcome.pace);
         auto known = zoneCrossings(now);
         m_zoneCrossings = known + crossingsWeight * (outcome.zoneCrossings - known);
         m_crossingsReported = now;
@@ -145,6 +149,21 @@
     m_avoidedUntil = now + std::chrono::duration_cast<std::chrono::microseconds>(length);
 }
 
+// A target that has stopped telling has another server, or one that stands still.
+void target_view::notePace(std::optional<double> told)
+{
+    if (!told || !m_pace) {
+        m_pace = told;
+        return;
+    }
+    *m_pace += paceWeight * (*told - *m_pace);
+}
+
+std::uint32_t target_view::limit(std::uint32_t slots) const
+{
+    return m_limit != 0 ? m_limit : std::max(slots, 1U);
+}
+
 void target_view::noteLoad(const route_outcome& outcome, std::chrono::steady_clock::time_point now)
 {
     if (outcome.limit == 0) {
@@ -162,9 +181,8 @@
 
 double target_view::load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const
 {
-    auto limit = m_limit != 0 ? m_limit : std::max(slots, 1U);
     auto others = m_limit != 0 ? m_othersInFlight * decay(now - m_reported) : 0;
-    return (m_outstanding + others) / limit + loadOfLosingAll * lostPart(now);
+    return (m_outstanding + others) / limit(slots) + loadOfLosingAll * lostPart(now);
 }
 
 }
--- a/Source/routing/target_view.h
+++ b/Source/routing/target_view.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace vanillashunt {
 
@@ -18,6 +19,8 @@
     std::uint32_t limit = 0;
     // Calls below it that went to another availability zone.
     std::uint32_t zoneCrossings = 0;
+    // How much longer than the mean a call takes there; nothing where it does not tell.
+    std::optional<double> pace {};
 };
 
 // What this node has seen itself of one other member: its load, and whether it answers.
@@ -43,6 +46,13 @@
     // calls wait. Slots stand in for a limit that was never reported.
     double load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const;
 
+    // Calls that it runs at once, as far as this node knows.
+    std::uint32_t limit(std::uint32_t slots) const;
+
+    // How much longer than the mean a call takes there; 1 where it is not known.
+    double pace() const { return m_pace.value_or(1); }
+    bool knowsPace() const { return m_pace.has_value(); }
+
     // Whether it told its load a moment ago, so that load() says how it is.
     bool toldLoadLately(std::chrono::steady_clock::time_point now) const;
 
@@ -54,6 +64,7 @@
 
 private:
     void failed(double chance, std::chrono::steady_clock::time_point now);
+    void notePace(std::optional<double> told);
     void noteLoad(const route_outcome&, std::chrono::steady_clock::time_point now);
 
     double lostPart(std::chrono::steady_clock::time_point now) const;
@@ -73,6 +84,7 @@
     // The last report, less this node's own calls at that time.
     double m_othersInFlight = 0;
     std::uint32_t m_limit = 0;
+    std::optional<double> m_pace;
     std::chrono::steady_clock::time_point m_reported;
     double m_zoneCrossings = 0;
     std::chrono::steady_clock::time_point m_crossingsReported;
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -41,6 +41,11 @@
         return formatReal(key, std::chrono::duration<double>(value).count());
     }
 
+    std::string formatBoolean(const std::string& key, bool value)
+    {
+        return key + (value ? " = true\n" : " = false\n");
+    }
+
     std::string formatRoutes(const route_settings& routes)
     {
         return "\n[routes]\n" + formatString("service", routes.service)
@@ -53,6 +58,7 @@
             + formatReal("quota_over", routes.quotaOver)
             + formatSeconds("quota_window_seconds", routes.quotaWindow)
             + formatReal("quota_slack", routes.quotaSlack)
+            + formatBoolean("balance_by_pace", routes.balanceByPace)
             + formatSeconds("grace_seconds", routes.grace);
     }
 
--- a/Tests/FreeSlots/choice_model.cpp
+++ b/Tests/FreeSlots/choice_model.cpp
@@ -2,6 +2,9 @@
 
 #include "routes/route_configuration.h"
 
+#include <algorithm>
+#include <numeric>
+
 namespace vanillashunt {
 
 namespace {
@@ -123,14 +126,41 @@
     m_waits += wait;
     m_waited += wait > longWait ? 1 : 0;
     auto speed = m_plan.speeds[target % m_plan.speeds.size()];
-    later(exponential(std::chrono::duration<double>(m_plan.meanWork) / speed), [this, target, runId] {
+    later(exponential(std::chrono::duration<double>(m_plan.meanWork) / speed * slowdown(target)), [this, target, runId] {
         call_answer answer;
         answer.outcome = verdict::answered();
         answer.status = 200;
+        if (m_plan.tellsPace) {
+            auto running = m_targets[target]->gate().inFlight() - 1;
+            m_targets[target]->serverTold({ "i-" + std::to_string(target) }, { running, 0, m_plan.slots, slowdown(target) }, m_now);
+        }
         m_targets[target]->serverAnswered(runId, answer, m_now);
     });
 }
 
+double choice_model::slowdown(std::size_t target)
+{
+    if (m_plan.slowPart == 0) {
+        return 1;
+    }
+    m_phases.resize(m_plan.targets);
+    auto& phase = m_phases[target];
+    if (m_now >= phase.until) {
+        bool isSlow = std::bernoulli_distribution(m_plan.slowPart)(m_random);
+        phase = { isSlow ? m_plan.slowFactor : 1, m_now + m_plan.slowFor };
+    }
+    return phase.factor;
+}
+
+void choice_model::noteAnswer(const entry_answer& answer, time_point arrived)
+{
+    if (answer.outcome.run != execution::Ran) {
+        return;
+    }
+    ++m_result.answered;
+    m_times.push_back(std::chrono::duration<double>(m_now - arrived).count());
+}
+
 void choice_model::nextCall()
 {
     double speed = 0;
@@ -151,7 +181,7 @@
     ++m_result.calls;
     auto& entry = *m_entries[m_random() % m_entries.size()];
     entry.arrive(
-        std::move(request), [this](const entry_answer& answer) { m_result.answered += answer.outcome.run == execution::Ran ? 1 : 0; }, m_now);
+        std::move(request), [this, arrived = m_now](const entry_answer& answer) { noteAnswer(answer, arrived); }, m_now);
     nextCall();
 }
 
@@ -174,6 +204,12 @@
         }
     }
     m_result.meanWait = m_waits / static_cast<double>(m_started);
+    if (!m_times.empty()) {
+        m_result.meanTime = std::chrono::duration<double>(std::accumulate(m_times.begin(), m_times.end(), 0.0) / static_cast<double>(m_times.size()));
+        auto place = m_times.begin() + static_cast<std::ptrdiff_t>(m_times.size() * 99 / 100);
+        std::nth_element(m_times.begin(), place, m_times.end());
+        m_result.time99 = std::chrono::duration<double>(*place);
+    }
     m_result.waitedPart = static_cast<double>(m_waited) / static_cast<double>(m_started);
     return m_result;
 }
--- a/Tests/FreeSlots/choice_model.h
+++ b/Tests/FreeSlots/choice_model.h
@@ -23,6 +23,13 @@
     // Speeds of the servers in turn; a call at speed 1 takes the mean work.
     std::vector<double> speeds { 1 };
     std::chrono::microseconds meanWork { 0 };
+    // Part of the servers that are slow at any time, how much longer work takes there
+    // then, and for how long.
+    double slowPart = 0;
+    double slowFactor = 1;
+    std::chrono::milliseconds slowFor { 600 };
+    // Whether servers tell how long work takes now.
+    bool tellsPace = false;
     // Whether targets are asked for a free slot before a call waits.
     bool asksForFreeSlots = true;
 };
@@ -36,6 +43,9 @@
     std::chrono::duration<double> meanWait { 0 };
     // Part of the calls that ran more than 10 ms after they had come.
     double waitedPart = 0;
+    // Time from a call's arrival to its answer: the mean, and what 0.99 of them need.
+    std::chrono::duration<double> meanTime { 0 };
+    std::chrono::duration<double> time99 { 0 };
 };
 
 // Entries and targets of one service in virtual time: their real decisions, servers that
@@ -63,6 +73,8 @@
     void addTarget(std::size_t which);
     void send(std::size_t entry, std::uint64_t attemptId, std::size_t target, call_request);
     void runAtServer(std::size_t target, std::uint64_t runId, const call_request&);
+    void noteAnswer(const entry_answer&, time_point arrived);
+    double slowdown(std::size_t target);
     void nextCall();
     void arrive();
     std::chrono::microseconds exponential(std::chrono::duration<double> mean);
@@ -80,6 +92,13 @@
     std::uint64_t m_started = 0;
     std::uint64_t m_waited = 0;
     std::chrono::duration<double> m_waits { 0 };
+    std::vector<double> m_times;
+    // By target: how much longer work takes there now, and until when.
+    struct slow_phase {
+        double factor = 1;
+        time_point until;
+    };
+    std::vector<slow_phase> m_phases;
     choice_model_result m_result;
 };
 
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -161,6 +161,21 @@
     EXPECT_EQ(read->fields.size(), 1U);
 }
 
+TEST(OutsideBytes, AnAnswerCarriesItsClasssUsualTimeAndNoServerCanTellIt)
+{
+    frame_history sent;
+    frame_history received;
+    auto answer = answerWithout(7, 1, verdict::answered());
+    answer.fields = { { "Vanillashunt-Usual-Time", "99" } };
+    for (auto usual : { std::chrono::microseconds(0), std::chrono::microseconds(120000) }) {
+        answer.usualTime = usual;
+        auto read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->usualTime, usual);
+        EXPECT_EQ(read->fields.size(), 1U);
+    }
+}
+
 TEST(OutsideBytes, AFrameThatNeedsAnotherBeforeItIsNotRead)
 {
     auto now = std::chrono::steady_clock::now();
--- /dev/null
+++ b/Tests/ServerPace/server_pace_test.cpp
@@ -0,0 +1,146 @@
+#include "platform/load_header.h"
+#include "platform/request_headers.h"
+#include "routing/expected_time.h"
+#include "routing/relative_pace.h"
+#include "routing/server_pace.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::microseconds;
+    using std::chrono::milliseconds;
+    using time_point = std::chrono::steady_clock::time_point;
+
+    constexpr std::uint32_t slots = 20;
+    constexpr time_point start { std::chrono::seconds(100) };
+
+    server_load loadOf(std::uint32_t running, double slowdown)
+    {
+        return { running, 0, slots, slowdown };
+    }
+
+}
+
+// A machine that a server shares with others: two and a half times as slow for parts of a second.
+TEST(ServerPace, IsSlowWhileTheServerTellsItAndNotLonger)
+{
+    server_pace pace;
+    EXPECT_FALSE(pace.isKnown(start));
+    pace.told(loadOf(5, 2.5), slots, 5, start);
+    EXPECT_TRUE(pace.isKnown(start));
+    EXPECT_TRUE(pace.isSlow(start + milliseconds(100)));
+    EXPECT_DOUBLE_EQ(pace.slowdown(start + milliseconds(100)), 2.5);
+    // Reports that stop: nobody knows what holds now.
+    EXPECT_FALSE(pace.isSlow(start + milliseconds(400)));
+    pace.told(loadOf(5, 1), slots, 5, start + milliseconds(500));
+    EXPECT_FALSE(pace.isSlow(start + milliseconds(500)));
+}
+
+TEST(ServerPace, DoesNotBelieveFiguresThatContradictTheNodesOwn)
+{
+    server_pace pace;
+    pace.told(loadOf(0, 2.5), slots, 20, start);
+    EXPECT_EQ(pace.contradictions(), 1U);
+    EXPECT_FALSE(pace.isSlow(start));
+    // What it tells next is not believed either, and is again a while later.
+    pace.told(loadOf(20, 2.5), slots, 20, start + milliseconds(100));
+    EXPECT_FALSE(pace.isSlow(start + milliseconds(100)));
+    pace.told(loadOf(20, 2.5), slots, 20, start + milliseconds(1200));
+    EXPECT_TRUE(pace.isSlow(start + milliseconds(1200)));
+    pace.told({ 5, 0, slots + 1, 1 }, slots, 5, start + milliseconds(1300));
+    EXPECT_EQ(pace.contradictions(), 2U);
+}
+
+// What is on its way is in one count and not in the other.
+TEST(ServerPace, BearsCallsOnTheirWay)
+{
+    server_pace pace;
+    pace.told(loadOf(0, 2.5), slots, 5, start);
+    pace.told(loadOf(6, 2.5), slots, 12, start);
+    EXPECT_EQ(pace.contradictions(), 0U);
+}
+
+TEST(ServerPace, TellsUsualTimesOnlyOfServersThatTellTheirSpeed)
+{
+    server_pace pace;
+    for (int i = 0; i < 10; ++i) {
+        pace.ran("read", milliseconds(80));
+    }
+    pace.told({ 5, 0, slots, std::nullopt }, slots, 5, start);
+    EXPECT_FALSE(pace.usualTime("read", start));
+    pace.told(loadOf(5, 1), slots, 5, start);
+    EXPECT_EQ(pace.usualTime("read", start), microseconds(milliseconds(80)));
+    EXPECT_FALSE(pace.usualTime("write", start));
+    // A restart under the same address begins anew.
+    pace.restart();
+    EXPECT_FALSE(pace.usualTime("read", start));
+    EXPECT_FALSE(pace.isSlow(start));
+}
+
+TEST(RelativePace, ComparesTargetsThatRunDifferentClasses)
+{
+    relative_pace paces;
+    double slow = 0;
+    double fast = 0;
+    for (int i = 0; i < 500; ++i) {
+        slow = paces.learn("read", milliseconds(200));
+        fast = paces.learn("read", milliseconds(100));
+        EXPECT_NEAR(paces.learn("write", milliseconds(40)), 1, 0.01);
+    }
+    EXPECT_NEAR(slow / fast, 2, 0.1);
+}
+
+TEST(ExpectedTime, GrowsWithLoadAndPace)
+{
+    for (std::uint32_t limit : { 1U, 20U, 300U }) {
+        SCOPED_TRACE(limit);
+        double last = 0;
+        for (double load = 0; load < 3; load += 0.01) {
+            auto time = expectedTime(1, load, limit);
+            EXPECT_GE(time, last);
+            EXPECT_DOUBLE_EQ(expectedTime(2, load, limit), 2 * time);
+            last = time;
+        }
+    }
+    // Of many slots a part is free at most loads; of few there is a wait long before.
+    EXPECT_LT(expectedTime(1, 0.9, 300), 1.01);
+    EXPECT_GT(expectedTime(1, 0.9, 4), 1.3);
+}
+
+TEST(LoadHeader, IsReadWithThreeFiguresOrFour)
+{
+    auto three = parseServerLoad("3,1,8");
+    ASSERT_TRUE(three);
+    EXPECT_EQ(three->running, 3U);
+    EXPECT_EQ(three->waiting, 1U);
+    EXPECT_EQ(three->slots, 8U);
+    EXPECT_FALSE(three->slowdown);
+    auto four = parseServerLoad("3, 1, 8, 250");
+    ASSERT_TRUE(four);
+    EXPECT_DOUBLE_EQ(four->slowdown.value_or(0), 2.5);
+}
+
+TEST(LoadHeader, IsRefusedWhereNoServerWroteIt)
+{
+    for (const char* text : { "", ",", "3,1", "3,1,8,100,1", "a,1,8", "-3,1,8", "3,1,0", "9,1,8", "3,1,8,0", "3,1,8,-5", "3,1,8,1e3", "3,1,8,999999999999", "3.5,1,8", "3,1,8,", "99999999999,1,8" }) {
+        EXPECT_FALSE(parseServerLoad(text)) << text;
+    }
+}
+
+TEST(LoadHeader, ThatCannotBeReadIsToldApartFromNone)
+{
+    auto readable = readAnswerMarks({ { "Vanillashunt-Instance-Load", "3,1,8,100" } });
+    EXPECT_TRUE(readable.load);
+    EXPECT_FALSE(readable.isLoadUnreadable);
+    auto rubbish = readAnswerMarks({ { "Vanillashunt-Instance-Load", "much" } });
+    EXPECT_FALSE(rubbish.load);
+    EXPECT_TRUE(rubbish.isLoadUnreadable);
+    auto none = readAnswerMarks({});
+    EXPECT_FALSE(none.load);
+    EXPECT_FALSE(none.isLoadUnreadable);
+}
+
+}
