--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -154,14 +154,24 @@
         void write()
         {
             m_sent = true;
-            m_written = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t count) {
-                self->m_written = !error;
+            bool atOnce = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t count) {
+                self->written(!error);
                 // Nothing has left if even the first byte was refused.
                 self->m_sent = self->m_sent && !(error && count == 0);
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
                     self->fail(error.message());
                 }
             });
+            if (atOnce) {
+                written(true);
+            }
+        }
+
+        // An idle connection keeps nothing of what it has sent.
+        void written(bool whole)
+        {
+            m_written = whole;
+            m_outgoing = {};
         }
 
         void beginAnswer()
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -305,7 +305,6 @@
     if (m_writing || m_closed) {
         return;
     }
-    m_outgoing.clear();
     while (!m_exchanges.empty() && m_exchanges.front()->answered) {
         auto each = m_exchanges.front();
         m_exchanges.pop_front();
@@ -332,6 +331,7 @@
 
 void pipeline_session::written(const error_code& error)
 {
+    m_outgoing = {};
     if (m_closed) {
         return;
     }
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -3,12 +3,12 @@
 #include "caller/pipeline_server.h"
 #include "events/event_catalogue.h"
 #include "node/membership_service.h"
-#include "node/planned_stop.h"
 #include "node/poison_share.h"
 #include "node/quota_service.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
 #include "node/routed_dump.h"
+#include "node/routed_stop.h"
 #include "node/server_reports.h"
 #include "node/settings_watch.h"
 #include "operator/call_log.h"
@@ -47,15 +47,6 @@
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
 
-    // After SIGTERM the platform asks twice, a second apart, before it takes the
-    // clients away.
-    constexpr std::chrono::milliseconds clientsLeaveTime { 2600 };
-    // So long a stopping node still gives its server new work: until the clients have
-    // left it waits anyway, and half of the runs end within the last 300 ms. The server
-    // beside it goes on, and others may be stopped at the same time.
-    constexpr std::chrono::milliseconds stopWorkTime { clientsLeaveTime - std::chrono::milliseconds(300) };
-    // Before the platform kills the process: the last answers and the farewell.
-    constexpr std::chrono::milliseconds killMargin { 600 };
     constexpr std::chrono::milliseconds farewellTime { 100 };
 
     // A node that knows nobody may be the only one, and serves alone after this.
@@ -75,12 +66,11 @@
         void workBegins();
         void logLoad(std::chrono::steady_clock::time_point now);
         void awaitSignals();
-        void stop();
-        void refuseWork(std::chrono::steady_clock::time_point now);
-        void stepStop(std::chrono::steady_clock::time_point now);
-        void logStop(std::chrono::steady_clock::time_point now);
+        void refuseWork();
+        void leave();
         void endActors();
         routed_call_hooks callHooks();
+        routed_stop_hooks stopHooks();
         key_value_store_hooks storeHooks();
         route_watch_hooks routeHooks();
         poison_share_hooks poisonHooks();
@@ -120,12 +110,11 @@
         asio::steady_timer m_tickTimer { m_context };
         asio::steady_timer m_exitTimer { m_context };
         asio::signal_set m_signals { m_context, SIGTERM, SIGINT, SIGHUP };
-        planned_stop m_stop;
+        routed_stop m_stop;
         member_list m_members = std::make_shared<std::vector<member>>();
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
         std::chrono::steady_clock::time_point m_nextLoadLine;
-        std::chrono::steady_clock::time_point m_nextStopLine;
         settings_watch m_settingsWatch;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
@@ -166,7 +155,7 @@
         , m_routes(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone,
               routeHooks())
         , m_poison(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone, poisonHooks())
-        , m_stop(settings.routes->grace - killMargin, clientsLeaveTime, stopWorkTime)
+        , m_stop(settings.routes->grace, stopHooks())
         , m_settingsWatch(std::move(source))
     {
         setLogLevel(settings.logLevel);
@@ -333,9 +322,7 @@
             m_nextSessionCheck = now + sessionCheckPeriod;
             m_clients->endLate(now);
         }
-        if (m_stop.exiting()) {
-            stepStop(now);
-        }
+        m_stop.step(now);
         m_busyTicks = m_calls.isBusy();
         scheduleTick();
     }
@@ -370,58 +357,36 @@
             if (number == SIGHUP) {
                 m_settingsWatch.reread();
             } else {
-                stop();
+                m_stop.begin(std::chrono::steady_clock::now());
             }
             awaitSignals();
         });
     }
 
-    void routed_process::stop()
+    routed_stop_hooks routed_process::stopHooks()
     {
-        auto now = std::chrono::steady_clock::now();
-        if (m_stop.exiting()) {
-            return;
-        }
-        logEvent(events::drainStarted);
-        m_stop.request(stop_reason::Signal, now);
-        m_clients->closeAfterAnswers();
+        routed_stop_hooks hooks;
+        hooks.progress = [this] {
+            return stop_progress { m_calls.entry().inProgress(), m_calls.target().inProgress(), m_clients->inProgress(), m_peerServer->inProgress() };
+        };
+        hooks.sendClientsAway = [this] { m_clients->closeAfterAnswers(); };
+        hooks.refuseWork = [this] { refuseWork(); };
+        hooks.stopAccepting = [this] { m_clients->stopAccepting(); };
+        hooks.leave = [this] { leave(); };
+        return hooks;
     }
 
-    // From here on the server beside the node gets nothing new.
-    void routed_process::refuseWork(std::chrono::steady_clock::time_point now)
+    void routed_process::refuseWork()
     {
-        m_calls.target().setStopping(now);
+        m_calls.target().setStopping(std::chrono::steady_clock::now());
         m_self.state = member_state::Draining;
         m_self.service = "";
         m_self.slots = 0;
         m_membership->setSelf(m_self);
     }
 
-    // What the stop waits for, once a second: who is killed at the end of the grace time has
-    // told by then what it had left.
-    void routed_process::logStop(std::chrono::steady_clock::time_point now)
+    void routed_process::leave()
     {
-        if (now < m_nextStopLine) {
-            return;
-        }
-        m_nextStopLine = now + loadLinePeriod;
-        logEvent(events::stopWaits, { { "entered", std::to_string(m_calls.entry().inProgress()) }, { "arrived", std::to_string(m_calls.target().inProgress()) }, { "clients", std::to_string(m_clients->inProgress()) }, { "peers", std::to_string(m_peerServer->inProgress()) } });
-    }
-
-    // One step towards the exit; called with each tick.
-    void routed_process::stepStop(std::chrono::steady_clock::time_point now)
-    {
-        if (m_self.state == member_state::Alive && m_stop.refusesWork(now)) {
-            refuseWork(now);
-        }
-        if (m_stop.mayClosePorts(now) && m_calls.target().inProgress() == 0) {
-            m_clients->stopAccepting();
-        }
-        logStop(now);
-        bool idle = m_calls.idle() && m_clients->inProgress() == 0 && m_peerServer->inProgress() == 0;
-        if (!m_stop.mayExit(idle, now) || m_self.state == member_state::Left) {
-            return;
-        }
         m_self.state = member_state::Left;
         m_membership->setSelf(m_self);
         m_exitTimer.expires_after(farewellTime);
--- a/Source/operator/request_journal.h
+++ b/Source/operator/request_journal.h
@@ -6,7 +6,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace vanillashunt {
@@ -21,7 +23,9 @@
 };
 
 // The latest decisions of one node, for operators who ask what became of a
-// request. A bound on their number bounds its memory.
+// request. A bound on their number bounds its memory: an entry takes 40 bytes, with the
+// request's id as a hash and the detail as its place among
+// the texts that come again and again; texts beyond their bound are not told.
 class request_journal {
 public:
     explicit request_journal(std::size_t capacity);
@@ -34,10 +38,23 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
+    struct stored_entry {
+        std::uint64_t requestHash = 0;
+        std::chrono::steady_clock::time_point at;
+        verdict outcome;
+        std::uint32_t detail = 0;
+        call_decision decision = call_decision::Attempt;
+    };
+
+    std::uint32_t detailIndex(const std::string&);
+
     std::size_t m_capacity;
     // A ring: once it is full, m_next is the oldest.
-    std::vector<journal_entry> m_entries;
+    std::vector<stored_entry> m_entries;
     std::size_t m_next = 0;
+    // Names of targets and the texts that callers get.
+    std::vector<std::string> m_details { "" };
+    std::unordered_map<std::string, std::uint32_t> m_detailIndices { { "", 0 } };
 };
 
 // Writes the decisions as the method explain answers them.
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -55,6 +55,7 @@
             m_attempt = request.attempt;
             m_requestId = request.context.requestId;
             m_outgoing = encodeFrame(request, now, m_sentFrames);
+            m_written = false;
             m_connection.use();
             if (m_connection.isOpen()) {
                 write();
@@ -94,13 +95,23 @@
 
         void write()
         {
-            m_written = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
-                self->m_written = !error;
+            bool atOnce = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
+                self->written(!error);
                 // A peer that refuses early may have answered before it closed.
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
                     self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
                 }
             });
+            if (atOnce) {
+                written(true);
+            }
+        }
+
+        // A node has hundreds of connections, most of them idle: none keeps what it has sent.
+        void written(bool whole)
+        {
+            m_written = whole;
+            m_outgoing = {};
         }
 
         void connectionEnded(const error_code&) { fail(verdict::mayHaveRun(verdict_reason::AnswerLost)); }
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -172,6 +172,7 @@
     void peer_session::sent()
     {
         m_answering = false;
+        m_outgoing = {};
         --m_server->inProgress;
     }
 
