--- a/Source/admission/chain_chance.cpp
+++ b/Source/admission/chain_chance.cpp
@@ -22,16 +22,9 @@
 
 }
 
-double chain_chance::fading_mean::get(time_point now) const
+chain_chance::chain_chance()
+    : m_failed(halfLife)
 {
-    return value * std::exp2(-std::chrono::duration<double>(now - noted) / halfLife);
-}
-
-void chain_chance::fading_mean::add(double sample, double weight, time_point now)
-{
-    auto known = get(now);
-    value = known + weight * (sample - known);
-    noted = now;
 }
 
 void chain_chance::ended(bool failed, time_point now)
@@ -44,7 +37,7 @@
     if (m_called.size() >= mostClasses && m_called.count(calledClass) == 0) {
         return;
     }
-    m_called[calledClass].add(-std::log(std::clamp(chance, leastChance, 1.0)), sampleWeight, now);
+    m_called.try_emplace(calledClass, halfLife).first->second.add(-std::log(std::clamp(chance, leastChance, 1.0)), sampleWeight, now);
 }
 
 void chain_chance::succeeded(const std::string& runClass, const call_counts& calls)
--- a/Source/admission/chain_chance.h
+++ b/Source/admission/chain_chance.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/fading_mean.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -17,6 +19,8 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
+    chain_chance();
+
     // The own server has ended a run; it failed if it refused or lost it, or failed though all
     // of its calls ended well.
     void ended(bool failed, time_point now);
@@ -31,15 +35,6 @@
     double get(const std::string& runClass, time_point now) const;
 
 private:
-    // A mean that counts for half after a while without news.
-    struct fading_mean {
-        double value = 0;
-        time_point noted {};
-
-        double get(time_point now) const;
-        void add(double sample, double weight, time_point now);
-    };
-
     // Part of the runs that the own server fails.
     fading_mean m_failed;
     // By class of the calls: minus the logarithm of their chance.
--- a/Source/admission/request_chances.cpp
+++ b/Source/admission/request_chances.cpp
@@ -1,7 +1,5 @@
 #include "admission/request_chances.h"
 
-#include <cmath>
-
 namespace vanillashunt {
 
 namespace {
@@ -28,9 +26,9 @@
 {
 }
 
-double request_chances::chanceNow(const class_chance& known, time_point now)
+request_chances::class_chance::class_chance()
+    : failing(halfLife)
 {
-    return 1 - (1 - known.chance) * std::exp2(-std::chrono::duration<double>(now - known.noted) / halfLife);
 }
 
 void request_chances::told(const std::string& requestClass, double chance, time_point now)
@@ -38,23 +36,20 @@
     if (m_classes.size() >= mostClasses && m_classes.count(requestClass) == 0) {
         return;
     }
-    auto& known = m_classes[requestClass];
-    auto before = chanceNow(known, now);
-    known.chance = before + answerWeight * (chance - before);
-    known.noted = now;
+    m_classes[requestClass].failing.add(1 - chance, answerWeight, now);
 }
 
 double request_chances::get(const std::string& requestClass, time_point now) const
 {
     auto found = m_classes.find(requestClass);
-    return found == m_classes.end() ? 1 : chanceNow(found->second, now);
+    return found == m_classes.end() ? 1 : found->second.chance(now);
 }
 
 std::vector<low_chance> request_chances::lowChances(time_point now) const
 {
     std::vector<low_chance> result;
     for (const auto& [requestClass, known] : m_classes) {
-        auto chance = chanceNow(known, now);
+        auto chance = known.chance(now);
         if (chance < usualChance) {
             result.push_back({ requestClass, chance });
         }
@@ -69,7 +64,7 @@
         return false;
     }
     auto& known = found->second;
-    auto chance = chanceNow(known, now);
+    auto chance = known.chance(now);
     // One that is idempotent may be sent again at once: two tries together have to do.
     auto succeeds = idempotent ? 1 - (1 - chance) * (1 - chance) : chance;
     if (succeeds >= m_leastChance) {
--- a/Source/admission/request_chances.h
+++ b/Source/admission/request_chances.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/fading_mean.h"
+
 #include <chrono>
 #include <string>
 #include <unordered_map>
@@ -36,13 +38,14 @@
 
 private:
     struct class_chance {
-        double chance = 1;
-        time_point noted;
+        class_chance();
+
+        double chance(time_point now) const { return 1 - failing.get(now); }
+
+        fading_mean failing;
         time_point nextProbe;
     };
 
-    static double chanceNow(const class_chance&, time_point now);
-
     double m_leastChance;
     std::unordered_map<std::string, class_chance> m_classes;
 };
--- /dev/null
+++ b/Source/decision/fading_mean.cpp
@@ -0,0 +1,19 @@
+#include "decision/fading_mean.h"
+
+#include <cmath>
+
+namespace vanillashunt {
+
+double fading_mean::get(time_point now) const
+{
+    return m_value * std::exp2(-std::chrono::duration<double>(now - m_noted) / m_halfLife);
+}
+
+void fading_mean::add(double sample, double weight, time_point now)
+{
+    auto known = get(now);
+    m_value = known + weight * (sample - known);
+    m_noted = now;
+}
+
+}
--- a/Source/routing/service_room.cpp
+++ b/Source/routing/service_room.cpp
@@ -1,7 +1,5 @@
 #include "routing/service_room.h"
 
-#include <cmath>
-
 namespace vanillashunt {
 
 namespace {
@@ -19,22 +17,15 @@
 
 }
 
-double service_room::partNow(const seen_fullness& seen, time_point now)
-{
-    return seen.part * std::exp2(-std::chrono::duration<double>(now - seen.noted) / halfLife);
-}
-
 void service_room::answered(const std::string& service, bool full, time_point now)
 {
-    auto& seen = m_services[service];
-    seen.part = partNow(seen, now) * (1 - answerWeight) + (full ? answerWeight : 0);
-    seen.noted = now;
+    m_fullParts.try_emplace(service, halfLife).first->second.add(full ? 1 : 0, answerWeight, now);
 }
 
 bool service_room::isLikely(const std::string& service, time_point now) const
 {
-    auto found = m_services.find(service);
-    return found == m_services.end() || partNow(found->second, now) < mostlyFull;
+    auto found = m_fullParts.find(service);
+    return found == m_fullParts.end() || found->second.get(now) < mostlyFull;
 }
 
 }
--- a/Source/routing/service_room.h
+++ b/Source/routing/service_room.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/fading_mean.h"
+
 #include <chrono>
 #include <string>
 #include <unordered_map>
@@ -21,15 +23,8 @@
     bool isLikely(const std::string& service, time_point now) const;
 
 private:
-    struct seen_fullness {
-        // Part of the answers that told of a full target, the latest counting most.
-        double part = 0;
-        time_point noted;
-    };
-
-    static double partNow(const seen_fullness&, time_point now);
-
-    std::unordered_map<std::string, seen_fullness> m_services;
+    // By service: part of the answers that told of a full target.
+    std::unordered_map<std::string, fading_mean> m_fullParts;
 };
 
 }
--- a/Source/routing/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -72,6 +72,12 @@
 
 }
 
+target_view::target_view()
+    : m_lost(lostHalfLife)
+    , m_zoneCrossings(crossingsHalfLife)
+{
+}
+
 void target_view::started(std::chrono::steady_clock::time_point now)
 {
     if (m_outstanding == 0) {
@@ -90,8 +96,7 @@
 void target_view::finished(const route_outcome& outcome, double chance, std::chrono::steady_clock::time_point now)
 {
     cancelled();
-    m_lost = lostPart(now) * (1 - lostWeight) + (isLost(outcome.result.reason) ? lostWeight : 0);
-    m_lostNoted = now;
+    m_lost.add(isLost(outcome.result.reason) ? 1 : 0, lostWeight, now);
     m_unreachedInRow = outcome.result.reason == verdict_reason::PeerUnreachable ? m_unreachedInRow + 1 : 0;
     if (isFailure(outcome.result.reason)) {
         failed(chance, now);
@@ -106,9 +111,7 @@
     }
     if (outcome.result.run == execution::Ran) {
         notePace(outcome.pace);
-        auto known = zoneCrossings(now);
-        m_zoneCrossings = known + crossingsWeight * (outcome.zoneCrossings - known);
-        m_crossingsReported = now;
+        m_zoneCrossings.add(outcome.zoneCrossings, crossingsWeight, now);
     }
     noteLoad(outcome, now);
 }
@@ -129,16 +132,6 @@
     return m_unreachedInRow >= unreachedBeforeProbing && m_outstanding > 0;
 }
 
-double target_view::zoneCrossings(std::chrono::steady_clock::time_point now) const
-{
-    return m_zoneCrossings * std::exp2(-std::chrono::duration<double>(now - m_crossingsReported) / crossingsHalfLife);
-}
-
-double target_view::lostPart(std::chrono::steady_clock::time_point now) const
-{
-    return m_lost * std::exp2(-std::chrono::duration<double>(now - m_lostNoted) / lostHalfLife);
-}
-
 void target_view::failed(double chance, std::chrono::steady_clock::time_point now)
 {
     auto doublings = std::min(m_failuresInRow, mostDoublings);
@@ -182,7 +175,7 @@
 double target_view::load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const
 {
     auto others = m_limit != 0 ? m_othersInFlight * decay(now - m_reported) : 0;
-    return (m_outstanding + others) / limit(slots) + loadOfLosingAll * lostPart(now);
+    return (m_outstanding + others) / limit(slots) + loadOfLosingAll * m_lost.get(now);
 }
 
 }
--- a/Source/routing/target_view.h
+++ b/Source/routing/target_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/fading_mean.h"
 #include "decision/shedding_position.h"
 #include "decision/verdict.h"
 
@@ -26,6 +27,8 @@
 // What this node has seen itself of one other member: its load, and whether it answers.
 class target_view {
 public:
+    target_view();
+
     void started(std::chrono::steady_clock::time_point now);
     // The chance spreads the end of an avoidance over the nodes; it is in [0, 1).
     void finished(const route_outcome&, double chance, std::chrono::steady_clock::time_point now);
@@ -58,7 +61,7 @@
 
     // How many calls to other zones follow from one call to it, usually. What was
     // reported long ago counts less, so that it is tried again.
-    double zoneCrossings(std::chrono::steady_clock::time_point now) const;
+    double zoneCrossings(std::chrono::steady_clock::time_point now) const { return m_zoneCrossings.get(now); }
 
     std::uint32_t outstanding() const { return m_outstanding; }
 
@@ -67,14 +70,11 @@
     void notePace(std::optional<double> told);
     void noteLoad(const route_outcome&, std::chrono::steady_clock::time_point now);
 
-    double lostPart(std::chrono::steady_clock::time_point now) const;
-
     std::uint32_t m_outstanding = 0;
     // Attempts in a row for which no connection came about.
     std::uint32_t m_unreachedInRow = 0;
     // Part of the attempts that brought no answer, the latest counting most.
-    double m_lost = 0;
-    std::chrono::steady_clock::time_point m_lostNoted;
+    fading_mean m_lost;
     std::uint32_t m_failuresInRow = 0;
     // Since when at least one answer is owed and none has come.
     std::chrono::steady_clock::time_point m_owesSince;
@@ -86,8 +86,7 @@
     std::uint32_t m_limit = 0;
     std::optional<double> m_pace;
     std::chrono::steady_clock::time_point m_reported;
-    double m_zoneCrossings = 0;
-    std::chrono::steady_clock::time_point m_crossingsReported;
+    fading_mean m_zoneCrossings;
 };
 
 }
--- a/Tests/FreeSlots/choice_model.h
+++ b/Tests/FreeSlots/choice_model.h
@@ -46,6 +46,8 @@
     // Time from a call's arrival to its answer: the mean, and what 0.99 of them need.
     std::chrono::duration<double> meanTime { 0 };
     std::chrono::duration<double> time99 { 0 };
+
+    double answeredPart() const { return static_cast<double>(answered) / static_cast<double>(calls); }
 };
 
 // Entries and targets of one service in virtual time: their real decisions, servers that
--- a/Tests/FreeSlots/free_slots_test.cpp
+++ b/Tests/FreeSlots/free_slots_test.cpp
@@ -27,11 +27,6 @@
         return choice_model(plan).run(std::chrono::seconds(5));
     }
 
-    double answeredPart(const choice_model_result& result)
-    {
-        return static_cast<double>(result.answered) / static_cast<double>(result.calls);
-    }
-
     double attemptsForEachCall(const choice_model_result& result)
     {
         return static_cast<double>(result.attempts) / static_cast<double>(result.calls);
@@ -46,7 +41,7 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         SCOPED_TRACE(seed);
         auto result = play(manyNodes(seed, 0.7), true);
-        EXPECT_GT(answeredPart(result), 0.97);
+        EXPECT_GT(result.answeredPart(), 0.97);
         EXPECT_LT(result.waitedPart, 0.02);
         EXPECT_LT(attemptsForEachCall(result), 1.8);
     }
@@ -58,7 +53,7 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         SCOPED_TRACE(seed);
         auto result = play(manyNodes(seed, 0.7), false);
-        EXPECT_LT(answeredPart(result), 0.93);
+        EXPECT_LT(result.answeredPart(), 0.93);
         EXPECT_GT(result.waitedPart, 0.1);
     }
 }
@@ -70,7 +65,7 @@
         SCOPED_TRACE(seed);
         auto with = play(manyNodes(seed, 0.85), true);
         auto without = play(manyNodes(seed, 0.85), false);
-        EXPECT_GT(answeredPart(with), answeredPart(without) + 0.1);
+        EXPECT_GT(with.answeredPart(), without.answeredPart() + 0.1);
         EXPECT_LT(with.meanWait, without.meanWait / 2);
     }
 }
@@ -83,7 +78,7 @@
     auto with = play(manyNodes(1, 3), true);
     auto without = play(manyNodes(1, 3), false);
     EXPECT_LT(attemptsForEachCall(with), attemptsForEachCall(without) * 1.25);
-    EXPECT_GT(answeredPart(with), answeredPart(without) * 0.95);
+    EXPECT_GT(with.answeredPart(), without.answeredPart() * 0.95);
 }
 
 }
--- a/Tests/FreeSlots/uneven_servers_test.cpp
+++ b/Tests/FreeSlots/uneven_servers_test.cpp
@@ -30,11 +30,6 @@
         return choice_model(plan).run(std::chrono::seconds(6));
     }
 
-    double answeredPart(const choice_model_result& result)
-    {
-        return static_cast<double>(result.answered) / static_cast<double>(result.calls);
-    }
-
     // What may come of chance in so many calls.
     constexpr double chance = 0.01;
 
@@ -50,7 +45,7 @@
         auto untold = play(unevenServers(seed, 0.5), false);
         EXPECT_LT(told.meanTime, untold.meanTime * 0.9);
         EXPECT_LT(told.time99, untold.time99 * 0.9);
-        EXPECT_GT(answeredPart(told), answeredPart(untold) - chance);
+        EXPECT_GT(told.answeredPart(), untold.answeredPart() - chance);
     }
 }
 
@@ -61,7 +56,7 @@
         SCOPED_TRACE(load);
         auto told = play(unevenServers(1, load), true);
         auto untold = play(unevenServers(1, load), false);
-        EXPECT_GT(answeredPart(told), answeredPart(untold) - chance);
+        EXPECT_GT(told.answeredPart(), untold.answeredPart() - chance);
         EXPECT_LT(told.time99, untold.time99 * 1.05);
     }
 }
