Take the refusal of requests that would fail out again

Callers wait for a third of their time and have one return, which is the last fifth of the trouble; idempotent ones lose two tries for it. docs/design/doomed-requests.md keeps what was built and what it brought.

--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -44,8 +44,6 @@
     // The time that calls of this class usually take at its backend server; zero where the
     // node does not tell.
     std::chrono::microseconds usualTime { 0 };
-    // The chance that a call of this class ends well there, with all the calls that it makes.
-    double chance = 1;
 };
 
 // An answer that a node gives in the place of a backend server.
--- a/Source/decision/verdict.h
+++ b/Source/decision/verdict.h
@@ -41,10 +41,9 @@
     UnknownKey, // The request has no key of an organisation, and needs one.
     UnknownParent, // The request that it says it is made for is not running here.
     OverQuota, // The organisation has had all the requests that it may have now.
-    WouldFail, // Calls that it needs fail now, so that it would hardly succeed.
 };
 
-constexpr int verdictReasonCount = static_cast<int>(verdict_reason::WouldFail) + 1;
+constexpr int verdictReasonCount = static_cast<int>(verdict_reason::OverQuota) + 1;
 
 // The word that callers see, for example "not_run".
 std::string toString(execution);
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -32,7 +32,6 @@
         entry_settings settings;
         settings.place = { node.availabilityZone, node.region };
         settings.ownService = node.routes->service;
-        settings.leastChance = node.routes->leastChance;
         settings.retries = { node.routes->retryRatio, node.routes->retrySlack, node.routes->retryWindow };
         return settings;
     }
@@ -69,7 +68,6 @@
     hooks.ended = [this](std::uint64_t memberId, bool answered) { m_hooks.ended(memberId, answered); };
     hooks.findParent = [this](const entry_request& request) { return m_target.findParent(request.parentId, request.deadline); };
     hooks.onwardEnded = [this](std::uint64_t runId, const onward_report& report) { m_target.learnOnward(runId, report); };
-    hooks.onwardFinished = [this](std::uint64_t runId, const onward_end& ended, time_point now) { m_target.onwardEnded(runId, ended, now); };
     hooks.standingOf = [this](request_fingerprint content) { return m_hooks.standingOf(content); };
     hooks.takeQuota = m_hooks.takeQuota;
     hooks.cancelQuota = m_hooks.cancelQuota;
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -15,15 +15,6 @@
 
 namespace {
 
-    Json::Value dumpChances(const std::vector<low_chance>& chances)
-    {
-        Json::Value json(Json::objectValue);
-        for (const auto& each : chances) {
-            json[each.requestClass] = each.chance;
-        }
-        return json;
-    }
-
     // How this node sees the targets that it has sent calls to: why a call goes where it goes.
     Json::Value dumpTargets(const std::vector<target_standing>& targets)
     {
@@ -59,7 +50,6 @@
     inbound["slowdown"] = target.pace().slowdown(now);
     inbound["loads_contradicted"] = Json::UInt64(target.pace().contradictions());
     inbound["loads_unreadable"] = Json::UInt64(parts.unreadableLoads);
-    calls["chances"] = dumpChances(parts.calls.entry().lowChances(now));
     calls["targets"] = dumpTargets(parts.calls.entry().targets(now));
     calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -38,9 +38,6 @@
 
     constexpr std::uint64_t chanceSteps = 1U << 20U;
 
-    // A refused caller waits for no more than this part of the time that it has left.
-    constexpr int callersPatience = 3;
-
     importance importanceOf(std::uint32_t priority)
     {
         if (priority == 0) {
@@ -77,7 +74,6 @@
     , m_router(m_settings.place, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; })
     , m_allowance(m_settings.retries, started)
     , m_entrance({ admission_policy::Full, [random = m_hooks.random](std::uint64_t bound) { return random() % bound; } })
-    , m_chances(m_settings.leastChance)
 {
 }
 
@@ -170,12 +166,11 @@
     if (!maker) {
         auto judged = m_entrance.judge({ "", context.requestClass, context.position, context.deadline }, now);
         call.entranceCut = judged.cut;
-        refusal = judged.refusal ? judged.refusal : refusalOfDoomed(context, request.deadline, now);
+        refusal = judged.refusal;
     }
     m_calls.emplace(callId, std::move(call));
     if (refusal) {
-        bool isDoomed = refusal->reason == verdict_reason::WouldFail;
-        giveUp(callId, *refusal, isDoomed ? "calls that the request needs fail now" : "refused here for a service further down", now);
+        giveUp(callId, *refusal, "refused here for a service further down", now);
         return callId;
     }
     if (origin.asker && origin.asker->quota.isLimited() && m_hooks.takeQuota) {
@@ -186,21 +181,6 @@
     return callId;
 }
 
-// A request that comes back is let through: it has no further try.
-std::optional<verdict> routed_entry::refusalOfDoomed(const request_context& context, time_point callerWaitsUntil, time_point now)
-{
-    if (m_settings.leastChance <= 0 || m_refused.takeReturn(context.content, now)) {
-        return std::nullopt;
-    }
-    if (!m_chances.refuses(context.requestClass, context.idempotent, now)) {
-        return std::nullopt;
-    }
-    m_refused.refused(context.content, now);
-    auto longest = std::chrono::duration_cast<std::chrono::milliseconds>((callerWaitsUntil - now) / callersPatience);
-    auto spread = static_cast<std::uint64_t>(std::max<std::int64_t>(1, longest.count() / 2));
-    return verdict::notRun(verdict_reason::WouldFail, longest - std::chrono::milliseconds(m_hooks.random() % spread));
-}
-
 // Where the organisation's next request is allowed within a moment, waiting for that answers
 // more requests than refusing: arrivals are uneven, also those below the limit.
 void routed_entry::takeQuota(std::uint64_t callId, std::chrono::milliseconds targetLatency, time_point now)
@@ -357,7 +337,6 @@
     auto callId = node.mapped();
     auto& call = m_calls.at(callId);
     call.attemptId = 0;
-    call.chance = answer.limit != 0 ? answer.chance : call.chance;
     auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted);
     route_outcome seen { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit, answer.zoneCrossings };
     if (answer.usualTime.count() > 0) {
@@ -416,7 +395,6 @@
         m_costs.served(context.requestClass, answer.cost);
     }
     m_entrance.learnCut({ "", context.requestClass, context.position, context.deadline }, { answer.cut, answer.outcome.retryAfter }, now);
-    m_chances.told(context.requestClass, answer.chance, now);
 }
 
 // Only requests that come as far as a server count for the allowance: a repeat makes
@@ -468,7 +446,6 @@
     }
     entry_answer result;
     result.outcome = answer.outcome.run == execution::Ran ? answer.outcome : why;
-    noteOnwardEnd(call, result.outcome, answer.status, now);
     if (result.outcome.run == execution::Ran) {
         observe(call, call_decision::Finished, result.outcome, "", answer.status, now);
         result.answer = std::move(answer);
@@ -487,16 +464,6 @@
     call.handler(std::move(result));
 }
 
-void routed_entry::noteOnwardEnd(const entry_call& call, const verdict& outcome, std::uint32_t status, time_point now) const
-{
-    if (call.parentRun == 0 || !m_hooks.onwardFinished) {
-        return;
-    }
-    bool succeeded = outcome.run == execution::Ran && status < leastServerError;
-    bool nobodyThere = outcome.reason == verdict_reason::NoBackendServer || outcome.reason == verdict_reason::PeerUnreachable;
-    m_hooks.onwardFinished(call.parentRun, { call.request.context.requestClass, succeeded, nobodyThere ? 0 : call.chance }, now);
-}
-
 // What reached no server does not count against the limit.
 void routed_entry::endQuota(entry_call& call, time_point now)
 {
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -2,8 +2,6 @@
 
 #include "admission/cost_order.h"
 #include "admission/entrance_gate.h"
-#include "admission/refused_requests.h"
-#include "admission/request_chances.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
@@ -63,10 +61,8 @@
     std::function<void(std::uint64_t memberId, bool answered)> ended;
     // The run of the own server that makes a call; nothing for a whole request.
     std::function<std::optional<parent_run>(const entry_request&)> findParent;
-    // A target answered a call of the own server.
+    // A call of the own server ended.
     std::function<void(std::uint64_t runId, const onward_report&)> onwardEnded;
-    // A call of the own server ended; may be empty.
-    std::function<void(std::uint64_t runId, const onward_end&, time_point now)> onwardFinished;
     // What servers' ends say of the content; without the hook every one is harmless.
     std::function<content_standing(request_fingerprint)> standingOf;
     // Lets the request go on when its organisation's quota has room; as quota_account's. Without
@@ -83,8 +79,6 @@
     // The service of the server beside this node: where these requests begin.
     std::string ownService;
     retry_allowance_settings retries;
-    // Whole requests with a lower chance to succeed are refused; 0 refuses none.
-    double leastChance = 0;
 };
 
 // The requests that enter at this node, those of its clients and those of its own
@@ -113,7 +107,6 @@
     void tick(time_point now);
 
     std::size_t inProgress() const { return m_calls.size(); }
-    std::vector<low_chance> lowChances(time_point now) const { return m_chances.lowChances(now); }
     std::vector<target_standing> targets(time_point now) const { return m_router.standings(now); }
     std::int64_t version() const { return m_table.configuration().version; }
     // Whether the configuration has a service of that name.
@@ -149,8 +142,6 @@
         bool hasQuota = false;
         // What the entrance compared a whole request with.
         remembered_cut entranceCut;
-        // The chance that the last target told for it.
-        double chance = 1;
     };
 
     // Who asks, as far as the node can tell.
@@ -181,8 +172,6 @@
     void abandonAttempt(entry_call&, time_point now);
     void observe(const entry_call&, call_decision, const verdict&, const std::string& detail, std::uint32_t status, time_point now) const;
     std::chrono::milliseconds comeBackAfter() const;
-    std::optional<verdict> refusalOfDoomed(const request_context&, time_point callerWaitsUntil, time_point now);
-    void noteOnwardEnd(const entry_call&, const verdict&, std::uint32_t status, time_point now) const;
 
     entry_settings m_settings;
     entry_hooks m_hooks;
@@ -192,8 +181,6 @@
     router m_router;
     retry_allowance m_allowance;
     entrance_gate m_entrance;
-    request_chances m_chances;
-    refused_requests m_refused;
     cost_order m_costs;
     service_room m_room;
     relative_pace m_paces;
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -229,7 +229,6 @@
         // refuses for a reason of its own: fewer calls would not make it refuse less.
         m_gate.cancel(runId, now);
     }
-    noteEnd(entry, answer, now);
     if (answer.outcome.reason == verdict_reason::AnswerLost) {
         m_lostRuns.lost(entry.server, entry.request.context.content, now);
     }
@@ -237,26 +236,6 @@
     startReleased(now);
 }
 
-void routed_target::noteEnd(const arrival& entry, const call_answer& answer, time_point now)
-{
-    bool succeeded = answer.outcome.run == execution::Ran && answer.status < leastServerError;
-    m_chances.ended(!succeeded && !entry.onwardFailed, now);
-    if (succeeded) {
-        m_chances.succeeded(entry.request.context.requestClass, entry.onwardCalls);
-    }
-}
-
-void routed_target::onwardEnded(std::uint64_t runId, const onward_end& ended, time_point now)
-{
-    m_chances.called(ended.requestClass, ended.chance, now);
-    auto found = m_arrivals.find(runId);
-    if (found == m_arrivals.end()) {
-        return;
-    }
-    ++found->second.onwardCalls[ended.requestClass];
-    found->second.onwardFailed = found->second.onwardFailed || !ended.succeeded;
-}
-
 void routed_target::reply(const arrival& entry, call_answer answer, time_point now) const
 {
     answer.callId = entry.request.callId;
@@ -272,7 +251,6 @@
     answer.zoneCrossings = entry.zoneCrossings;
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
-    answer.chance = m_chances.get(entry.request.context.requestClass, now);
     answer.usualTime = m_pace.usualTime(entry.request.context.requestClass, now).value_or(answer.usualTime);
     entry.replier(answer);
 }
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "admission/admission_gate.h"
-#include "admission/chain_chance.h"
 #include "backend/lost_runs.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
@@ -57,14 +56,6 @@
     std::uint32_t zoneCrossings = 0;
 };
 
-// How a call that the own server made has ended.
-struct onward_end {
-    std::string requestClass;
-    bool succeeded = false;
-    // The chance that its target told for such calls; 0 where nobody could run it.
-    double chance = 1;
-};
-
 // The calls that are to run at the server beside this node. Everything that
 // reaches the server passes here, so that what is said here of a call, that it
 // has not run and never will, is certain.
@@ -102,11 +93,8 @@
     // none, the one that ends with it. Nothing for a request of anyone else.
     std::optional<parent_run> findParent(const std::string& parentId, time_point deadline) const;
 
-    // A target that a call of the run was sent to has answered.
-    void learnOnward(std::uint64_t runId, const onward_report&);
-
     // A call that the run made has ended.
-    void onwardEnded(std::uint64_t runId, const onward_end&, time_point now);
+    void learnOnward(std::uint64_t runId, const onward_report&);
 
     std::size_t inProgress() const { return m_arrivals.size(); }
     // Whether lost answers have put in doubt that the server is there.
@@ -137,12 +125,8 @@
         time_point started {};
         std::vector<met_cut> onwardCuts {};
         std::uint32_t zoneCrossings = 0;
-        // The calls that it has made, and whether one of them failed.
-        call_counts onwardCalls {};
-        bool onwardFailed = false;
     };
 
-    void noteEnd(const arrival&, const call_answer&, time_point now);
     void endRuns(time_point now);
     void noteServerEnd(std::optional<server_end>);
     void noteServed(const call_request&);
@@ -162,7 +146,6 @@
     bool m_balanceByPace;
     admission_gate m_gate;
     server_pace m_pace;
-    chain_chance m_chances;
     std::optional<server_report> m_server;
     bool m_takesWork = false;
     bool m_stopping = false;
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <cstring>
 
 namespace vanillashunt {
@@ -106,56 +105,43 @@
     constexpr std::chrono::microseconds longestRemaining { std::chrono::hours(1) };
     constexpr std::chrono::milliseconds longestRetryAfter { std::chrono::hours(1) };
 
-    // Fields behind an answer's own ones in which its node tells more, so that nodes of the
-    // version before can read the answer: the successor of the request's ticket, the usual time of
-    // its class in microseconds, and the chance of its class in thousandths.
+    // A field behind an answer's own ones in which its node tells more, so that nodes of the
+    // version before can read the answer: the successor of the request's ticket where it did not
+    // run, else the usual time of its class in microseconds.
     constexpr const char* successorField = "Vanillashunt-Successor";
     constexpr const char* usualTimeField = "Vanillashunt-Usual-Time";
-    constexpr const char* chanceField = "Vanillashunt-Chance";
-    constexpr double chanceUnit = 1000;
-    // A higher chance is not worth the bytes.
-    constexpr double leastGoodChance = 0.95;
 
-    bool isNodeField(const http_field& field)
+    std::optional<http_field> ownField(const call_answer& answer)
     {
-        return field.name == successorField || field.name == usualTimeField || field.name == chanceField;
-    }
-
-    http_fields nodeFields(const call_answer& answer)
-    {
-        http_fields fields;
-        if (answer.successor) {
-            fields.push_back({ successorField, toString(*answer.successor) });
+        if (answer.outcome.run != execution::Ran) {
+            return answer.successor ? std::optional(http_field { successorField, toString(*answer.successor) }) : std::nullopt;
         }
-        if (answer.usualTime.count() > 0) {
-            fields.push_back({ usualTimeField, std::to_string(answer.usualTime.count()) });
+        // A server's field of that name would be taken for the node's.
+        bool isTaken = !answer.fields.empty() && answer.fields.back().name == usualTimeField;
+        if (answer.usualTime.count() == 0 && !isTaken) {
+            return std::nullopt;
         }
-        if (answer.chance < leastGoodChance) {
-            fields.push_back({ chanceField, std::to_string(std::lround(answer.chance * chanceUnit)) });
-        }
-        return fields;
+        return http_field { usualTimeField, std::to_string(answer.usualTime.count()) };
     }
 
-    std::int64_t readNumber(const std::string& text, std::int64_t most)
+    void takeOwnField(call_answer& answer)
     {
-        std::int64_t number = 0;
-        std::from_chars(text.data(), text.data() + text.size(), number);
-        return std::clamp<std::int64_t>(number, 0, most);
-    }
-
-    void takeNodeFields(call_answer& answer)
-    {
-        while (!answer.fields.empty() && isNodeField(answer.fields.back())) {
-            const auto& field = answer.fields.back();
-            if (field.name == successorField) {
-                answer.successor = parseTicket(field.value);
-            } else if (field.name == usualTimeField) {
-                answer.usualTime = std::chrono::microseconds(readNumber(field.value, longestRemaining.count()));
-            } else {
-                answer.chance = static_cast<double>(readNumber(field.value, std::lround(chanceUnit))) / chanceUnit;
-            }
-            answer.fields.pop_back();
+        if (answer.fields.empty()) {
+            return;
+        }
+        const auto& last = answer.fields.back();
+        bool ran = answer.outcome.run == execution::Ran;
+        if (last.name != (ran ? usualTimeField : successorField)) {
+            return;
         }
+        if (ran) {
+            std::int64_t microseconds = 0;
+            std::from_chars(last.value.data(), last.value.data() + last.value.size(), microseconds);
+            answer.usualTime = std::clamp(std::chrono::microseconds(microseconds), std::chrono::microseconds(0), longestRemaining);
+        } else {
+            answer.successor = parseTicket(last.value);
+        }
+        answer.fields.pop_back();
     }
 
     // Writes the payload of a frame; texts go straight from where they are, as their
@@ -408,17 +394,14 @@
     numbers.zoneCrossings.value = answer.zoneCrossings;
     frame_writer writer(history, requestId);
     writer.numbers(numbers);
-    auto told = nodeFields(answer);
-    // A server's field of such a name would be taken for the node's.
-    auto taken = std::count_if(answer.fields.begin(), answer.fields.end(), isNodeField);
-    writer.beginTexts(answerTexts + textsOfField * (answer.fields.size() - static_cast<std::size_t>(taken) + told.size()));
+    auto own = ownField(answer);
+    writer.beginTexts(answerTexts + textsOfField * (answer.fields.size() + (own ? 1 : 0)));
     writer.text(answer.cost.service);
-    for (const auto& field : answer.fields) {
-        if (!isNodeField(field)) {
-            writer.fields({ field });
-        }
+    writer.fields(answer.fields);
+    if (own) {
+        writer.text(own->name);
+        writer.text(own->value);
     }
-    writer.fields(told);
     writer.bytes(answer.body);
     return writer.finish(frame_kind::Answer);
 }
@@ -490,7 +473,7 @@
     reader.beginTexts(requestId);
     answer.cost.service = reader.text();
     answer.fields = reader.fields();
-    takeNodeFields(answer);
+    takeOwnField(answer);
     answer.body = std::string(reader.bytes());
     if (!reader.isWhole()) {
         return std::nullopt;
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -58,7 +58,6 @@
             + formatReal("quota_over", routes.quotaOver)
             + formatSeconds("quota_window_seconds", routes.quotaWindow)
             + formatReal("quota_slack", routes.quotaSlack)
-            + formatReal("least_chance", routes.leastChance)
             + formatBoolean("balance_by_pace", routes.balanceByPace)
             + formatSeconds("grace_seconds", routes.grace);
     }
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -35,8 +35,6 @@
     double quotaOver = 0;
     std::chrono::milliseconds quotaWindow { 5000 };
     double quotaSlack = 0;
-    // Whole requests with a lower chance to succeed are refused where they enter; 0 refuses none.
-    double leastChance = 0;
     // Whether calls go by what servers tell of their speed.
     bool balanceByPace = true;
     // From SIGTERM until the platform kills the process.
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -51,7 +51,6 @@
     const toml_key quotaOverKey { "quota_over", "0.1", presence::Optional };
     const toml_key quotaWindowKey { "quota_window_seconds", "5", presence::Optional };
     const toml_key quotaSlackKey { "quota_slack", "20", presence::Optional };
-    const toml_key leastChanceKey { "least_chance", "0.2", presence::Optional };
     const toml_key balanceByPaceKey { "balance_by_pace", "true", presence::Optional };
     const toml_key graceKey { "grace_seconds", "6", presence::Optional };
 
@@ -253,7 +252,6 @@
             routes.quotaOver = reader.readReal(quotaOverKey, ratioRule).value_or(routes.quotaOver);
             routes.quotaWindow = readSeconds(reader, quotaWindowKey).value_or(routes.quotaWindow);
             routes.quotaSlack = reader.readReal(quotaSlackKey, slackRule).value_or(routes.quotaSlack);
-            routes.leastChance = reader.readReal(leastChanceKey, ratioRule).value_or(routes.leastChance);
             routes.balanceByPace = reader.readBoolean(balanceByPaceKey).value_or(routes.balanceByPace);
             routes.grace = readSeconds(reader, graceKey).value_or(routes.grace);
             reader.reportUnknownKeys();
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -154,29 +154,25 @@
     EXPECT_TRUE(read->fields.empty());
     // A backend server cannot name one.
     auto answer = answerWithout(7, 1, verdict::answered());
-    answer.fields = { { "Vanillashunt-Successor", toString(successor) }, { "X-Own", "1" } };
+    answer.fields = { { "Vanillashunt-Successor", toString(successor) } };
     read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
     ASSERT_TRUE(read);
     EXPECT_FALSE(read->successor);
     EXPECT_EQ(read->fields.size(), 1U);
 }
 
-TEST(OutsideBytes, AnAnswerCarriesItsClasssTimeAndChanceAndNoServerCanTellThem)
+TEST(OutsideBytes, AnAnswerCarriesItsClasssUsualTimeAndNoServerCanTellIt)
 {
     frame_history sent;
     frame_history received;
     auto answer = answerWithout(7, 1, verdict::answered());
-    answer.fields = { { "X-Own", "1" }, { "Vanillashunt-Usual-Time", "99" }, { "Vanillashunt-Chance", "1" } };
+    answer.fields = { { "Vanillashunt-Usual-Time", "99" } };
     for (auto usual : { std::chrono::microseconds(0), std::chrono::microseconds(120000) }) {
-        for (auto chance : { 1.0, 0.25 }) {
-            answer.usualTime = usual;
-            answer.chance = chance;
-            auto read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
-            ASSERT_TRUE(read);
-            EXPECT_EQ(read->usualTime, usual);
-            EXPECT_DOUBLE_EQ(read->chance, chance);
-            EXPECT_EQ(read->fields.size(), 1U);
-        }
+        answer.usualTime = usual;
+        auto read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->usualTime, usual);
+        EXPECT_EQ(read->fields.size(), 1U);
     }
 }
 
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -27,8 +27,8 @@
 
     class entry_world {
     public:
-        explicit entry_world(bool idempotent = true, double slack = 48, double leastChance = 0)
-            : m_entry(settings(slack, leastChance), hooks(), {})
+        explicit entry_world(bool idempotent = true, double slack = 48)
+            : m_entry(settings(slack), hooks(), {})
         {
             configuration->version = 7;
             route each;
@@ -76,10 +76,9 @@
             m_entry.attemptAnswered(sent.back().id, result, now);
         }
 
-        void answer(const verdict& outcome, std::uint32_t status = 0, shedding_position cut = 0, double chance = 1)
+        void answer(const verdict& outcome, std::uint32_t status = 0, shedding_position cut = 0)
         {
             call_answer result;
-            result.chance = chance;
             result.outcome = outcome;
             result.status = status;
             result.cut = cut;
@@ -104,13 +103,12 @@
         content_standing standing = content_standing::Poison;
 
     private:
-        static entry_settings settings(double slack, double leastChance)
+        static entry_settings settings(double slack)
         {
             entry_settings result;
             result.place = { "a", "" };
             result.ownService = "threads";
             result.retries = { 0.2, slack, milliseconds(10000) };
-            result.leastChance = leastChance;
             return result;
         }
 
@@ -543,44 +541,4 @@
     EXPECT_EQ(agreed.size(), 4U);
 }
 
-// The load: servers of a deep service refuse half of their calls, and a request that may not run
-// twice needs eight of them. It is refused before it runs, and comes back to be tried.
-TEST(RoutedEntry, RefusesWhatWouldFailAndLetsInWhatComesBack)
-{
-    entry_world world(false, 48, 0.2);
-    world.configure();
-    for (int i = 0; i < 3; ++i) {
-        world.arrive("/x/" + std::to_string(i));
-        world.answer(verdict::answered(), 500, 0, 0.004);
-    }
-    // One is let through to learn whether the trouble is over.
-    world.arrive("/x/probe");
-    EXPECT_EQ(world.sent.size(), 4U);
-    auto answered = world.answers.size();
-    world.arrive("/x/refused");
-    EXPECT_EQ(world.sent.size(), 4U);
-    ASSERT_EQ(world.answers.size(), answered + 1);
-    const auto& refusal = world.answers.back();
-    EXPECT_EQ(refusal.refusalStatus, 503U);
-    EXPECT_EQ(refusal.outcome.run, execution::NotRun);
-    EXPECT_EQ(refusal.outcome.reason, verdict_reason::WouldFail);
-    EXPECT_LE(refusal.outcome.retryAfter, milliseconds(5000 / 3));
-    EXPECT_GE(refusal.outcome.retryAfter, milliseconds(5000 / 6));
-    world.now += refusal.outcome.retryAfter;
-    world.answer(verdict::answered(), 500, 0, 0.004);
-    world.arrive("/x/refused");
-    EXPECT_EQ(world.sent.size(), 5U);
-}
-
-TEST(RoutedEntry, RefusesNoneThatWouldFailUnlessItIsToldTo)
-{
-    entry_world world(false);
-    world.configure();
-    for (int i = 0; i < 20; ++i) {
-        world.arrive();
-        world.answer(verdict::answered(), 500, 0, 0.001);
-    }
-    EXPECT_EQ(world.sent.size(), 20U);
-}
-
 }
