Test slow, lying and silent loads at a target, and let the soak draw them

Tests for servers that are slow for a moment, that start again under their id, and whose class times are told only once they tell their speed; the soak's servers tell their load truly, falsely, in rubbish or not at all, drawn apart from what they refuse, so that seeds stay what they were.

--- a/Tests/RoutedSoak/soak_server.cpp
+++ b/Tests/RoutedSoak/soak_server.cpp
@@ -14,6 +14,7 @@
 
 soak_server::soak_server(std::uint64_t seed)
     : m_random(seed)
+    , m_randomLoads(seed)
     , m_number(seed)
 {
     m_server = std::make_unique<http_server>(m_loop.context, "127.0.0.1:0", http_server_limits {},
@@ -60,6 +61,25 @@
     return m_runs;
 }
 
+http_fields soak_server::loadFields()
+{
+    constexpr const char* name = "Vanillashunt-Instance-Load";
+    auto slots = std::to_string(capacity);
+    switch (m_randomLoads() % 8) {
+    case 0:
+        return {};
+    case 1:
+        return { { name, "much,-1" } };
+    case 2:
+        return { { name, "0,0," + std::to_string(capacity + 1) + ",100" } };
+    case 3:
+    case 4:
+        return { { name, "1,0," + slots + ",250" } };
+    default:
+        return { { name, "1,0," + slots + ",100" } };
+    }
+}
+
 void soak_server::called(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     auto id = fieldValue(request.fields, "Vanillashunt-Request-Id");
@@ -76,8 +96,11 @@
     }
     ++m_runs[id];
     auto time = m_random() % slowOneIn == 0 ? slowRun : usualRun;
+    auto fields = loadFields();
     lock.unlock();
-    answerLater(time, exchange, { 200, { { "Vanillashunt-Request-Id", id }, { "Vanillashunt-Server-Seal", "seal-" + own } }, "ran " + id });
+    fields.push_back({ "Vanillashunt-Request-Id", id });
+    fields.push_back({ "Vanillashunt-Server-Seal", "seal-" + own });
+    answerLater(time, exchange, { 200, std::move(fields), "ran " + id });
 }
 
 void soak_server::answerLater(std::chrono::milliseconds time, const std::shared_ptr<http_exchange>& exchange, http_response response)
--- a/Tests/RoutedSoak/soak_server.h
+++ b/Tests/RoutedSoak/soak_server.h
@@ -17,6 +17,9 @@
 // than its route allows. It remembers what it has run.
 class soak_server {
 public:
+    // What its reports announce: routed_node's usual slots.
+    static constexpr std::uint32_t capacity = 8;
+
     explicit soak_server(std::uint64_t seed);
     ~soak_server();
 
@@ -35,11 +38,16 @@
     std::map<std::string, int> runs();
 
 private:
+    // What it tells of its load: mostly the truth, at times that it is slow, and at times a lie,
+    // rubbish or nothing.
+    http_fields loadFields();
     void called(const http_request&, const std::shared_ptr<http_exchange>&);
     void answerLater(std::chrono::milliseconds, const std::shared_ptr<http_exchange>&, http_response);
 
     std::mutex m_mutex;
     std::mt19937_64 m_random;
+    // Apart from the others, so that a seed brings the same refusals as without loads.
+    std::mt19937_64 m_randomLoads;
     int m_starts = 1;
     std::int64_t m_born = 1;
     std::uint64_t m_number;
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -406,4 +406,53 @@
     EXPECT_EQ(world.running.size(), 3U);
 }
 
+// The load: a server's machine is slow for half a second, while others have free slots.
+TEST(RoutedTarget, PassesOnWhatMayGoElsewhereWhileItsServerIsSlow)
+{
+    target_world world;
+    world.target().serverTold(world.server.start, { 0, 0, announcedSlots, 2.5 }, world.now);
+    world.arrive(0, 0, true);
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::NotRun);
+    EXPECT_EQ(world.answers.back().outcome.reason, verdict_reason::NoFreeSlot);
+    // One that has nowhere else to go runs.
+    world.arrive();
+    EXPECT_EQ(world.running.size(), 1U);
+    // What it told is over soon.
+    world.now += milliseconds(400);
+    world.arrive(0, 0, true);
+    EXPECT_EQ(world.running.size(), 2U);
+}
+
+TEST(RoutedTarget, TellsTheUsualTimeOfAClassOnceItsServerHasToldItsSpeed)
+{
+    target_world world;
+    for (int i = 0; i < 5; ++i) {
+        world.arrive();
+        world.now += milliseconds(80);
+        world.serverAnswers(verdict::answered());
+        EXPECT_EQ(world.answers.back().usualTime.count(), 0);
+    }
+    world.target().serverTold(world.server.start, { 0, 0, announcedSlots, 1 }, world.now);
+    world.arrive();
+    world.now += milliseconds(80);
+    world.serverAnswers(verdict::answered());
+    EXPECT_EQ(world.answers.back().usualTime, milliseconds(80));
+}
+
+// A restart under the same id: what the last start told, also late, says nothing of this one.
+TEST(RoutedTarget, ForgetsTheSpeedOfAnotherStartOfItsServer)
+{
+    target_world world;
+    auto before = world.server.start;
+    world.target().serverTold(before, { 0, 0, announcedSlots, 2.5 }, world.now);
+    world.server.start.born = std::chrono::system_clock::time_point(milliseconds(1000));
+    world.target().setServer(world.server, true, world.now);
+    EXPECT_FALSE(world.target().pace().isSlow(world.now));
+    world.target().serverTold(before, { 0, 0, announcedSlots, 2.5 }, world.now);
+    EXPECT_FALSE(world.target().pace().isSlow(world.now));
+    world.target().serverTold(world.server.start, { 0, 0, announcedSlots, 2.5 }, world.now);
+    EXPECT_TRUE(world.target().pace().isSlow(world.now));
+}
+
 }
