--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -36,9 +36,10 @@
 inline constexpr event callRejected { 204, severity::Info, "call not admitted to the own backend server" };
 inline constexpr event serverLoad { 205, severity::Info, "load of the own backend server" };
 inline constexpr event attemptRepeated { 206, severity::Info, "request sent to another target" };
+inline constexpr event ticketHandedOver { 207, severity::Info, "a request's ticket was handed over to another home" };
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
 
 }
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/caller_response.h"
 #include "caller/context_text.h"
+#include "events/event_catalogue.h"
 #include "node/admission_dump.h"
 
 namespace vanillashunt {
@@ -40,6 +41,9 @@
     hooks.cancelRun = [this](std::uint64_t runId) { cancelRun(runId); };
     hooks.abandoned = [this](std::uint64_t runId) { m_outbound.cancelOnwardOf(runId, currentTime()); };
     hooks.otherHome = [this](const std::string& service, std::chrono::steady_clock::time_point now) { return m_outbound.homeBeside(m_parts.incarnation, service, now); };
+    hooks.handedOver = [](const std::string& requestId, const member& home) {
+        logEvent(events::ticketHandedOver, { { "request_id", requestId }, { "home", home.name } });
+    };
     hooks.random = m_parts.random;
     return hooks;
 }
--- a/Source/node/inbound_calls.cpp
+++ b/Source/node/inbound_calls.cpp
@@ -174,6 +174,9 @@
     auto successor = mintTicket(*home, m_hooks.random(), now);
     successor.claimed = request.permit->claimed;
     m_ledger.handOver(request.permit->nonce, successor);
+    if (m_hooks.handedOver) {
+        m_hooks.handedOver(request.context.requestId, *home);
+    }
 }
 
 void inbound_calls::cancel(std::uint64_t arrivalId, std::chrono::steady_clock::time_point now)
--- a/Source/node/inbound_calls.h
+++ b/Source/node/inbound_calls.h
@@ -31,6 +31,8 @@
     std::function<void(std::uint64_t runId)> abandoned;
     // Another node that could run calls of the service; nothing where none is known, or without the hook.
     std::function<std::optional<member>(const std::string& service, std::chrono::steady_clock::time_point now)> otherHome;
+    // Told of each ticket that was handed over, and to whom; may be empty.
+    std::function<void(const std::string& requestId, const member& home)> handedOver;
     std::function<std::uint64_t()> random;
 };
 
