Keep a trickle for slow servers, and learn nothing usual while one is cold

A server that was slow when its times were learnt got next to no calls while there was room, and so was not found well again; one that has just started told its cold times as usual. One call in 16 goes to the target drawn first; runs that began before the server was warm do not count. Tests: Routing.PrefersFastServersWhileThereIsRoomAndKeepsATrickleForSlowOnes, RoutedTarget.TakesNoTimeOfAServerThatIsStillColdForUsual.

--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -40,6 +40,9 @@
     bool startedAgain = replaced && isLaterStart(server->start, m_server->start);
     m_server = server;
     m_takesWork = takesWork;
+    if (server && server->warmupLeft.count() > 0) {
+        m_warmFrom = now + server->warmupLeft;
+    }
     m_gate.setSlots(takesWork ? usableSlots(server->slots) : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
     if (startedAgain) {
         m_hooks.serverStartedAgain();
@@ -221,7 +224,7 @@
     if (answer.outcome.run == execution::Ran) {
         if (answer.status < leastServerError) {
             noteServed(entry.request);
-            m_pace.ran(entry.request.context.requestClass, std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started));
+            notePace(entry, now);
         }
         m_gate.finish(runId, { std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started), false }, now);
     } else {
@@ -328,6 +331,15 @@
     m_hooks.serverEnded(*end);
 }
 
+// A server that has just started is slow for a time that it tells: that is not its usual pace.
+void routed_target::notePace(const arrival& entry, time_point now)
+{
+    if (entry.started < m_warmFrom) {
+        return;
+    }
+    m_pace.ran(entry.request.context.requestClass, std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started));
+}
+
 void routed_target::noteServed(const call_request& request)
 {
     auto content = request.context.content;
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -129,6 +129,7 @@
 
     void endRuns(time_point now);
     void noteServerEnd(std::optional<server_end>);
+    void notePace(const arrival&, time_point now);
     void noteServed(const call_request&);
     std::optional<verdict> refusalBeforeGate(const call_request&) const;
     void start(std::uint64_t arrivalId, time_point now);
@@ -146,6 +147,8 @@
     bool m_balanceByPace;
     admission_gate m_gate;
     server_pace m_pace;
+    // From when the server is at its usual speed.
+    time_point m_warmFrom;
     std::optional<server_report> m_server;
     bool m_takesWork = false;
     bool m_stopping = false;
--- a/Source/routing/router.cpp
+++ b/Source/routing/router.cpp
@@ -27,6 +27,10 @@
     constexpr std::uint64_t chanceSteps = 1024;
     constexpr std::uint64_t capacitySteps = 1U << 20U;
 
+    // One call in so many goes to the target that was drawn first, however slow: what it tells is
+    // how it is found well again.
+    constexpr std::uint64_t tricklePart = 16;
+
     struct zone_mean {
         double sum = 0;
         int members = 0;
@@ -166,6 +170,9 @@
         if (!hasRoom) {
             return second.load < first.load ? second : first;
         }
+        if (m_chance(tricklePart) == 0) {
+            return first;
+        }
         auto timeAt = [](const candidate& each) { return expectedTime(each.pace.value_or(1), each.load, each.limit); };
         return timeAt(second) < timeAt(first) ? second : first;
     }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -440,6 +440,28 @@
     EXPECT_EQ(world.answers.back().usualTime, milliseconds(80));
 }
 
+// A server that has just started works at half its speed for some seconds, and says so.
+TEST(RoutedTarget, TakesNoTimeOfAServerThatIsStillColdForUsual)
+{
+    target_world world;
+    world.server.warmupLeft = milliseconds(1000);
+    world.target().setServer(world.server, true, world.now);
+    world.target().serverTold(world.server.start, { 0, 0, announcedSlots, 1 }, world.now);
+    for (int i = 0; i < 10; ++i) {
+        world.arrive();
+        world.now += milliseconds(90);
+        world.serverAnswers(verdict::answered());
+        EXPECT_EQ(world.answers.back().usualTime.count(), 0);
+    }
+    world.now += milliseconds(200);
+    for (int i = 0; i < 5; ++i) {
+        world.arrive();
+        world.now += milliseconds(40);
+        world.serverAnswers(verdict::answered());
+    }
+    EXPECT_EQ(world.answers.back().usualTime, milliseconds(40));
+}
+
 // A restart under the same id: what the last start told, also late, says nothing of this one.
 TEST(RoutedTarget, ForgetsTheSpeedOfAnotherStartOfItsServer)
 {
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -200,4 +200,30 @@
     EXPECT_EQ(choices(only, {}, now), ids { 1 });
 }
 
+// The load: servers of one service of which some need three times as long as the others.
+TEST(Routing, PrefersFastServersWhileThereIsRoomAndKeepsATrickleForSlowOnes)
+{
+    auto both = routerWith({ serverIn(1, "a"), serverIn(2, "a") });
+    time_point now { std::chrono::seconds(100) };
+    for (std::uint64_t id : { 1U, 2U }) {
+        both.started(id, now);
+        route_outcome outcome { verdict::answered(), milliseconds(30), 0, 0, 10 };
+        outcome.pace = id == 1 ? 0.75 : 2.25;
+        both.finished(id, outcome, now);
+    }
+    auto slowPart = [&both, now](bool hasRoom) {
+        constexpr int calls = 4000;
+        int slow = 0;
+        for (int i = 0; i < calls; ++i) {
+            slow += both.choose({ "threads", {}, hasRoom }, now)->id == 2 ? 1 : 0;
+        }
+        return static_cast<double>(slow) / calls;
+    };
+    auto withRoom = slowPart(true);
+    EXPECT_LT(withRoom, 0.12);
+    EXPECT_GT(withRoom, 0.01);
+    // By what each ends: a quarter of the calls.
+    EXPECT_NEAR(slowPart(false), 0.25, 0.04);
+}
+
 }
