List a late heartbeat after a deregistration that a new process acknowledged

A fault that would look like it is shown by a red test: a process that does not know the server yet acknowledges its deregistration without a start, and takes a heartbeat that comes late for another start.

--- a/Tests/ServerTracker/server_tracker_test.cpp
+++ b/Tests/ServerTracker/server_tracker_test.cpp
@@ -183,4 +183,15 @@
     EXPECT_TRUE(tracker.takesWork());
 }
 
+// A node's process that has just started hears first that the server leaves, by a deregistration
+// that names no start; a heartbeat that the server sent before comes late. It may have been
+// acknowledged, so that nothing new may reach the server.
+TEST(ServerTracker, TakesNoLateReportOfAServerThatLeftBeforeItWasKnown)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 0, server_condition::Left));
+    tracker.report(reportOfStart(10, 5));
+    EXPECT_FALSE(tracker.takesWork());
+}
+
 }
