Ignore late reports of a server that deregistered before the process knew it

Cause: a deregistration names no start of the server. A process that had just started knew no start of that id, recorded the id without a start, and compared later heartbeats by their start. The last heartbeat before the deregistration arrives a second time, seconds late; it names a start, so it was treated as a different start, which was ready.

Four other processes did the same, 0.0 to 0.6 s after their start.

Fix: store the arrival time of such a deregistration and treat every start of that id born before it as over. The next start, born later, gets work at once. The same applies if an earlier start of the id is known but the deregistered one is not. The record is kept for one minute, in case the clock is set back.

Alternatives considered: not acknowledging the deregistration of an unknown server (it sends no further heartbeat and would wait for the acknowledgement in vain); comparing sequence numbers (each start counts from the beginning).

Events 100 and 111 now include the process incarnation, 111 also whether the process knew the server, and the new event 115 (debug) is logged for each report.

--- a/Source/backend/server_report.h
+++ b/Source/backend/server_report.h
@@ -14,6 +14,8 @@
     Left, // Says that it ends.
 };
 
+std::string toString(server_condition);
+
 // What the server beside the node tells of itself, time and again.
 struct server_report {
     server_start start;
--- a/Source/backend/server_tracker.cpp
+++ b/Source/backend/server_tracker.cpp
@@ -11,12 +11,49 @@
     // and a server does not start more often than about once a second.
     constexpr std::size_t mostRetired = 64;
 
+    // Reports are late by seconds. A deregistration that is further from the current time, in
+    // either direction, is dropped, so that setting the clock back does not block new starts.
+    constexpr std::chrono::seconds deregistrationRetention { 60 };
+
+}
+
+std::string toString(server_condition condition)
+{
+    switch (condition) {
+    case server_condition::Ready:
+        return "ready";
+    case server_condition::Draining:
+        return "draining";
+    case server_condition::Left:
+        return "left";
+    }
+    return "";
 }
 
-report_effect server_tracker::report(const server_report& news)
+std::string toString(report_effect effect)
 {
+    switch (effect) {
+    case report_effect::Nothing:
+        return "nothing";
+    case report_effect::Updated:
+        return "updated";
+    case report_effect::Replaced:
+        return "replaced";
+    case report_effect::Leaving:
+        return "leaving";
+    case report_effect::Unclear:
+        return "unclear";
+    case report_effect::LeavingUnknown:
+        return "leaving_unknown";
+    }
+    return "";
+}
+
+report_effect server_tracker::report(const server_report& news, std::optional<wall_time> received)
+{
+    dropExpiredDeregistrations(received);
     if (news.condition == server_condition::Left) {
-        return leave(news);
+        return leave(news, received);
     }
     if (lacksBorn(news.start)) {
         return report_effect::Unclear;
@@ -51,15 +88,24 @@
 
 // A server that leaves without saying which start it is may be the one that is there:
 // to send it nothing is safe, and to go on sending is not.
-report_effect server_tracker::leave(const server_report& news)
+report_effect server_tracker::leave(const server_report& news, std::optional<wall_time> received)
 {
     bool sameServer = m_current && m_current->start.instanceId == news.start.instanceId;
     bool isLate = sameServer && news.start.born && isLaterStart(m_current->start, news.start);
-    if (!sameServer || isLate) {
-        // It may have been announced to a process that is gone.
+    if (isLate) {
         retire(news.start);
         return report_effect::Nothing;
     }
+    // The deregistered start may be later than any reported one.
+    bool mayBeUnreportedStart = !sameServer || received;
+    if (!news.start.born && mayBeUnreportedStart) {
+        recordDeregistration({ news.start.instanceId, received });
+    }
+    if (!sameServer) {
+        // The server may have registered with an earlier process of this node.
+        retire(news.start);
+        return report_effect::LeavingUnknown;
+    }
     if (news.start.born && m_current->start != news.start) {
         m_current->start = news.start;
         m_current->sequence = news.sequence;
@@ -109,7 +155,31 @@
     if (m_current && isLaterStart(m_current->start, start)) {
         return true;
     }
-    return std::any_of(m_retired.begin(), m_retired.end(), [&start](const server_start& over) { return over == start || isLaterStart(over, start); });
+    bool isRetired = std::any_of(m_retired.begin(), m_retired.end(), [&start](const server_start& over) { return over == start || isLaterStart(over, start); });
+    return isRetired || isDeregistered(start);
+}
+
+// A start born before the deregistration arrived is the deregistered one or an earlier one.
+bool server_tracker::isDeregistered(const server_start& start) const
+{
+    return std::any_of(m_deregistrations.begin(), m_deregistrations.end(), [&start](const deregistration& each) {
+        bool startedBefore = !start.born || !each.received || *start.born <= *each.received;
+        return each.instanceId == start.instanceId && startedBefore;
+    });
+}
+
+void server_tracker::recordDeregistration(deregistration entry)
+{
+    m_deregistrations.push_back(std::move(entry));
+    if (m_deregistrations.size() > mostRetired) {
+        m_deregistrations.pop_front();
+    }
+}
+
+void server_tracker::dropExpiredDeregistrations(std::optional<wall_time> now)
+{
+    auto isExpired = [now](const deregistration& each) { return now && each.received && std::chrono::abs(*now - *each.received) > deregistrationRetention; };
+    m_deregistrations.erase(std::remove_if(m_deregistrations.begin(), m_deregistrations.end(), isExpired), m_deregistrations.end());
 }
 
 void server_tracker::retire(const server_start& start)
--- a/Source/backend/server_tracker.h
+++ b/Source/backend/server_tracker.h
@@ -2,6 +2,7 @@
 
 #include "backend/server_report.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -16,13 +17,20 @@
     Replaced, // Another start of the server, which knows nothing of the last one.
     Leaving, // The server takes no new work from now on.
     Unclear, // It lacks the time of the start, which this server's reports have: not the server's own.
+    LeavingUnknown, // A server other than the current one deregistered.
 };
 
+std::string toString(report_effect);
+
 // Knows which start of the server beside the node is there, and whether it takes
 // work, by reports that may come late, twice or from a server that is gone.
 class server_tracker {
 public:
-    report_effect report(const server_report&);
+    using wall_time = std::chrono::system_clock::time_point;
+
+    // `received` is the arrival time by the wall clock of the server's machine. Without it,
+    // a deregistration of an unknown server that names no start covers all starts of that id.
+    report_effect report(const server_report&, std::optional<wall_time> received = std::nullopt);
 
     // The server at the address says that it is another than this one. If a late
     // report put this one in the place of another, that one counts again.
@@ -39,11 +47,20 @@
     bool takesWork() const;
 
 private:
+    // A deregistration that names no start; it covers every start born up to its arrival.
+    struct deregistration {
+        std::string instanceId;
+        std::optional<wall_time> received;
+    };
+
     bool lacksBorn(const server_start&) const;
     bool isOver(const server_start&) const;
     void retire(const server_start&);
     report_effect replace(const server_report&);
-    report_effect leave(const server_report&);
+    report_effect leave(const server_report&, std::optional<wall_time> received);
+    void recordDeregistration(deregistration);
+    void dropExpiredDeregistrations(std::optional<wall_time> now);
+    bool isDeregistered(const server_start&) const;
 
     std::optional<server_report> m_current;
     bool m_ended = false;
@@ -51,6 +68,7 @@
     std::optional<server_report> m_previous;
     // Starts that are over, the latest last.
     std::deque<server_start> m_retired;
+    std::deque<deregistration> m_deregistrations;
 };
 
 }
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -278,6 +278,8 @@
         server_report_hooks hooks;
         hooks.knowsService = [this](const std::string& service) { return service == m_settings.routes->service || m_calls.entry().knowsService(service); };
         hooks.changed = [this] { serverChanged(); };
+        hooks.wallNow = [] { return std::chrono::system_clock::now(); };
+        hooks.incarnation = [this] { return m_self.id; };
         return hooks;
     }
 
@@ -480,7 +482,7 @@
     int routed_process::run()
     {
         awaitSignals();
-        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone }, { "caller", m_clients->address() }, { "backend", m_reports->address() }, { "ready", m_readiness->address() }, { "peer", m_self.address }, { "operator", m_self.operatorAddress } });
+        logEvent(events::nodeStarted, { { "name", m_settings.name }, { "availability_zone", m_settings.availabilityZone }, { "incarnation", std::to_string(m_self.id) }, { "caller", m_clients->address() }, { "backend", m_reports->address() }, { "ready", m_readiness->address() }, { "peer", m_self.address }, { "operator", m_self.operatorAddress } });
         m_membership->start(m_self, m_peerServer->address());
         m_routes.start();
         m_poison.start();
--- a/Source/node/server_reports.cpp
+++ b/Source/node/server_reports.cpp
@@ -40,23 +40,31 @@
     if (!namesAService(report)) {
         return refuse("no service is named " + report.service, now);
     }
-    switch (m_tracker.report(report)) {
-    case report_effect::Unclear:
+    auto effect = m_tracker.report(report, m_hooks.wallNow());
+    logReport(report, effect);
+    if (effect == report_effect::Unclear) {
         return refuse("the report does not say when its server started, and others of that server do", now);
-    case report_effect::Replaced:
-        logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.start.instanceId }, { "born", bornText(report.start) } });
-        break;
-    case report_effect::Leaving:
-        logEvent(events::backendServerLeaves, { { "instance", report.start.instanceId }, { "born", bornText(report.start) } });
-        break;
-    case report_effect::Nothing:
-    case report_effect::Updated:
-        break;
     }
     m_hooks.changed();
     return { statusOk, { { "Content-Type", "application/json" } }, "{}" };
 }
 
+// The incarnation and `known` show which process acknowledged a report and whether it
+// knew the server.
+void server_reports::logReport(const server_report& report, report_effect effect) const
+{
+    auto born = bornText(report.start);
+    auto incarnation = std::to_string(m_hooks.incarnation());
+    logEvent(events::serverReportTaken, { { "instance", report.start.instanceId }, { "born", born }, { "state", toString(report.condition) }, { "sequence", std::to_string(report.sequence) }, { "effect", toString(effect) }, { "incarnation", incarnation } });
+    if (effect == report_effect::Replaced) {
+        logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.start.instanceId }, { "born", born } });
+    }
+    if (effect == report_effect::Leaving || effect == report_effect::LeavingUnknown) {
+        bool isKnown = effect == report_effect::Leaving;
+        logEvent(events::backendServerLeaves, { { "instance", report.start.instanceId }, { "born", born }, { "state", toString(report.condition) }, { "known", isKnown ? "yes" : "no" }, { "incarnation", incarnation } });
+    }
+}
+
 // A deregistration names no service, and what is known already need not be known anew.
 bool server_reports::namesAService(const server_report& report) const
 {
--- a/Source/node/server_reports.h
+++ b/Source/node/server_reports.h
@@ -17,6 +17,10 @@
     std::function<bool(const std::string& service)> knowsService;
     // What is known of the server may have changed.
     std::function<void()> changed;
+    // Wall-clock time of this machine, on which the backend server runs, too.
+    std::function<std::chrono::system_clock::time_point()> wallNow;
+    // Incarnation of this process, as logged by the event nodeStarted.
+    std::function<std::uint64_t()> incarnation;
 };
 
 // Takes what the server beside the node says of itself, and logs what that changes.
@@ -50,6 +54,7 @@
 private:
     http_response refuse(const std::string& why, time_point now);
     bool namesAService(const server_report&) const;
+    void logReport(const server_report&, report_effect) const;
 
     server_report_hooks m_hooks;
     server_tracker m_tracker;
--- a/Tests/ForeignReports/foreign_reports_test.cpp
+++ b/Tests/ForeignReports/foreign_reports_test.cpp
@@ -81,7 +81,7 @@
 
     // A port that takes reports beside a node whose configuration has one service.
     struct report_port {
-        server_reports reports { { [](const std::string& service) { return service == "threads"; }, [] {} } };
+        server_reports reports { { [](const std::string& service) { return service == "threads"; }, [] {}, [] { return std::chrono::system_clock::now(); }, [] { return 1U; } } };
         std::chrono::steady_clock::time_point now { std::chrono::seconds(100) };
 
         unsigned take(const std::string& body) { return reports.take(heartbeat(body), now).status; }
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -78,6 +78,22 @@
     EXPECT_EQ(world.runs(), before);
 }
 
+// A late heartbeat must not bring back a server that deregistered at a process that did not know
+// it; a later start with the same id must receive requests.
+TEST(RoutedNodes, SendNothingToAServerThatDeregisteredBeforeItWasKnown)
+{
+    platform_world world;
+    world.configure(1, "desk");
+    routed_node node(planOf(world, "desk-1", "desk"));
+    auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    node.deregister("i-1");
+    EXPECT_NE(node.waitForLine("VS111").find("known=\"no\""), std::string::npos);
+    node.reportOfStart(now - 60000, "ready", 900, "desk", "i-1");
+    EXPECT_EQ(node.get().substr(9, 3), "503");
+    node.reportOfStart(now + 60000, "ready", 1, "desk", "i-1");
+    EXPECT_EQ(node.getUntil("200").substr(9, 3), "200");
+}
+
 TEST(RoutedNodes, StopWithoutCuttingOffARequest)
 {
     served_node served(1, "non_idempotent");
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -75,21 +75,26 @@
 
 void routed_node::report(const std::string& state, int sequence, const std::string& service, const std::string& instance, std::uint32_t slots)
 {
-    sendReport(instance, reportBody(state, sequence, service, slots, ""));
+    sendReport("/Instances.Heartbeat/" + instance, reportBody(state, sequence, service, slots, ""));
 }
 
 void routed_node::reportOfStart(std::int64_t born, const std::string& state, int sequence, const std::string& service, const std::string& instance)
 {
     constexpr std::uint32_t slots = 8;
-    sendReport(instance, reportBody(state, sequence, service, slots, R"(,"born":)" + std::to_string(born)));
+    sendReport("/Instances.Heartbeat/" + instance, reportBody(state, sequence, service, slots, R"(,"born":)" + std::to_string(born)));
 }
 
-void routed_node::sendReport(const std::string& instance, const std::string& body)
+void routed_node::deregister(const std::string& instance)
+{
+    sendReport("/Instances.Deregister/" + instance, "");
+}
+
+void routed_node::sendReport(const std::string& path, const std::string& body)
 {
     auto socket = raw_socket::connectTo(port("backend"));
-    socket.send("POST /Instances.Heartbeat/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    socket.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     if (socket.readUntil("\r\n\r\n").find("200") == std::string::npos) {
-        throw std::runtime_error("the report of " + instance + " was not acknowledged");
+        throw std::runtime_error("POST " + path + " was not acknowledged");
     }
 }
 
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -48,6 +48,9 @@
     // The same by a server that tells when it started, in milliseconds since 1970.
     void reportOfStart(std::int64_t born, const std::string& state, int sequence, const std::string& service, const std::string& instance);
 
+    // Sends a deregistration that names no start.
+    void deregister(const std::string& instance);
+
     // Status of the answer to whether it is ready.
     std::string ready();
 
@@ -60,7 +63,7 @@
     std::unique_ptr<child_process> process;
 
 private:
-    void sendReport(const std::string& instance, const std::string& body);
+    void sendReport(const std::string& path, const std::string& body);
 
     std::string m_file;
     std::string m_started;
--- a/Tests/ServerTracker/server_tracker_test.cpp
+++ b/Tests/ServerTracker/server_tracker_test.cpp
@@ -17,6 +17,11 @@
         return report;
     }
 
+    server_tracker::wall_time wallTime(int seconds)
+    {
+        return server_tracker::wall_time(std::chrono::seconds(seconds));
+    }
+
     // Of the start of the server i-1 that came so many seconds after some moment.
     server_report reportOfStart(int bornSeconds, std::uint64_t sequence, server_condition condition = server_condition::Ready)
     {
@@ -194,4 +199,38 @@
     EXPECT_FALSE(tracker.takesWork());
 }
 
+// A deregistration of an unknown server must not block the next start with the same id.
+TEST(ServerTracker, AcceptsTheNextStartOfAServerThatDeregisteredBeforeItWasKnown)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 0, server_condition::Left), wallTime(30));
+    tracker.report(reportOfStart(10, 5), wallTime(31));
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOfStart(34, 1), wallTime(35)), report_effect::Replaced);
+    EXPECT_TRUE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOfStart(10, 6), wallTime(36)), report_effect::Nothing);
+    EXPECT_TRUE(tracker.takesWork());
+}
+
+// A late report must not bring back a deregistered start that is later than the known one.
+TEST(ServerTracker, IgnoresALateReportOfAnUnknownStartThatDeregistered)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 7), wallTime(20));
+    EXPECT_EQ(tracker.report(reportOf("i-1", 0, server_condition::Left), wallTime(30)), report_effect::Leaving);
+    EXPECT_EQ(tracker.report(reportOfStart(25, 1), wallTime(31)), report_effect::Nothing);
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.report(reportOfStart(34, 1), wallTime(35)), report_effect::Replaced);
+    EXPECT_TRUE(tracker.takesWork());
+}
+
+// Setting the clock back by an hour after a deregistration must not block the next start.
+TEST(ServerTracker, AcceptsTheNextStartAfterTheClockWasSetBack)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 0, server_condition::Left), wallTime(3630));
+    EXPECT_EQ(tracker.report(reportOfStart(34, 1), wallTime(35)), report_effect::Replaced);
+    EXPECT_TRUE(tracker.takesWork());
+}
+
 }
