Probe a backend server's health before a new process of its node uses it

Symptom: requests reached a backend server 2.6 s and more after it had announced that it leaves; it ended about 0.3 s later and cut them off.

Cause: a process of the node loses what it has acknowledged when it ends. The last heartbeat that a server sends before it leaves arrives a second time, seconds late. If the next process of the node receives that duplicate first, it treats it as the first report of a server that is ready.

RoutedNodes.SendNothingToAServerThatDrainedBeforeTheNodeRestarted failed on the code before this change, already because event 116 was not logged.

Fix: a process that learns of the first start of its server probes that server's health on the path from the operator's configuration, and sends it no work before the answer. A server that answers that it does not serve gets no work until its next report, so a wrong health answer costs one heartbeat. If the path is not known yet, or the server does not answer within 300 ms, the server is used as before.

Alternatives considered: leaving the acknowledgement to the next process (a server waits up to 5.5 s for it); storing the acknowledgement on other nodes or in the store (lost if all nodes are lost at once, or with the store); waiting for a second heartbeat (1.5 s without work after each restart of a node).

The new event 116 is logged for a server that does not serve.

--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -21,6 +21,7 @@
 inline constexpr event backendServerEnded { 113, severity::Warning, "backend server ended with requests running" };
 inline constexpr event serverLoadUnreadable { 114, severity::Warning, "the load that a server tells cannot be read" };
 inline constexpr event serverReportTaken { 115, severity::Debug, "report of the backend server taken" };
+inline constexpr event backendServerNotServing { 116, severity::Info, "backend server reported ready but failed its health probe" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
 inline constexpr event contractsChanged { 130, severity::Info, "contracts changed" };
 inline constexpr event routesChanged { 131, severity::Info, "routes changed" };
@@ -41,6 +42,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
 
 }
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -99,6 +99,13 @@
     return std::any_of(services.begin(), services.end(), [&name](const route_service& each) { return each.name == name; });
 }
 
+std::string routed_entry::healthPath(const std::string& service) const
+{
+    const auto& services = m_table.configuration().services;
+    auto found = std::find_if(services.begin(), services.end(), [&service](const route_service& each) { return each.name == service; });
+    return found == services.end() ? "" : found->healthPath;
+}
+
 std::chrono::milliseconds routed_entry::comeBackAfter() const
 {
     return shortestReturn + std::chrono::milliseconds(m_hooks.random() % returnSpread);
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -111,6 +111,8 @@
     std::int64_t version() const { return m_table.configuration().version; }
     // Whether the configuration has a service of that name.
     bool knowsService(const std::string& name) const;
+    // Health check path of the service; empty if the service or its path is not known.
+    std::string healthPath(const std::string& service) const;
     const client_limits& limits() const { return m_table.configuration().limits; }
 
 private:
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -16,6 +16,7 @@
 #include "operator/operator_port.h"
 #include "operator/operator_state.h"
 #include "operator/request_journal.h"
+#include "platform/health_answer.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
@@ -49,6 +50,10 @@
 
     constexpr std::chrono::milliseconds farewellTime { 100 };
 
+    // The backend server is local and answers at once unless it is full; without an answer it is
+    // used unverified.
+    constexpr std::chrono::milliseconds healthProbeTimeout { 300 };
+
     // A node that knows nobody may be the only one, and serves alone after this.
     constexpr std::chrono::milliseconds longestJoin { 2000 };
 
@@ -60,6 +65,7 @@
 
     private:
         void serverChanged();
+        void probeHealth(const server_report&);
         bool isReady() const;
         void tick();
         void scheduleTick();
@@ -279,10 +285,25 @@
         hooks.knowsService = [this](const std::string& service) { return service == m_settings.routes->service || m_calls.entry().knowsService(service); };
         hooks.changed = [this] { serverChanged(); };
         hooks.wallNow = [] { return std::chrono::system_clock::now(); };
+        hooks.probeHealth = [this](const server_report& report) { probeHealth(report); };
         hooks.incarnation = [this] { return m_self.id; };
         return hooks;
     }
 
+    void routed_process::probeHealth(const server_report& report)
+    {
+        auto path = m_calls.entry().healthPath(report.service);
+        if (path.empty()) {
+            m_server.healthProbed(report.start, server_health::Unknown);
+            return;
+        }
+        const auto& server = m_settings.routes->server;
+        m_controlClient.send(server, { "GET", path, { { "Host", server } }, "" }, healthProbeTimeout, [this, start = report.start](const http_result& result) {
+            const auto* response = std::get_if<http_response>(&result);
+            m_server.healthProbed(start, response ? readHealthAnswer(*response, start.instanceId) : server_health::Unknown);
+        });
+    }
+
     // Tells the target what is beside it, and the other nodes what they may send here.
     void routed_process::serverChanged()
     {
--- a/Source/node/server_reports.cpp
+++ b/Source/node/server_reports.cpp
@@ -40,11 +40,17 @@
     if (!namesAService(report)) {
         return refuse("no service is named " + report.service, now);
     }
+    bool wasKnown = current().has_value();
     auto effect = m_tracker.report(report, m_hooks.wallNow());
     logReport(report, effect);
     if (effect == report_effect::Unclear) {
         return refuse("the report does not say when its server started, and others of that server do", now);
     }
+    bool isFirst = effect == report_effect::Replaced && !wasKnown && m_hooks.probeHealth;
+    bool isFirstOrUpdate = isFirst || effect == report_effect::Updated;
+    if (isFirstOrUpdate && m_verification.reported(report, isFirst)) {
+        m_hooks.probeHealth(report);
+    }
     m_hooks.changed();
     return { statusOk, { { "Content-Type", "application/json" } }, "{}" };
 }
@@ -84,6 +90,15 @@
     m_hooks.changed();
 }
 
+void server_reports::healthProbed(const server_start& start, server_health health)
+{
+    if (health == server_health::NotServing && m_verification.isPending(start)) {
+        logEvent(events::backendServerNotServing, { { "instance", start.instanceId }, { "born", bornText(start) } });
+    }
+    m_verification.probed(start, health);
+    m_hooks.changed();
+}
+
 http_response server_reports::refuse(const std::string& why, time_point now)
 {
     ++m_refused;
--- a/Source/node/server_reports.h
+++ b/Source/node/server_reports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/server_tracker.h"
+#include "backend/start_verification.h"
 #include "events/event_limiter.h"
 #include "http/http_message.h"
 
@@ -21,6 +22,9 @@
     std::function<std::chrono::system_clock::time_point()> wallNow;
     // Incarnation of this process, as logged by the event nodeStarted.
     std::function<std::uint64_t()> incarnation;
+    // Probes the server's health and passes the result to healthProbed(). If not set, reported
+    // starts are used without verification.
+    std::function<void(const server_report&)> probeHealth {};
 };
 
 // Takes what the server beside the node says of itself, and logs what that changes.
@@ -42,11 +46,14 @@
     // That start of the server has ended.
     void ended(const server_start&);
 
+    // The health probe of that start of the server has ended.
+    void healthProbed(const server_start&, server_health);
+
     // Nothing while no server is known.
     const std::optional<server_report>& current() const { return m_tracker.current(); }
 
-    // Whether the server is known, and has not said that it leaves.
-    bool takesWork() const { return m_tracker.takesWork(); }
+    // Whether the server is known and verified, and has not said that it leaves.
+    bool takesWork() const { return m_tracker.takesWork() && !m_verification.isPending(current()->start); }
 
     // Reports that were not a server's, since the process started.
     std::uint64_t refused() const { return m_refused; }
@@ -58,6 +65,7 @@
 
     server_report_hooks m_hooks;
     server_tracker m_tracker;
+    start_verification m_verification;
     event_limiter m_limiter;
     std::uint64_t m_refused = 0;
 };
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -94,6 +94,44 @@
     EXPECT_EQ(node.getUntil("200").substr(9, 3), "200");
 }
 
+// A late heartbeat must not bring back a server that started to drain before the node restarted; a
+// new server must receive requests.
+TEST(RoutedNodes, SendNothingToAServerThatDrainedBeforeTheNodeRestarted)
+{
+    platform_world world;
+    world.configureWithHealthPath(1, "desk");
+    auto plan = planOf(world, "desk-1", "desk");
+    auto node = std::make_unique<routed_node>(plan);
+    node->report("draining", 8, "desk");
+    node->process->kill();
+    node = std::make_unique<routed_node>(plan);
+    node->waitForLine("VS131");
+    world.setHealthAnswer(503, "i-1");
+    node->report("ready", 7, "desk");
+    node->waitForLine("VS116");
+    EXPECT_EQ(node->get().substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(world.runs(), 0U);
+    world.setHealthAnswer(200, "i-2");
+    node->report("ready", 1, "desk", "i-2");
+    EXPECT_EQ(node->getUntil("200").substr(0, 12), "HTTP/1.1 200");
+}
+
+// The health probe must not keep a healthy server out of use after a restart of the node.
+TEST(RoutedNodes, SendRequestsToAHealthyServerAfterTheNodeRestarted)
+{
+    platform_world world;
+    world.configureWithHealthPath(1, "desk");
+    world.setHealthAnswer(200, "i-1");
+    auto plan = planOf(world, "desk-1", "desk");
+    auto node = std::make_unique<routed_node>(plan);
+    node->report("ready", 7, "desk");
+    node->process->kill();
+    node = std::make_unique<routed_node>(plan);
+    node->waitForLine("VS131");
+    node->report("ready", 8, "desk");
+    EXPECT_EQ(node->getUntil("200").substr(0, 12), "HTTP/1.1 200");
+}
+
 TEST(RoutedNodes, StopWithoutCuttingOffARequest)
 {
     served_node served(1, "non_idempotent");
--- a/Tests/RoutedWorld/platform_world.cpp
+++ b/Tests/RoutedWorld/platform_world.cpp
@@ -56,12 +56,24 @@
     putConfiguration(document);
 }
 
+void platform_world::configureWithHealthPath(int version, const std::string& service)
+{
+    putConfiguration(R"({"version":"r)" + std::to_string(version) + R"(","resources":[{"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","timeout_s":20,"target_latency_s":1,"priority":0,"service":")"
+        + service + R"(","max_attempts":2}},{"type":"services","metadata":{"name":")" + service + R"("},"spec":{"health_check_path":"/health","max_connections":100}}]})");
+}
+
 void platform_world::putConfiguration(const std::string& document)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     m_items[configurationKey] = { document, ++m_revision };
 }
 
+void platform_world::setHealthAnswer(unsigned status, const std::string& instance)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_healthAnswer = { status, { { "Vanillashunt-Instance-Id", instance } }, {} };
+}
+
 void platform_world::takeCopy()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -227,6 +239,10 @@
 {
     {
         std::lock_guard<std::mutex> lock(m_mutex);
+        if (request.target == "/health") {
+            exchange->respond(m_healthAnswer);
+            return;
+        }
         m_runs.push_back(request);
         m_changed.notify_all();
     }
--- a/Tests/RoutedWorld/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -27,9 +27,15 @@
     // Puts a version of the routes there: one route, to the service.
     void configure(int version, const std::string& service, const std::string& kind = "idempotent");
 
+    // As configure(), with a health check path for the service.
+    void configureWithHealthPath(int version, const std::string& service);
+
     // The same with a whole document.
     void putConfiguration(const std::string& document);
 
+    // Sets the server's answer to health probes: its status and instance id.
+    void setHealthAnswer(unsigned status, const std::string& instance);
+
     // Keeps what there is now as the copy that the store can come back from.
     void takeCopy();
     // The store is as it was when the copy was taken, and a new era begins.
@@ -80,6 +86,7 @@
     std::string m_eraText = "1";
     bool m_down = false;
     bool m_holding = false;
+    http_response m_healthAnswer { 503, {}, {} };
     std::vector<http_request> m_runs;
     std::vector<std::pair<http_request, std::shared_ptr<http_exchange>>> m_held;
     context_thread m_loop;
