Answer every request that a stopping routed node has read

Cause: a stop had no point from which new requests were refused. The port of a stopping node stays open while its own server runs anything, since runs make calls, and every request that arrived there was accepted. At the end of the time for the stop (5.4 s) the process exits regardless of requests in progress, and nothing answered them.

RoutedNodes.AnswerEveryRequestThatTheyHaveReadBeforeTheyExit failed on the code before this change: a request to a stopping node got no answer where 503 was expected, and then the port was closed.

Fix: once clients have had time to leave (2.6 s after the signal), only calls made by runs at the own server are accepted; other requests are refused as not run, with a retry time. Before the exit every request in progress is answered: as not run if it was sent nowhere, otherwise as one that may have run.

Events: 108 counts what is in progress when a stop ends, 109 reports each run at the own server that is cut off.

The soak has a third kind of run: clients that use their connections until the process has exited, stops and freezes, and servers that deregister, also at a process that has just started, each followed by a late report.

The command node is changed in the same way: from 1.5 s on a stopping node accepts only onward calls from callers, and at drain_timeout every caller is answered. rolling_stop_test.ANodeAnswersItsCallersBeforeItExits failed on the code before this change: a late request was accepted, and the running one ended with its connection.

Result: 459 of 459 tests passed once.

--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -15,6 +15,8 @@
 inline constexpr event stopWithdrawn { 103, severity::Info, "planned stop withdrawn" };
 inline constexpr event logLinesLeftOut { 106, severity::Warning, "log lines left out, since nobody read them" };
 inline constexpr event stopWaits { 107, severity::Info, "planned stop waits for what is in progress" };
+inline constexpr event stopTimedOut { 108, severity::Warning, "planned stop ends with work in progress" };
+inline constexpr event runCutByStop { 109, severity::Warning, "run cut off by the end of a planned stop" };
 inline constexpr event backendServerAnnounced { 110, severity::Info, "backend server announced" };
 inline constexpr event backendServerLeaves { 111, severity::Info, "backend server leaves" };
 inline constexpr event serverReportRefused { 112, severity::Warning, "a report that no server wrote was refused" };
@@ -42,6 +44,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
 
 }
--- a/Source/node/call_actor.cpp
+++ b/Source/node/call_actor.cpp
@@ -100,6 +100,11 @@
         [this](const backend_announced& message) { m_inbound.setBackend(message.announcement, currentTime()); },
         [this](const backend_withdrawn&) { m_inbound.setBackend(std::nullopt, currentTime()); },
         [this](const drain_changed& message) { m_inbound.setDraining(message.draining); },
+        [this](const intake_changed& message) { m_outbound.setIntake(message.intake); },
+        [this](const end_calls_requested& message) {
+            m_outbound.endAll(currentTime());
+            message.done();
+        },
         [this](const progress_requested& message) { message.receiver(m_inbound.inProgress(), m_outbound.inProgress()); },
         [this](const clock_tick&) { tick(); },
         [this](const state_requested& message) { message.receiver(dump()); },
--- a/Source/node/call_messages.h
+++ b/Source/node/call_messages.h
@@ -2,6 +2,7 @@
 
 #include "backend/backend_announcement.h"
 #include "call/call_answer.h"
+#include "call/call_intake.h"
 #include "call/call_request.h"
 #include "caller/caller_request.h"
 #include "contract/contract.h"
@@ -73,6 +74,16 @@
     bool draining;
 };
 
+// Changes which requests are accepted from callers.
+struct intake_changed {
+    call_intake intake;
+};
+
+// Asks to answer every caller now and to accept no more calls; done is called afterwards.
+struct end_calls_requested {
+    std::function<void()> done;
+};
+
 // Asks how many calls are in progress, in both directions.
 struct progress_requested {
     std::function<void(std::size_t inbound, std::size_t outbound)> receiver;
@@ -100,6 +111,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::backend_announced)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::backend_withdrawn)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::drain_changed)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::intake_changed)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::end_calls_requested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::progress_requested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::clock_tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::state_requested)
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -61,6 +61,7 @@
         void requestStop(stop_reason);
         void applyStop();
         void stepStop();
+        void leave(bool idle);
         void endActors();
         void printReady() const;
         operator_hooks operatorHooks();
@@ -107,6 +108,7 @@
         std::optional<backend_announcement> m_announcement;
         std::unique_ptr<backend_watch> m_backendWatch;
         planned_stop m_stop { m_settings.drainTimeout };
+        bool m_refusesCallers = false;
         member_list m_members;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
@@ -336,15 +338,30 @@
                 m_callerServer->stopAccepting();
             }
             bool idle = inbound == 0 && outbound == 0 && m_callerServer->inProgress() == 0 && m_peerServer->inProgress() == 0;
-            if (m_stop.mayExit(idle, now) && m_self.state != member_state::Left) {
-                m_self.state = member_state::Left;
-                m_membership->setSelf(m_self);
-                m_exitTimer.expires_after(farewellTime);
-                m_exitTimer.async_wait([this](error_code) { m_context.stop(); });
+            bool hasLeft = m_self.state == member_state::Left;
+            if (m_stop.mayExit(idle, now) && !hasLeft) {
+                leave(idle);
+            } else if (!hasLeft && m_stop.mayClosePorts(now) && !std::exchange(m_refusesCallers, true)) {
+                m_host->send(m_calls, intake_changed { call_intake::OnwardCalls });
             }
         } });
     }
 
+    // Answers every caller whose call is still in progress, then exits.
+    void node_process::leave(bool idle)
+    {
+        m_self.state = member_state::Left;
+        m_membership->setSelf(m_self);
+        auto scheduleExit = [this] {
+            m_exitTimer.expires_after(farewellTime);
+            m_exitTimer.async_wait([this](error_code) { m_context.stop(); });
+        };
+        if (!idle) {
+            logEvent(events::stopTimedOut, { { "clients", std::to_string(m_callerServer->inProgress()) }, { "peers", std::to_string(m_peerServer->inProgress()) } });
+        }
+        m_host->send(m_calls, end_calls_requested { scheduleExit });
+    }
+
     operator_hooks node_process::operatorHooks()
     {
         operator_hooks hooks;
--- a/Source/node/outbound_calls.cpp
+++ b/Source/node/outbound_calls.cpp
@@ -123,6 +123,14 @@
     return std::nullopt;
 }
 
+std::optional<outbound_calls::early_refusal> outbound_calls::stopRefusal(const outbound_call& call) const
+{
+    if (accepts(m_intake, call.parentRun != 0)) {
+        return std::nullopt;
+    }
+    return early_refusal { verdict::notRun(verdict_reason::Draining), "this node stops; repeat the request at another" };
+}
+
 // An onward call is never refused here: its whole request was let in at this very
 // position, and its run would be wasted. Neither is a repeat that brings a ticket,
 // which may only want the answer that its home keeps for it.
@@ -168,6 +176,9 @@
     call.request.path = std::move(asked.path);
     call.request.fields = std::move(asked.fields);
     call.request.body = std::move(asked.body);
+    if (!refusal) {
+        refusal = stopRefusal(call);
+    }
     if (!refusal) {
         refusal = entranceRefusal(call, now);
     }
@@ -406,16 +417,29 @@
 
 void outbound_calls::tick(std::chrono::steady_clock::time_point now)
 {
-    std::vector<std::uint64_t> late;
+    auto deadlinePassed = [now](const outbound_call& call) { return call.request.context.deadline <= now; };
+    endCalls(deadlinePassed, verdict_reason::DeadlinePassed, "the time of the request is over", now);
+}
+
+void outbound_calls::endAll(std::chrono::steady_clock::time_point now)
+{
+    m_intake = call_intake::None;
+    auto everyCall = [](const outbound_call&) { return true; };
+    endCalls(everyCall, verdict_reason::Draining, "this node stops; repeat the request at another", now);
+}
+
+void outbound_calls::endCalls(const std::function<bool(const outbound_call&)>& shouldEnd, verdict_reason why, const std::string& message, std::chrono::steady_clock::time_point now)
+{
+    std::vector<std::uint64_t> callIds;
     for (const auto& [callId, call] : m_calls) {
-        if (call.request.context.deadline <= now) {
-            late.push_back(callId);
+        if (shouldEnd(call)) {
+            callIds.push_back(callId);
         }
     }
-    for (auto callId : late) {
+    for (auto callId : callIds) {
         auto& call = m_calls.at(callId);
         abandonAttempt(call, now);
-        finish(callId, answerWithout(callId, call.progress.attempts(), verdict::notRun(verdict_reason::DeadlinePassed)), "the time of the request is over", now);
+        finish(callId, answerWithout(callId, call.progress.attempts(), verdict::notRun(why)), message, now);
     }
 }
 
--- a/Source/node/outbound_calls.h
+++ b/Source/node/outbound_calls.h
@@ -2,6 +2,7 @@
 
 #include "admission/entrance_gate.h"
 #include "call/call_answer.h"
+#include "call/call_intake.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
 #include "caller/caller_request.h"
@@ -66,6 +67,12 @@
 
     void claimAnswered(std::uint64_t callId, const claim_result&, std::chrono::steady_clock::time_point now);
 
+    // Calls that the intake excludes are refused as not run.
+    void setIntake(call_intake intake) { m_intake = intake; }
+
+    // Answers every call in progress, and refuses all later ones.
+    void endAll(std::chrono::steady_clock::time_point now);
+
     // Gives up the calls whose time is over; to be called every few milliseconds.
     void tick(std::chrono::steady_clock::time_point now);
 
@@ -103,6 +110,8 @@
 
     std::optional<early_refusal> classify(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
     std::optional<early_refusal> classifyEntry(const caller_request&, const std::optional<context_text>&, outbound_call&, std::chrono::steady_clock::time_point now) const;
+    std::optional<early_refusal> stopRefusal(const outbound_call&) const;
+    void endCalls(const std::function<bool(const outbound_call&)>& shouldEnd, verdict_reason, const std::string& message, std::chrono::steady_clock::time_point now);
     std::optional<early_refusal> entranceRefusal(const outbound_call&, std::chrono::steady_clock::time_point now);
     void learnAtEntrance(const outbound_call&, const call_answer&, std::chrono::steady_clock::time_point now);
     void attempt(std::uint64_t callId, std::chrono::steady_clock::time_point now);
@@ -122,6 +131,7 @@
     outbound_hooks m_hooks;
     entrance_gate m_entrance;
     contract_snapshot m_contracts;
+    call_intake m_intake = call_intake::All;
     std::unordered_map<std::uint64_t, outbound_call> m_calls;
     std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
 };
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -127,6 +127,10 @@
         refuseNow(request, handler, statusOfRefusal(*origin.refusal), *origin.refusal, "the request does not tell who asks", now);
         return 0;
     }
+    if (!accepts(m_intake, origin.maker.has_value())) {
+        refuseNow(request, handler, statusUnavailable, verdict::notRun(verdict_reason::Draining, comeBackAfter()), "the node stops", now);
+        return 0;
+    }
     auto callId = m_hooks.random() | 1U;
     entry_call call;
     call.arrived = now;
@@ -508,20 +512,33 @@
 
 void routed_entry::tick(time_point now)
 {
-    std::vector<std::uint64_t> late;
+    auto deadlinePassed = [now](const entry_call& call) { return call.request.context.deadline <= now; };
+    endCalls(deadlinePassed, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
+}
+
+void routed_entry::endAll(time_point now)
+{
+    m_intake = call_intake::None;
+    auto everyCall = [](const entry_call&) { return true; };
+    endCalls(everyCall, verdict::notRun(verdict_reason::Draining), "the node stops", now);
+}
+
+void routed_entry::endCalls(const std::function<bool(const entry_call&)>& shouldEnd, const verdict& why, const std::string& message, time_point now)
+{
+    std::vector<std::uint64_t> callIds;
     for (const auto& [callId, call] : m_calls) {
-        if (call.request.context.deadline <= now) {
-            late.push_back(callId);
+        if (shouldEnd(call)) {
+            callIds.push_back(callId);
         }
     }
-    for (auto callId : late) {
+    for (auto callId : callIds) {
         auto found = m_calls.find(callId);
         if (found == m_calls.end()) {
             // At the own server's gate the end of the call before may have refused this one.
             continue;
         }
         abandonAttempt(found->second, now);
-        giveUp(callId, verdict::notRun(verdict_reason::DeadlinePassed), "the time of the request is over", now);
+        giveUp(callId, why, message, now);
     }
 }
 
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -3,6 +3,7 @@
 #include "admission/cost_order.h"
 #include "admission/entrance_gate.h"
 #include "call/call_answer.h"
+#include "call/call_intake.h"
 #include "call/call_observation.h"
 #include "call/call_request.h"
 #include "decision/poison_ledger.h"
@@ -103,6 +104,13 @@
 
     void attemptAnswered(std::uint64_t attemptId, call_answer, time_point now);
 
+    // Requests that the intake excludes are refused as not run.
+    void setIntake(call_intake intake) { m_intake = intake; }
+
+    // Answers every request in progress, as not run unless an attempt may have run it, and
+    // refuses all later ones.
+    void endAll(time_point now);
+
     // Ends requests whose time is over.
     void tick(time_point now);
 
@@ -170,6 +178,7 @@
     bool mayTryAgain(entry_call&, const call_answer&, std::chrono::microseconds latency, time_point now);
     void finish(std::uint64_t callId, const verdict&, call_answer, const std::string& message, time_point now);
     void giveUp(std::uint64_t callId, const verdict&, const std::string& message, time_point now);
+    void endCalls(const std::function<bool(const entry_call&)>& shouldEnd, const verdict&, const std::string& message, time_point now);
     void refuseNow(const entry_request&, const entry_handler&, unsigned status, const verdict&, const std::string& message, time_point now) const;
     void abandonAttempt(entry_call&, time_point now);
     void observe(const entry_call&, call_decision, const verdict&, const std::string& detail, std::uint32_t status, time_point now) const;
@@ -186,6 +195,7 @@
     cost_order m_costs;
     service_room m_room;
     relative_pace m_paces;
+    call_intake m_intake = call_intake::All;
     std::unordered_map<std::uint64_t, entry_call> m_calls;
     std::unordered_map<std::uint64_t, std::uint64_t> m_callOfAttempt;
 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -48,12 +48,16 @@
     // Decisions that are remembered for the command explain: some megabytes.
     constexpr std::size_t journalCapacity = 8192;
 
+    // Time before the exit to send the last answers and to tell the other nodes.
     constexpr std::chrono::milliseconds farewellTime { 100 };
 
     // The backend server is local and answers at once unless it is full; without an answer it is
     // used unverified.
     constexpr std::chrono::milliseconds healthProbeTimeout { 300 };
 
+    // Limits the log lines for runs cut off at the end of a stop.
+    constexpr std::size_t mostRunsLogged = 40;
+
     // A node that knows nobody may be the only one, and serves alone after this.
     constexpr std::chrono::milliseconds longestJoin { 2000 };
 
@@ -73,6 +77,7 @@
         void logLoad(std::chrono::steady_clock::time_point now);
         void awaitSignals();
         void refuseWork();
+        void endRequests(const stop_progress&);
         void leave();
         void endActors();
         routed_call_hooks callHooks();
@@ -394,6 +399,8 @@
         };
         hooks.sendClientsAway = [this] { m_clients->closeAfterAnswers(); };
         hooks.refuseWork = [this] { refuseWork(); };
+        hooks.refuseClients = [this] { m_calls.entry().setIntake(call_intake::OnwardCalls); };
+        hooks.endRequests = [this](const stop_progress& progress) { endRequests(progress); };
         hooks.stopAccepting = [this] { m_clients->stopAccepting(); };
         hooks.leave = [this] { leave(); };
         return hooks;
@@ -408,6 +415,17 @@
         m_membership->setSelf(m_self);
     }
 
+    // The requests that endAll() answers are also logged individually.
+    void routed_process::endRequests(const stop_progress& progress)
+    {
+        auto now = std::chrono::steady_clock::now();
+        logEvent(events::stopTimedOut, { { "entered", std::to_string(progress.entered) }, { "arrived", std::to_string(progress.arrived) }, { "clients", std::to_string(progress.clients) }, { "peers", std::to_string(progress.peers) } });
+        for (const auto& run : m_calls.target().runsInProgress(now, mostRunsLogged)) {
+            logEvent(events::runCutByStop, { { "request_id", run.requestId }, { "class", run.requestClass }, { "instance", run.instanceId }, { "elapsed_us", std::to_string(run.elapsed.count()) } });
+        }
+        m_calls.entry().endAll(now);
+    }
+
     void routed_process::leave()
     {
         m_self.state = member_state::Left;
--- a/Source/node/routed_stop.cpp
+++ b/Source/node/routed_stop.cpp
@@ -45,6 +45,10 @@
         m_hasRefusedWork = true;
         m_hooks.refuseWork();
     }
+    if (!m_hasRefusedClients && m_steps.mayClosePorts(now)) {
+        m_hasRefusedClients = true;
+        m_hooks.refuseClients();
+    }
     auto progress = m_hooks.progress();
     if (m_steps.mayClosePorts(now) && progress.arrived == 0) {
         m_hooks.stopAccepting();
@@ -52,6 +56,9 @@
     logProgress(progress, now);
     if (m_steps.mayExit(progress.isIdle(), now)) {
         m_hasLeft = true;
+        if (!progress.isIdle()) {
+            m_hooks.endRequests(progress);
+        }
         m_hooks.leave();
     }
 }
--- a/Source/node/routed_stop.h
+++ b/Source/node/routed_stop.h
@@ -26,6 +26,10 @@
     std::function<void()> sendClientsAway;
     // From here on the server beside the node gets nothing new.
     std::function<void()> refuseWork;
+    // Refuses new requests from clients, which have had time to move to other nodes.
+    std::function<void()> refuseClients;
+    // Answers every request still in progress at the drain timeout.
+    std::function<void(const stop_progress&)> endRequests;
     // Clients have left, and none is to come.
     std::function<void()> stopAccepting;
     // The node tells the others that it leaves, and exits.
@@ -56,6 +60,7 @@
     routed_stop_hooks m_hooks;
     planned_stop m_steps;
     bool m_hasRefusedWork = false;
+    bool m_hasRefusedClients = false;
     bool m_hasLeft = false;
     time_point m_nextLine;
 };
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -313,6 +313,19 @@
     return found == cuts.end() ? nullptr : &*found;
 }
 
+std::vector<run_in_progress> routed_target::runsInProgress(time_point now, std::size_t most) const
+{
+    std::vector<run_in_progress> result;
+    for (const auto& [id, entry] : m_arrivals) {
+        if (!entry.running || result.size() >= most) {
+            continue;
+        }
+        const auto& context = entry.request.context;
+        result.push_back({ context.requestId, context.requestClass, entry.server.instanceId, std::chrono::duration_cast<std::chrono::microseconds>(now - entry.started) });
+    }
+    return result;
+}
+
 void routed_target::serverAsked(server_presence presence, time_point now)
 {
     noteServerEnd(m_lostRuns.asked(presence, now));
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -46,6 +46,14 @@
     request_context context;
 };
 
+// A call running at the own server.
+struct run_in_progress {
+    std::string requestId;
+    std::string requestClass;
+    std::string instanceId;
+    std::chrono::microseconds elapsed { 0 };
+};
+
 // What came back from a call that the own server made.
 struct onward_report {
     std::string service;
@@ -97,6 +105,8 @@
     void learnOnward(std::uint64_t runId, const onward_report&);
 
     std::size_t inProgress() const { return m_arrivals.size(); }
+    // The calls running at the server, at most the given number of them, in no particular order.
+    std::vector<run_in_progress> runsInProgress(time_point now, std::size_t most) const;
     // Whether lost answers have put in doubt that the server is there.
     bool doubtsServer() const { return m_lostRuns.inDoubt(); }
     const admission_gate& gate() const { return m_gate; }
--- a/Tests/RawSocket/raw_socket.h
+++ b/Tests/RawSocket/raw_socket.h
@@ -77,6 +77,18 @@
         return result;
     }
 
+    // Exactly count bytes; fewer if the connection ends first.
+    std::string readBytes(std::size_t count)
+    {
+        boost::system::error_code error;
+        if (m_read.size() < count) {
+            boost::asio::read(m_socket, boost::asio::dynamic_buffer(m_read), boost::asio::transfer_exactly(count - m_read.size()), error);
+        }
+        auto result = m_read.substr(0, count);
+        m_read.erase(0, result.size());
+        return result;
+    }
+
     std::string readToEnd()
     {
         boost::system::error_code error;
--- a/Tests/RollingStop/rolling_stop_test.cpp
+++ b/Tests/RollingStop/rolling_stop_test.cpp
@@ -235,6 +235,34 @@
     slow.backend->process().kill();
 }
 
+// Guards against a stopping node that accepts late requests, or exits at its drain timeout
+// without answering a request that is still running.
+TEST_F(rolling_stop_test, ANodeAnswersItsCallersBeforeItExits)
+{
+    server_spec spec;
+    spec.name = "slow";
+    spec.service = "slow";
+    spec.availabilityZone = "bangsar";
+    spec.backendOptions = { "--service-ms", "60000" };
+    spec.settings = "[limits]\ndrain_timeout = \"4s\"\n";
+    auto& slow = m_mesh.add(spec);
+    auto ask = [&](const std::string& path) { return request("GET", slow.caller(), path, guest(), "", std::chrono::seconds(30)); };
+    auto fieldOf = [](const http_result& result, const char* name) {
+        const auto* answer = std::get_if<http_answer>(&result);
+        return answer ? answer->field(name) : "";
+    };
+    ASSERT_TRUE(waitUntil([&] { return fieldOf(ask("/stay/details"), "Vanillashunt-Verdict") == "ran"; }));
+    auto running = std::async(std::launch::async, [&] { return ask("/slow/details"); });
+    ASSERT_TRUE(waitUntil([&] { return runsAt("slow") > 0; }));
+    slow.node->signal(SIGTERM);
+    EXPECT_TRUE(waitUntil([&] { return fieldOf(ask("/stay/details"), "Vanillashunt-Reason") == "draining"; }));
+    EXPECT_EQ(fieldOf(running.get(), "Vanillashunt-Verdict"), "may_have_run");
+    auto end = slow.node->wait();
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->exitCode, 0);
+    slow.backend->process().kill();
+}
+
 TEST_F(rolling_stop_test, ManyNodesThatStopAtOnceAllExit)
 {
     std::vector<std::string> names;
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -157,6 +157,42 @@
     EXPECT_TRUE(world.sent.empty());
 }
 
+// Runs at the own server need their onward calls to finish, so these are accepted during a stop.
+TEST(RoutedEntry, TakesOnlyCallsOfItsOwnServerWhileItStops)
+{
+    entry_world world;
+    world.configure();
+    world.entry().setIntake(call_intake::OnwardCalls);
+    world.arrive();
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    EXPECT_EQ(world.answers.back().outcome.run, execution::NotRun);
+    EXPECT_GT(world.answers.back().outcome.retryAfter.count(), 0);
+    world.parent = parent_run { 3, {} };
+    world.arrive();
+    EXPECT_EQ(world.sent.size(), 1U);
+}
+
+// Guards against reporting a request as not run when it was already sent to a server.
+TEST(RoutedEntry, AnswersEveryRequestAtTheEndOfItsStop)
+{
+    entry_world world;
+    world.configure();
+    world.arrive();
+    world.arrive();
+    world.entry().endAll(world.now);
+    ASSERT_EQ(world.answers.size(), 2U);
+    for (const auto& answer : world.answers) {
+        EXPECT_EQ(answer.refusalStatus, 502U);
+        EXPECT_EQ(answer.outcome.run, execution::MayHaveRun);
+    }
+    EXPECT_EQ(world.cancelled.size(), 2U);
+    world.parent = parent_run { 3, {} };
+    world.arrive();
+    EXPECT_EQ(world.answers.back().refusalStatus, 503U);
+    EXPECT_EQ(world.sent.size(), 2U);
+}
+
 TEST(RoutedEntry, NeverGoesBackToAnOlderVersion)
 {
     entry_world world;
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -152,6 +152,47 @@
     EXPECT_EQ(end->exitCode, 0);
 }
 
+// Guards against a stopping node that reads a request and exits without answering it. Clients keep
+// sending until the process exits, and the servers of the route do not answer in time.
+TEST(RoutedNodes, AnswerEveryRequestThatTheyHaveReadBeforeTheyExit)
+{
+    platform_world world;
+    world.configure(1, "desk", "non_idempotent");
+    routed_node other(planOf(world, "desk-1", "desk"));
+    routed_node entry(planOf(world, "desk-2", "desk", { other.port("peer") }));
+    other.report("ready", 1, "desk");
+    entry.report("ready", 1, "desk");
+    EXPECT_EQ(entry.getUntil("200").substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(other.getUntil("200").substr(0, 12), "HTTP/1.1 200");
+    world.hold(true);
+    auto before = world.runs();
+    std::vector<raw_socket> running;
+    for (int i = 0; i < 6; ++i) {
+        running.push_back(entry.begin());
+    }
+    world.waitForRuns(before + running.size());
+    entry.process->signal(SIGTERM);
+    entry.waitForLine("VS101");
+    std::string late;
+    do {
+        late = entry.begin("/x/1", std::chrono::milliseconds(100)).readToEnd();
+    } while (late.substr(0, 12) == "HTTP/1.1 504");
+    EXPECT_EQ(late.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(late.find("Connection: close"), std::string::npos);
+    EXPECT_NE(late.find("Retry-After: 0."), std::string::npos);
+    auto runs = world.runs();
+    EXPECT_EQ(entry.get().substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(world.runs(), runs);
+    for (auto& each : running) {
+        EXPECT_EQ(each.readToEnd().substr(0, 12), "HTTP/1.1 502");
+    }
+    EXPECT_NE(entry.waitForLine("VS108").find("entered=\"6\""), std::string::npos);
+    auto end = entry.process->wait(longest);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->exitCode, 0);
+    world.hold(false);
+}
+
 TEST(RoutedNodes, ReadTheirSettingsAgainAndGoOnServing)
 {
     served_node served;
--- a/Tests/RoutedSoak/routed_soak_test.cpp
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -52,6 +52,9 @@
                 EXPECT_GE(ran, 1) << about;
                 EXPECT_EQ(told.body, "ran " + told.requestId) << about;
             }
+            if (!run.killsNodes() && told.status == 0) {
+                EXPECT_EQ(ran, 0) << "no answer: " << about;
+            }
             bool known = told.status == 0 || told.status == 200 || told.status == 502 || told.status == 503 || told.status == 504;
             EXPECT_TRUE(known) << about;
         }
@@ -67,6 +70,7 @@
             run.breakThings(faultsOfARun);
             EXPECT_TRUE(run.allServe()) << "seed " << seed;
             checkPromises(run, seed);
+            EXPECT_EQ(run.lateRuns(), 0U) << "seed " << seed << ": requests ran at a deregistered server";
         }
     }
 
@@ -86,4 +90,13 @@
     playSeeds(server_restarts::ByOldId);
 }
 
+// Guards against requests that a stopping node leaves unanswered, and against work for a server that
+// has deregistered. Clients use persistent connections, nodes are stopped and frozen, and servers
+// deregister, also right after a restart of their node; each deregistration is followed by a late
+// report of the same server.
+TEST(RoutedSoak, KeepsThePromisesWhileServersLeaveAndNodesStop)
+{
+    playSeeds(server_restarts::AfterDeregistration);
+}
+
 }
--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -11,6 +11,23 @@
     constexpr int clientCount = 10;
     constexpr const char* service = "desk";
 
+    // The platform's limit for requests that still reach a server after its deregistration was acknowledged.
+    constexpr milliseconds drainLimit { 2000 };
+    // How long the server stays up after that and counts late requests.
+    constexpr milliseconds lateRunWindow { 500 };
+
+    std::int64_t unixMilliseconds()
+    {
+        return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
+    std::size_t contentLength(const std::string& head)
+    {
+        constexpr const char* name = "Content-Length: ";
+        auto place = head.find(name);
+        return place == std::string::npos ? 0 : std::stoul(head.substr(place + std::char_traits<char>::length(name)));
+    }
+
     std::string routeText(const std::string& name, const std::string& prefix, const std::string& kind)
     {
         return R"({"type":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"a.example","prefix":")" + prefix + R"(","kind":")" + kind
@@ -27,10 +44,19 @@
     configure();
     for (std::size_t which = 0; which < nodeCount; ++which) {
         m_places[which].server = std::make_unique<soak_server>(seed * nodeCount + which);
+        if (m_restarts == server_restarts::AfterDeregistration) {
+            m_places[which].server->startAgainAt(unixMilliseconds());
+        }
         startNode(which);
     }
     for (int client = 0; client < clientCount; ++client) {
-        m_clients.emplace_back([this, clientSeed = m_random()] { serveClient(clientSeed); });
+        m_clients.emplace_back([this, clientSeed = m_random()] {
+            if (m_restarts == server_restarts::AfterDeregistration) {
+                servePersistentClient(clientSeed);
+            } else {
+                serveClient(clientSeed);
+            }
+        });
     }
 }
 
@@ -48,6 +74,13 @@
 }
 
 void soak_run::startNode(std::size_t which)
+{
+    startNodeWithoutReport(which);
+    report(which, "ready");
+}
+
+// The caller sends the first report of the server.
+void soak_run::startNodeWithoutReport(std::size_t which)
 {
     auto& here = m_places[which];
     routed_node_plan plan { "desk-" + std::to_string(which), service, m_world.storeAddress(), here.server->address(), {} };
@@ -57,7 +90,6 @@
         }
     }
     here.node = std::make_unique<routed_node>(plan);
-    report(which, "ready");
     std::lock_guard<std::mutex> lock(m_mutex);
     here.callerPort = here.node->port("caller");
 }
@@ -66,7 +98,7 @@
 {
     auto& here = m_places[which];
     ++here.sequence;
-    if (m_restarts == server_restarts::ByOldId) {
+    if (m_restarts != server_restarts::ByNewId) {
         here.node->reportOfStart(here.server->born(), state, here.sequence, service, here.server->instance());
         return;
     }
@@ -132,30 +164,90 @@
 {
     for (int fault = 0; fault < faults; ++fault) {
         auto which = m_random() % nodeCount;
-        switch (m_random() % 6) {
-        case 0:
-            kill(which);
-            break;
-        case 1:
-            stop(which);
-            break;
-        case 2:
-            freeze(which);
-            break;
-        case 3:
-            replaceServer(which);
-            break;
-        case 4:
-            takeStoreAway();
-            break;
-        default:
-            // A node that is killed right after a change has to learn it again.
-            configure();
-            kill(which);
+        if (m_restarts == server_restarts::AfterDeregistration) {
+            injectFaultWithoutKill(which);
+        } else {
+            injectFault(which);
         }
     }
 }
 
+void soak_run::injectFault(std::size_t which)
+{
+    switch (m_random() % 6) {
+    case 0:
+        kill(which);
+        break;
+    case 1:
+        stop(which);
+        break;
+    case 2:
+        freeze(which);
+        break;
+    case 3:
+        replaceServer(which);
+        break;
+    case 4:
+        takeStoreAway();
+        break;
+    default:
+        // A node that is killed right after a change has to learn it again.
+        configure();
+        kill(which);
+    }
+}
+
+void soak_run::injectFaultWithoutKill(std::size_t which)
+{
+    switch (m_random() % 5) {
+    case 0:
+        stop(which);
+        break;
+    case 1:
+        freeze(which);
+        break;
+    case 2:
+        deregisterServer(which);
+        break;
+    case 3:
+        deregisterServerAfterRestart(which);
+        break;
+    default:
+        takeStoreAway();
+    }
+}
+
+// Deregisters the server, and delivers a late report that it is ready.
+void soak_run::deregisterServer(std::size_t which)
+{
+    auto& here = m_places[which];
+    here.node->deregister(here.server->instance());
+    auto acknowledged = std::chrono::steady_clock::now();
+    report(which, "ready");
+    countLateRuns(which, acknowledged);
+}
+
+// Deregisters the server at a node process that has just started and has no report of it.
+void soak_run::deregisterServerAfterRestart(std::size_t which)
+{
+    auto& process = *m_places[which].node->process;
+    process.signal(SIGTERM);
+    process.wait();
+    startNodeWithoutReport(which);
+    deregisterServer(which);
+}
+
+// Counts the requests that the server begins to run after the drain limit, then starts it again by its id.
+void soak_run::countLateRuns(std::size_t which, std::chrono::steady_clock::time_point acknowledged)
+{
+    auto& here = m_places[which];
+    std::this_thread::sleep_until(acknowledged + drainLimit + lateRunWindow);
+    m_lateRuns += here.server->runsStartedAfter(acknowledged + drainLimit);
+    here.server->startAgainAt(unixMilliseconds());
+    here.sequence = 0;
+    report(which, "ready");
+}
+
 soak_outcome soak_run::ask(const std::string& address, const std::string& requestId, bool idempotent) const
 {
     soak_outcome result { requestId, idempotent, 0, {} };
@@ -190,6 +282,54 @@
     }
 }
 
+// Like ask(), but reuses the connection until either side closes it; connects if there is none.
+soak_outcome soak_run::askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent) const
+{
+    soak_outcome result { requestId, idempotent, 0, {} };
+    try {
+        if (!connection) {
+            connection = std::make_unique<raw_socket>(raw_socket::connectTo(address));
+        }
+        connection->send(std::string(idempotent ? "GET /x/1" : "POST /y/1") + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: " + requestId
+            + "\r\nVanillashunt-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
+        auto head = connection->readUntil("\r\n\r\n");
+        if (head.find("\r\n\r\n") == std::string::npos) {
+            connection.reset();
+            return result;
+        }
+        result.status = std::stoi(head.substr(9, 3));
+        result.body = connection->readBytes(contentLength(head));
+        if (head.find("Connection: close") != std::string::npos) {
+            connection.reset();
+        }
+    } catch (const boost::system::system_error&) {
+        connection.reset();
+    }
+    return result;
+}
+
+// Sends all its requests to one node over a persistent connection, and reconnects when that ends.
+void soak_run::servePersistentClient(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    auto which = random() % nodeCount;
+    std::unique_ptr<raw_socket> connection;
+    for (int number = 0; !m_ends; ++number) {
+        std::string address;
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            address = m_places[which].callerPort;
+        }
+        auto outcome = askOnConnection(connection, address, "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0);
+        if (outcome.status == 0) {
+            // The process has exited; its successor listens on another port.
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_outcomes.push_back(std::move(outcome));
+    }
+}
+
 std::vector<soak_outcome> soak_run::outcomes()
 {
     m_ends = true;
--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -26,6 +26,7 @@
 enum class server_restarts {
     ByNewId, // Each start has another id, and no time.
     ByOldId, // The id stays; each start has its time.
+    AfterDeregistration, // Like ByOldId, after a deregistration that names no start; nodes are stopped, never killed.
 };
 
 // Some nodes as real processes, each with a server, beside a store; clients that never
@@ -47,6 +48,12 @@
     // Whether every node serves a request again; asks each until it does.
     bool allServe();
 
+    // Whether nodes are killed, so that a connection may end without an answer.
+    bool killsNodes() const { return m_restarts != server_restarts::AfterDeregistration; }
+
+    // Requests that began to run at a server after the drain limit that follows its acknowledged deregistration.
+    std::size_t lateRuns() const { return m_lateRuns; }
+
 private:
     static constexpr std::size_t nodeCount = 4;
 
@@ -60,15 +67,23 @@
 
     void configure();
     void startNode(std::size_t which);
+    void startNodeWithoutReport(std::size_t which);
     void report(std::size_t which, const std::string& state);
     void kill(std::size_t which);
     void stop(std::size_t which);
     void freeze(std::size_t which);
     void replaceServer(std::size_t which);
     void restartServer(std::size_t which);
+    void injectFault(std::size_t which);
+    void injectFaultWithoutKill(std::size_t which);
+    void deregisterServer(std::size_t which);
+    void deregisterServerAfterRestart(std::size_t which);
+    void countLateRuns(std::size_t which, std::chrono::steady_clock::time_point acknowledged);
     void takeStoreAway();
     void serveClient(std::uint64_t seed);
     soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
+    soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent) const;
+    void servePersistentClient(std::uint64_t seed);
 
     std::mt19937_64 m_random;
     server_restarts m_restarts;
@@ -77,6 +92,7 @@
     std::vector<place> m_places;
     std::mutex m_mutex;
     std::vector<soak_outcome> m_outcomes;
+    std::size_t m_lateRuns = 0;
     std::atomic<bool> m_ends = false;
     std::vector<std::thread> m_clients;
 };
--- a/Tests/RoutedSoak/soak_server.cpp
+++ b/Tests/RoutedSoak/soak_server.cpp
@@ -1,5 +1,7 @@
 #include "RoutedSoak/soak_server.h"
 
+#include <algorithm>
+
 namespace vanillashunt {
 
 namespace {
@@ -43,6 +45,18 @@
     ++m_born;
 }
 
+void soak_server::startAgainAt(std::int64_t born)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_born = born;
+}
+
+std::size_t soak_server::runsStartedAfter(std::chrono::steady_clock::time_point moment)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::size_t>(m_runStartTimes.end() - std::upper_bound(m_runStartTimes.begin(), m_runStartTimes.end(), moment));
+}
+
 std::int64_t soak_server::born()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -95,6 +109,7 @@
         return;
     }
     ++m_runs[id];
+    m_runStartTimes.push_back(std::chrono::steady_clock::now());
     auto time = m_random() % slowOneIn == 0 ? slowRun : usualRun;
     auto fields = loadFields();
     lock.unlock();
--- a/Tests/RoutedSoak/soak_server.h
+++ b/Tests/RoutedSoak/soak_server.h
@@ -3,12 +3,14 @@
 #include "RawSocket/raw_socket.h"
 #include "http/http_server.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace vanillashunt {
 
@@ -33,10 +35,15 @@
     void startAgainById();
     // When it started, in milliseconds since some moment.
     std::int64_t born();
+    // Another start with the same id, at the given time.
+    void startAgainAt(std::int64_t born);
 
     // How often each request ran, by its id.
     std::map<std::string, int> runs();
 
+    // Number of requests that it began to run after the moment.
+    std::size_t runsStartedAfter(std::chrono::steady_clock::time_point moment);
+
 private:
     // What it tells of its load: mostly the truth, at times that it is slow, and at times a lie,
     // rubbish or nothing.
@@ -52,6 +59,7 @@
     std::int64_t m_born = 1;
     std::uint64_t m_number;
     std::map<std::string, int> m_runs;
+    std::vector<std::chrono::steady_clock::time_point> m_runStartTimes;
     context_thread m_loop;
     std::unique_ptr<http_server> m_server;
 };
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -105,11 +105,11 @@
     return socket.readUntil("\r\n\r\n").substr(9, 3);
 }
 
-raw_socket routed_node::begin(const std::string& path)
+raw_socket routed_node::begin(const std::string& path, std::chrono::milliseconds deadline)
 {
     auto socket = raw_socket::connectTo(port("caller"));
     socket.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: r" + std::to_string(++m_requests)
-        + "\r\nVanillashunt-Deadline-Ms: 20000\r\nVanillashunt-Caller-Service: forged\r\nConnection: close\r\n\r\n");
+        + "\r\nVanillashunt-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\nVanillashunt-Caller-Service: forged\r\nConnection: close\r\n\r\n");
     return socket;
 }
 
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -54,7 +54,7 @@
     // Status of the answer to whether it is ready.
     std::string ready();
 
-    raw_socket begin(const std::string& path = "/x/1");
+    raw_socket begin(const std::string& path = "/x/1", std::chrono::milliseconds deadline = std::chrono::seconds(20));
     std::string get(const std::string& path = "/x/1") { return begin(path).readToEnd(); }
 
     // Asks again until the answer has the status; what is known spreads by itself.
