Drop gossip and quota datagrams of another mesh

Symptom: in our own tests, once: HonestUnderFailure.ANodeIsKilled and .ANodeIsFrozenAndWakes failed together ("the load ran dry"; 74 second runs). On a platform that reuses addresses, requests could go to servers of another mesh, and the nodes of that mesh could take over names.

Cause: a node accepts any gossip that arrives at its port. A mesh keeps pinging the address of a node that it has lost. If a node of another mesh has that address now, it answers with its own entry, and each of the two meshes learns of all nodes of the other. Nodes with the same name then retire each other (event 120).

Evidence: the failed run logged event 120 five times within half a second of the start of the second mesh. With real processes: in MembershipUnderFailure.ANodeOfTheSameMeshNameThatReusesAnAddressJoins, two meshes with separate stores have the same name (as all meshes had before this change) and join within half a second. With a different name for each: .ANodeOfAnotherMeshThatReusesAnAddressDoesNotJoin.

Fix: a mesh has a name, set in the settings ([node] mesh), which seeds the checksum of its gossip and quota datagrams. Datagrams of another mesh fail the check; they are dropped and counted together with damaged ones, and dropped gossip is logged (event 121, at most twice in 10 s). Without a name, the datagrams are the same as before.

Alternatives considered: an identity in the store (a node that starts while the store is down does not know it); a digest of the endpoints as the default name (a mesh whose zones reach the store at different addresses would split); node names in pings (two meshes may use the same ones).

Open: calls over TCP carry no mesh name. Until the lost node is known to be dead, about three seconds, a call may reach a node of another mesh that has its address; it runs there if that node's server has the same service.

SettingsRefusals.FillsInTheDefaults expects the new line of the settings with its default, and ParserGarbage generates it as well.

--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -25,6 +25,7 @@
 inline constexpr event serverReportTaken { 115, severity::Debug, "report of the backend server taken" };
 inline constexpr event backendServerNotServing { 116, severity::Info, "backend server reported ready but failed its health probe" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
+inline constexpr event gossipDropped { 121, severity::Warning, "gossip datagram dropped: invalid or from another mesh" };
 inline constexpr event contractsChanged { 130, severity::Info, "contracts changed" };
 inline constexpr event routesChanged { 131, severity::Info, "routes changed" };
 inline constexpr event routesUnreadable { 132, severity::Error, "a version of the routes cannot be read" };
@@ -44,6 +45,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
 
 }
--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -25,7 +25,7 @@
     : caf::event_based_actor(config)
     , m_parts(std::move(parts))
     , m_random(std::random_device {}())
-    , m_socket(*m_parts.context, m_parts.listenAddress, [this](gossip_message message) {
+    , m_socket(*m_parts.context, m_parts.listenAddress, m_parts.meshName, [this](gossip_message message) {
         m_parts.host->send(caf::actor_cast<caf::actor>(this), gossip_arrived { std::move(message) });
     })
     , m_protocol(m_parts.self, membership_options {}, gossipHooks(), currentTime())
--- a/Source/node/membership_actor.h
+++ b/Source/node/membership_actor.h
@@ -19,6 +19,7 @@
     boost::asio::io_context* context = nullptr;
     metadata_store* store = nullptr;
     std::string listenAddress;
+    std::string meshName;
     std::vector<std::string> joinAddresses;
     membership_hooks hooks;
     member self;
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -5,10 +5,11 @@
 
 namespace vanillashunt {
 
-membership_service::membership_service(actor_host& host, boost::asio::io_context& context, metadata_store& store, std::vector<std::string> joinAddresses, membership_hooks hooks)
+membership_service::membership_service(actor_host& host, boost::asio::io_context& context, metadata_store& store, std::string meshName, std::vector<std::string> joinAddresses, membership_hooks hooks)
     : m_host(host)
     , m_context(context)
     , m_store(store)
+    , m_meshName(std::move(meshName))
     , m_joinAddresses(std::move(joinAddresses))
     , m_hooks(std::move(hooks))
     , m_timer(context)
@@ -24,6 +25,7 @@
     parts.context = &m_context;
     parts.store = &m_store;
     parts.listenAddress = listenAddress;
+    parts.meshName = m_meshName;
     parts.joinAddresses = m_joinAddresses;
     parts.hooks = m_hooks;
     parts.self = self;
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -32,7 +32,7 @@
 public:
     // The host, the context and the store outlive the service. The addresses are
     // of peers to join besides the seeds in the store.
-    membership_service(actor_host&, boost::asio::io_context&, metadata_store&, std::vector<std::string> joinAddresses, membership_hooks);
+    membership_service(actor_host&, boost::asio::io_context&, metadata_store&, std::string meshName, std::vector<std::string> joinAddresses, membership_hooks);
     ~membership_service();
 
     membership_service(const membership_service&) = delete;
@@ -72,6 +72,7 @@
     actor_host& m_host;
     boost::asio::io_context& m_context;
     metadata_store& m_store;
+    std::string m_meshName;
     std::vector<std::string> m_joinAddresses;
     membership_hooks m_hooks;
     boost::asio::steady_timer m_timer;
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -152,7 +152,7 @@
         parts.place = { settings.availabilityZone, settings.region };
         m_calls = m_system->spawn<call_actor, caf::lazy_init>(parts);
 
-        m_membership = std::make_unique<membership_service>(*m_host, m_context, *m_store, settings.joinAddresses,
+        m_membership = std::make_unique<membership_service>(*m_host, m_context, *m_store, settings.mesh, settings.joinAddresses,
             membershipHooks());
         m_controlClient = std::make_unique<http_client>(m_context, clientSettings);
         m_peerRpc = std::make_unique<peer_rpc>(*m_controlClient);
--- a/Source/node/quota_service.cpp
+++ b/Source/node/quota_service.cpp
@@ -1,11 +1,13 @@
 #include "node/quota_service.h"
 
+#include "peer/datagram_seal.h"
 #include "peer/quota_codec.h"
 
 namespace vanillashunt {
 
-quota_service::quota_service(boost::asio::io_context& context, const std::string& listenAddress, quota_settings settings, std::function<std::uint64_t(std::uint64_t bound)> chance, time_point started)
-    : m_exchange(std::move(settings), exchangeHooks(std::move(chance)), started)
+quota_service::quota_service(boost::asio::io_context& context, const std::string& listenAddress, const std::string& meshName, quota_settings settings, std::function<std::uint64_t(std::uint64_t bound)> chance, time_point started)
+    : m_checksumSeed(meshChecksumSeed(meshName))
+    , m_exchange(std::move(settings), exchangeHooks(std::move(chance)), started)
     , m_socket(context, listenAddress, [this](const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender) { arrived(bytes, size, sender); })
 {
 }
@@ -21,7 +23,7 @@
 template <typename Address>
 void quota_service::send(const Address& address, const quota_message& message)
 {
-    auto bytes = encodeQuota(message);
+    auto bytes = encodeQuota(message, m_checksumSeed);
     if (bytes.empty() || !m_socket.send(address, bytes)) {
         ++m_unsent;
     }
@@ -29,7 +31,7 @@
 
 void quota_service::arrived(const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender)
 {
-    auto message = decodeQuota(bytes, size);
+    auto message = decodeQuota(bytes, size, m_checksumSeed);
     if (!message) {
         ++m_garbage;
         return;
--- a/Source/node/quota_service.h
+++ b/Source/node/quota_service.h
@@ -18,7 +18,7 @@
 
     // Listens at the address, "IP:port"; throws boost::system::system_error if it cannot be
     // bound. The time is when the process started.
-    quota_service(boost::asio::io_context&, const std::string& listenAddress, quota_settings, std::function<std::uint64_t(std::uint64_t bound)> chance, time_point started);
+    quota_service(boost::asio::io_context&, const std::string& listenAddress, const std::string& meshName, quota_settings, std::function<std::uint64_t(std::uint64_t bound)> chance, time_point started);
 
     quota_exchange& exchange() { return m_exchange; }
 
@@ -34,6 +34,7 @@
     void send(const Address&, const quota_message&);
     void arrived(const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender);
 
+    std::uint64_t m_checksumSeed;
     quota_exchange m_exchange;
     datagram_socket m_socket;
     // Datagrams that were no message on quotas, and messages that were not sent.
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -176,7 +176,7 @@
         m_system = std::make_unique<caf::actor_system>(m_config);
         m_host = std::make_unique<actor_host>(*m_system, m_context);
         m_store.setHooks(storeHooks());
-        m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.joinAddresses, membershipHooks());
+        m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.mesh, settings.joinAddresses, membershipHooks());
         m_clients = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
         m_reports = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
             [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { exchange->respond(m_server.take(request, std::chrono::steady_clock::now())); });
@@ -188,7 +188,7 @@
             [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { m_calls.peerCallArrived(std::move(request), exchange); });
         m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
         m_quotas = std::make_unique<quota_service>(
-            m_context, m_operatorPort->address(), quotaSettings(settings, m_self.id), [this](std::uint64_t bound) { return m_random() % bound; }, m_started);
+            m_context, m_operatorPort->address(), settings.mesh, quotaSettings(settings, m_self.id), [this](std::uint64_t bound) { return m_random() % bound; }, m_started);
         m_self.name = settings.name;
         m_self.availabilityZone = settings.availabilityZone;
         m_self.region = settings.region;
--- a/Source/peer/gossip_codec.cpp
+++ b/Source/peer/gossip_codec.cpp
@@ -124,7 +124,7 @@
 
 }
 
-std::vector<char> encodeGossip(const gossip_message& message)
+std::vector<char> encodeGossip(const gossip_message& message, std::uint64_t checksumSeed)
 {
     std::vector<char> bytes(datagramHeadBytes);
     caf::binary_serializer sink(nullptr, bytes);
@@ -134,13 +134,13 @@
     if (!inspectHeader(sink, copy, kind) || !inspectBody(sink, copy) || !writeLists(sink, message)) {
         return {};
     }
-    sealDatagram(bytes, magic);
+    sealDatagram(bytes, magic, checksumSeed);
     return bytes;
 }
 
-std::optional<gossip_message> decodeGossip(const char* bytes, std::size_t size)
+std::optional<gossip_message> decodeGossip(const char* bytes, std::size_t size, std::uint64_t checksumSeed)
 {
-    auto payload = openDatagram({ bytes, size }, magic);
+    auto payload = openDatagram({ bytes, size }, magic, checksumSeed);
     if (!payload) {
         return std::nullopt;
     }
--- a/Source/peer/gossip_socket.cpp
+++ b/Source/peer/gossip_socket.cpp
@@ -1,11 +1,17 @@
 #include "peer/gossip_socket.h"
 
+#include "events/event_catalogue.h"
+#include "peer/datagram_seal.h"
 #include "peer/gossip_codec.h"
 
 namespace vanillashunt {
 
 namespace {
 
+    // Keeps a flood of invalid datagrams from filling the log.
+    constexpr std::uint32_t mostLines = 2;
+    constexpr std::chrono::seconds lineInterval { 10 };
+
     void count(std::array<gossip_traffic, gossipKindCount>& traffic, gossip_kind kind, std::size_t bytes)
     {
         auto& entry = traffic.at(static_cast<std::size_t>(kind));
@@ -22,26 +28,39 @@
     return words.at(static_cast<std::size_t>(kind));
 }
 
-gossip_socket::gossip_socket(boost::asio::io_context& context, const std::string& listenAddress, gossip_handler handler)
-    : m_handler(std::move(handler))
-    , m_socket(context, listenAddress, [this](const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint&) { read(bytes, size); })
+gossip_socket::gossip_socket(boost::asio::io_context& context, const std::string& listenAddress, const std::string& meshName, gossip_handler handler)
+    : m_checksumSeed(meshChecksumSeed(meshName))
+    , m_handler(std::move(handler))
+    , m_limiter(mostLines, lineInterval)
+    , m_socket(context, listenAddress, [this](const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender) { read(bytes, size, sender); })
 {
 }
 
-void gossip_socket::read(const char* bytes, std::size_t size)
+void gossip_socket::read(const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender)
 {
-    auto message = decodeGossip(bytes, size);
+    auto message = decodeGossip(bytes, size, m_checksumSeed);
     if (!message) {
         ++m_counts.garbage;
+        logDropped(sender);
         return;
     }
     count(m_counts.received, message->kind, size);
     m_handler(std::move(*message));
 }
 
+void gossip_socket::logDropped(const boost::asio::ip::udp::endpoint& sender)
+{
+    auto leftOut = m_limiter.take(events::gossipDropped, std::chrono::steady_clock::now());
+    if (!leftOut) {
+        return;
+    }
+    auto address = sender.address().to_string() + ':' + std::to_string(sender.port());
+    logEvent(events::gossipDropped, { { "sender", address }, { "left_out", std::to_string(*leftOut) } });
+}
+
 void gossip_socket::send(const std::string& address, const gossip_message& message)
 {
-    auto bytes = encodeGossip(message);
+    auto bytes = encodeGossip(message, m_checksumSeed);
     if (bytes.empty() || !m_socket.send(address, bytes)) {
         ++m_counts.unsent;
         return;
--- a/Source/peer/gossip_socket.h
+++ b/Source/peer/gossip_socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "events/event_limiter.h"
 #include "membership/gossip_message.h"
 #include "peer/datagram_socket.h"
 
@@ -21,7 +22,7 @@
     // By kind of the message.
     std::array<gossip_traffic, gossipKindCount> sent;
     std::array<gossip_traffic, gossipKindCount> received;
-    // Datagrams that were no gossip, or damaged on the way.
+    // Datagrams dropped because they were not gossip, came from another mesh or were corrupted.
     std::uint64_t garbage = 0;
     // Datagrams that the operating system did not take.
     std::uint64_t unsent = 0;
@@ -37,16 +38,19 @@
 class gossip_socket {
 public:
     // Throws boost::system::system_error if the address, "IP:port", cannot be bound.
-    gossip_socket(boost::asio::io_context&, const std::string& listenAddress, gossip_handler);
+    gossip_socket(boost::asio::io_context&, const std::string& listenAddress, const std::string& meshName, gossip_handler);
 
     void send(const std::string& address, const gossip_message&);
 
     const gossip_counts& counts() const { return m_counts; }
 
 private:
-    void read(const char* bytes, std::size_t size);
+    void read(const char* bytes, std::size_t size, const boost::asio::ip::udp::endpoint& sender);
+    void logDropped(const boost::asio::ip::udp::endpoint& sender);
 
+    std::uint64_t m_checksumSeed;
     gossip_handler m_handler;
+    event_limiter m_limiter;
     gossip_counts m_counts;
     datagram_socket m_socket;
 };
--- a/Source/peer/quota_codec.cpp
+++ b/Source/peer/quota_codec.cpp
@@ -67,7 +67,7 @@
 
 }
 
-std::vector<char> encodeQuota(const quota_message& message)
+std::vector<char> encodeQuota(const quota_message& message, std::uint64_t checksumSeed)
 {
     std::vector<char> bytes(datagramHeadBytes);
     caf::binary_serializer sink(nullptr, bytes);
@@ -78,13 +78,13 @@
     if (!isWritten || bytes.size() > longestDatagram) {
         return {};
     }
-    sealDatagram(bytes, magic);
+    sealDatagram(bytes, magic, checksumSeed);
     return bytes;
 }
 
-std::optional<quota_message> decodeQuota(const char* bytes, std::size_t size)
+std::optional<quota_message> decodeQuota(const char* bytes, std::size_t size, std::uint64_t checksumSeed)
 {
-    auto payload = openDatagram({ bytes, size }, magic);
+    auto payload = openDatagram({ bytes, size }, magic, checksumSeed);
     if (!payload) {
         return std::nullopt;
     }
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -67,6 +67,7 @@
         return "[node]\n" + formatString("name", settings.name)
             + formatString("availability_zone", settings.availabilityZone)
             + formatString("region", settings.region)
+            + formatString("mesh", settings.mesh)
             + formatString("outgoing_address", settings.outgoingAddress)
             + formatString("log_level", settings.logLevel)
             + formatString("policy", settings.policy);
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -72,6 +72,9 @@
     // How much the node decides: "full"; "hop" and "none" are baselines to
     // measure against: plain limits per hop, and none.
     std::string policy = "full";
+    // The name of the mesh; may be empty. Gossip and quota datagrams of nodes with another
+    // mesh name are dropped.
+    std::string mesh {};
     // Only for the command routed-node.
     std::optional<route_settings> routes {};
 };
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -6,6 +6,7 @@
 #include "settings/ip_endpoint.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <set>
 
@@ -31,6 +32,7 @@
     const toml_key nameKey { "name", "\"threads-1\"" };
     const toml_key availabilityZoneKey { "availability_zone", "\"cyberjaya\"" };
     const toml_key regionKey { "region", "\"klang\"", presence::Optional };
+    const toml_key meshKey { "mesh", "\"hotel-production\"", presence::Optional };
     const toml_key outgoingAddressKey { "outgoing_address", "\"192.0.2.10\"", presence::Optional };
     const toml_key logLevelKey { "log_level", "\"info\"", presence::Optional };
     const toml_key policyKey { "policy", "\"full\"", presence::Optional };
@@ -93,12 +95,20 @@
         return text.empty() || isReachableEndpoint(text);
     }
 
+    constexpr std::size_t longestMeshName = 255;
+
+    bool isMeshNameOrEmpty(const std::string& text)
+    {
+        return text.size() <= longestMeshName && std::none_of(text.begin(), text.end(), [](unsigned char character) { return std::iscntrl(character) != 0; });
+    }
+
     const std::string labelWords = "1 to 63 of a-z, A-Z, 0-9, \"-\", \"_\" and \".\"";
     const std::string endpointWords = "\"IP:port\" with the address in numbers, IPv6 in brackets";
     const std::string reachableWords = endpointWords + ", and neither the address nor the port 0";
 
     const toml_rule<std::string> labelRule { isLabel, labelWords };
     const toml_rule<std::string> labelOrEmptyRule { isLabelOrEmpty, "empty or " + labelWords };
+    const toml_rule<std::string> meshRule { isMeshNameOrEmpty, "empty or at most 255 bytes without control characters" };
     const toml_rule<std::string> addressRule { isAddressOrEmpty, "empty or an IP address in numbers, without a port" };
     const toml_rule<std::string> listenRule { isListenEndpoint, endpointWords };
     const toml_rule<std::string> advertiseRule { isReachableEndpointOrEmpty, "empty or " + reachableWords };
@@ -177,6 +187,7 @@
             m_settings.name = reader.readString(nameKey, labelRule).value_or("");
             m_settings.availabilityZone = reader.readString(availabilityZoneKey, labelRule).value_or("");
             m_settings.region = reader.readString(regionKey, labelOrEmptyRule).value_or("");
+            m_settings.mesh = reader.readString(meshKey, meshRule).value_or("");
             m_settings.outgoingAddress = reader.readString(outgoingAddressKey, addressRule).value_or("");
             m_settings.logLevel = reader.readString(logLevelKey, logLevelRule).value_or(m_settings.logLevel);
             m_settings.policy = reader.readString(policyKey, policyRule).value_or(m_settings.policy);
--- a/Tests/Harness/mesh.cpp
+++ b/Tests/Harness/mesh.cpp
@@ -106,6 +106,7 @@
     auto path = m_folder / (spec.name + ".toml");
     std::ofstream file(path);
     file << "[node]\nname = \"" << spec.name << "\"\navailability_zone = \"" << spec.availabilityZone << "\"\n"
+         << "mesh = \"" << (spec.meshName.empty() ? name() : spec.meshName) << "\"\n"
          << spec.nodeSettings
          << (m_proxy ? "outgoing_address = \"" + hostOf(spec.availabilityZone) + "\"\n" : "")
          << "[platform]\nendpoints = [" << m_endpoints << "]\n"
--- a/Tests/Harness/mesh.h
+++ b/Tests/Harness/mesh.h
@@ -27,6 +27,8 @@
     std::string nodeSettings = {};
     // Further lines of the file's section "peer".
     std::string peerSettings = {};
+    // The mesh name in the node's settings; if empty, that of the mesh it is added to.
+    std::string meshName = {};
 };
 
 // How the processes of a mesh reach each other.
@@ -82,6 +84,12 @@
     // Kills the node and the backend server of that name and forgets both.
     void kill(const std::string& name);
 
+    // The mesh name in the settings of its nodes, unless the server_spec sets another.
+    std::string name() const { return m_folder.filename().string(); }
+
+    // Redirects the peer address of a killed node to another node. Requires mesh_network::ThroughProxy.
+    void redirectPeerAddress(const std::string& killedName, const mesh_server& target) { m_proxy->lead(killedName + "-peer", target.nodeReady["peer"].asString()); }
+
     std::vector<std::string> names() const;
 
     // Waits until a request of that kind is answered through every node.
--- a/Tests/MembershipUnderFailure/membership_under_failure_test.cpp
+++ b/Tests/MembershipUnderFailure/membership_under_failure_test.cpp
@@ -145,4 +145,39 @@
     EXPECT_TRUE(waitUntil([&] { return stateOfId(*near[0], thirdOld) == "dead"; }));
 }
 
+// Guards against two meshes with separate stores joining when a node of one reuses the address of a
+// killed node of the other.
+TEST(MembershipUnderFailure, ANodeOfAnotherMeshThatReusesAnAddressDoesNotJoin)
+{
+    mesh hotel(mesh_network::ThroughProxy);
+    mesh otherMesh(mesh_network::ThroughProxy);
+    auto servers = startZone(hotel, "bangsar");
+    const auto& otherNode = *addThreads(otherMesh, "bangsar", 2);
+    ASSERT_TRUE(allSee(servers, servers, "alive"));
+    const auto killedId = servers[2]->nodeReady["incarnation"];
+    hotel.kill("bangsar-2");
+    hotel.redirectPeerAddress("bangsar-2", otherNode);
+    EXPECT_TRUE(waitUntil([&] { return stateOfId(*servers[0], killedId) == "dead" && stateOfId(*servers[1], killedId) == "dead"; }));
+    EXPECT_GT(membershipOf(otherNode)["garbage"].asUInt64(), 0U);
+    for (const auto* server : { servers[0], servers[1] }) {
+        EXPECT_EQ(stateSeen(*server, otherNode), "");
+        EXPECT_EQ(stateSeen(otherNode, *server), "");
+    }
+}
+
+// Control for the test above: with the same mesh name, the meshes do join.
+TEST(MembershipUnderFailure, ANodeOfTheSameMeshNameThatReusesAnAddressJoins)
+{
+    mesh hotel(mesh_network::ThroughProxy);
+    mesh otherMesh(mesh_network::ThroughProxy);
+    auto servers = startZone(hotel, "bangsar");
+    server_spec spec { "bangsar-2", "threads", "bangsar", {}, "" };
+    spec.meshName = hotel.name();
+    const auto& otherNode = otherMesh.add(spec);
+    ASSERT_TRUE(allSee(servers, servers, "alive"));
+    hotel.kill("bangsar-2");
+    hotel.redirectPeerAddress("bangsar-2", otherNode);
+    EXPECT_TRUE(waitUntil([&] { return stateSeen(*servers[0], otherNode) == "alive" && stateSeen(otherNode, *servers[1]) == "alive"; }));
+}
+
 }
--- a/Tests/ParserGarbage/parser_garbage_test.cpp
+++ b/Tests/ParserGarbage/parser_garbage_test.cpp
@@ -87,7 +87,7 @@
             static const std::vector<std::string> levels { "debug", "info", "warning", "error" };
             static const std::vector<std::string> policies { "full", "hop", "none" };
             return { word(), word(), below(2) == 0 ? "" : word(), below(2) == 0 ? "" : "192.0.2.7", port(), port(), port(), port(), endpoints(), endpoints(),
-                static_cast<std::uint64_t>(1024) + below(64 * 1024 * 1023), std::chrono::milliseconds(below(600001)), levels[below(4)], policies[below(3)] };
+                static_cast<std::uint64_t>(1024) + below(64 * 1024 * 1023), std::chrono::milliseconds(below(600001)), levels[below(4)], policies[below(3)], below(2) == 0 ? "" : word() };
         }
 
     private:
--- a/Tests/SettingsRefusals/settings_refusals_test.cpp
+++ b/Tests/SettingsRefusals/settings_refusals_test.cpp
@@ -37,7 +37,7 @@
 TEST(SettingsRefusals, FillsInTheDefaults)
 {
     EXPECT_EQ(formatSettings(std::get<node_settings>(parseSettings(node, "s.toml"))),
-        "[node]\nname = \"threads-1\"\navailability_zone = \"cyberjaya\"\nregion = \"\"\noutgoing_address = \"\"\nlog_level = \"info\"\npolicy = \"full\"\n"
+        "[node]\nname = \"threads-1\"\navailability_zone = \"cyberjaya\"\nregion = \"\"\nmesh = \"\"\noutgoing_address = \"\"\nlog_level = \"info\"\npolicy = \"full\"\n"
         "\n[caller]\nlisten = \"127.0.0.1:0\"\nadvertise = \"\"\n"
         "\n[backend]\nlisten = \"127.0.0.1:0\"\nadvertise = \"\"\n"
         "\n[peer]\nlisten = \"127.0.0.1:0\"\nadvertise = \"\"\njoin = []\n"
