Put the words of a server's condition beside its report

They were declared with server_report and defined with server_tracker, where a reader would not look for them.

--- a/Source/backend/server_tracker.cpp
+++ b/Source/backend/server_tracker.cpp
@@ -17,19 +17,6 @@
 
 }
 
-std::string toString(server_condition condition)
-{
-    switch (condition) {
-    case server_condition::Ready:
-        return "ready";
-    case server_condition::Draining:
-        return "draining";
-    case server_condition::Left:
-        return "left";
-    }
-    return "";
-}
-
 std::string toString(report_effect effect)
 {
     switch (effect) {
