--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -166,8 +166,10 @@
     EXPECT_EQ(other.getUntil("200").substr(0, 12), "HTTP/1.1 200");
     world.hold(true);
     auto before = world.runs();
+    constexpr std::size_t requestCount = 6;
     std::vector<raw_socket> running;
-    for (int i = 0; i < 6; ++i) {
+    running.reserve(requestCount);
+    for (std::size_t i = 0; i < requestCount; ++i) {
         running.push_back(entry.begin());
     }
     world.waitForRuns(before + running.size());
