Log and count what a server announces of itself in its answers

What: platform/ decodes both headers once, into server_notice; server_notices keeps the latest one of each start of the server, by the time at which the header of its answer arrived. Events 117 to 119, the fields rate_limit and sent of 205, and three metrics. No decision uses it.

With these, a limit that nobody reads shows as sent rising by more than rate_limit each second from the first event 117 on; one that each node applies alone shows as sent rising by a multiple of it; one that is forgotten shows as event 117 with no limit, or as a new process.

Ruled out: a header that is read as a number with a unit, an exponent or a sign; such a text changes nothing and is told by event 119.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -178,6 +178,7 @@
         void beginAnswer()
         {
             m_parser.emplace();
+            m_headerReceived = {};
             m_parser->header_limit(maxHeaderBytes);
             if (auto client = m_client.lock()) {
                 m_parser->body_limit(client->settings.maxBodyBytes);
@@ -214,6 +215,9 @@
             while (received.size() > 0 && !m_connection.isClosed() && !m_connection.isIdle()) {
                 error_code error;
                 received.consume(m_parser->put(received.data(), error));
+                if (m_parser->is_header_done() && m_headerReceived == time_point {}) {
+                    m_headerReceived = std::chrono::steady_clock::now();
+                }
                 if (error == http::error::need_more) {
                     return;
                 }
@@ -266,7 +270,7 @@
         http_response takeResponse()
         {
             m_idleTimeout = idleTimeoutFrom(m_parser->keepAlive);
-            return { m_parser->status, std::move(m_parser->fields), std::move(m_parser->body) };
+            return { m_parser->status, std::move(m_parser->fields), std::move(m_parser->body), m_headerReceived };
         }
 
         void fail(const std::string& message)
@@ -288,6 +292,7 @@
         std::string m_requestBytes;
         std::optional<message_parser<false>> m_parser;
         std::chrono::milliseconds m_idleTimeout { defaultIdleTimeout };
+        time_point m_headerReceived;
         int m_foreignAnswers = 0;
         bool m_isHeadRequest = false;
         bool m_written = false;
--- a/Source/backend/server_start.h
+++ b/Source/backend/server_start.h
@@ -26,6 +26,9 @@
     return !(left == right);
 }
 
+// The start time in milliseconds since 1970; empty if the server does not report it.
+std::string bornText(const server_start&);
+
 // Hash of a start that is the same on every machine.
 std::uint64_t hashOf(const server_start&);
 
--- a/Source/call/request_metadata.h
+++ b/Source/call/request_metadata.h
@@ -2,6 +2,7 @@
 
 #include "call/http_field.h"
 #include "call/server_load.h"
+#include "decision/server_notice.h"
 
 #include <chrono>
 #include <optional>
@@ -50,6 +51,10 @@
     // The load that the server reports; nothing if it reports none, or an unreadable one.
     std::optional<server_load> load;
     bool isLoadUnreadable = false;
+    // What the server announces; a part that is unreadable is left out.
+    server_notice notice;
+    bool isRateLimitUnreadable = false;
+    bool isLeavingUnreadable = false;
 };
 
 }
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -24,6 +24,9 @@
 inline constexpr event serverLoadUnreadable { 114, severity::Warning, "the load that a server tells cannot be read" };
 inline constexpr event serverReportTaken { 115, severity::Debug, "report of the backend server taken" };
 inline constexpr event backendServerNotServing { 116, severity::Info, "backend server reported ready but failed its health probe" };
+inline constexpr event serverRateLimitChanged { 117, severity::Info, "rate limit of the backend server changed" };
+inline constexpr event serverAnnouncesLeaving { 118, severity::Info, "backend server announced in an answer that it leaves" };
+inline constexpr event serverNoticeUnreadable { 119, severity::Warning, "an announcement of the backend server cannot be read" };
 inline constexpr event nameTakenOver { 120, severity::Error, "another node took over this node's name or address" };
 inline constexpr event gossipDropped { 121, severity::Warning, "gossip datagram dropped: invalid or from another mesh" };
 inline constexpr event contractsChanged { 130, severity::Info, "contracts changed" };
@@ -45,6 +48,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
 
 }
--- a/Source/http/http_message.h
+++ b/Source/http/http_message.h
@@ -2,6 +2,7 @@
 
 #include "call/http_field.h"
 
+#include <chrono>
 #include <string>
 
 namespace vanillashunt {
@@ -19,6 +20,9 @@
     unsigned status = 0;
     http_fields fields;
     std::string body;
+    // When the header of a backend server's response arrived, which orders responses that were
+    // sent on different connections.
+    std::chrono::steady_clock::time_point headerReceived {};
 };
 
 // Whether a field applies to a single connection and is not forwarded (RFC 9110, 7.6.1),
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -89,6 +89,7 @@
         m_runs.checkPresence([this](server_presence presence) { m_target.serverChecked(presence, std::chrono::steady_clock::now()); });
     };
     hooks.serverEnded = [this](const server_end& end) { m_hooks.serverEnded(end); };
+    hooks.noticeChanged = [this](const server_start& start, const server_notice& notice) { m_hooks.noticeChanged(start, notice); };
     hooks.standingOf = [this](request_fingerprint content) { return m_hooks.standingOf(content); };
     hooks.contentServed = [this](request_fingerprint content) { m_hooks.contentServed(content); };
     hooks.random = [this] { return m_hooks.random(); };
@@ -110,6 +111,8 @@
             m_hooks.loadUnreadable(start);
         }
     };
+    hooks.noticeReceived = [this](const server_start& start, const received_notice& notice) { m_target.noticeReceived(start, notice, std::chrono::steady_clock::now()); };
+    hooks.noticeUnreadable = [this](const server_start& start) { m_hooks.noticeUnreadable(start); };
     return hooks;
 }
 
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -29,6 +29,9 @@
     std::function<void(const server_start&)> misdirected;
     // The local backend server reported a load that cannot be parsed.
     std::function<void(const server_start&)> loadUnreadable;
+    // What the local backend server announces in its answers has changed, or is unreadable.
+    std::function<void(const server_start&, const server_notice&)> noticeChanged;
+    std::function<void(const server_start&)> noticeUnreadable;
     // The local backend server terminated while it had requests.
     std::function<void(const server_end&)> serverEnded;
     // As in entry_hooks.
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -28,6 +28,10 @@
     inbound["slowdown"] = target.pace().slowdown(now);
     inbound["loads_contradicted"] = Json::UInt64(target.pace().contradictions());
     inbound["loads_unreadable"] = Json::UInt64(parts.unreadableLoads);
+    auto notice = target.notice();
+    inbound["rate_limit"] = notice.rateLimit ? Json::Value(*notice.rateLimit) : Json::Value();
+    inbound["server_leaves"] = notice.isLeaving;
+    inbound["notices_unreadable"] = Json::UInt64(parts.unreadableNotices);
     calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
     calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
@@ -66,6 +70,9 @@
     gauges.serverSlowdown = parts.calls.target().pace().slowdown(std::chrono::steady_clock::now());
     gauges.contradictedLoads = parts.calls.target().pace().contradictions();
     gauges.unreadableLoads = parts.unreadableLoads;
+    gauges.unreadableNotices = parts.unreadableNotices;
+    gauges.serverRateLimit = parts.calls.target().notice().rateLimit.value_or(gauges.serverRateLimit);
+    gauges.serverRequests = parts.calls.target().gate().counters().admitted;
     gauges.storeReturns = parts.storeReturns;
     gauges.quotaWaiting = parts.quotas.waiting();
     gauges.quotaAsks = parts.quotas.counts().asks;
--- a/Source/node/routed_dump.h
+++ b/Source/node/routed_dump.h
@@ -24,6 +24,7 @@
     std::size_t members = 0;
     bool draining = false;
     std::uint64_t unreadableLoads = 0;
+    std::uint64_t unreadableNotices = 0;
 };
 
 // The calls in progress, in the format of nodes with contracts, so that one command reads
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -9,6 +9,7 @@
 #include "node/routed_calls.h"
 #include "node/routed_dump.h"
 #include "node/routed_stop.h"
+#include "node/server_notice_log.h"
 #include "node/server_reports.h"
 #include "node/settings_watch.h"
 #include "operator/call_log.h"
@@ -94,6 +95,8 @@
         operator_reply explain(const std::string& requestId) const;
         void observe(const call_observation&);
         void recordUnreadableLoad(const server_start&);
+        void recordUnreadableNotice(const server_start&);
+        void serverNoticeChanged(const server_start&, const server_notice&);
 
         node_settings m_settings;
         std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
@@ -132,6 +135,9 @@
         std::uint64_t m_unreadableLoads = 0;
         // The start of the server whose unreadable load was logged last.
         server_start m_lastUnreadableLoadStart;
+        std::uint64_t m_unreadableNotices = 0;
+        server_start m_lastUnreadableNoticeStart;
+        server_notice_log m_noticeLog;
     };
 
     http_client_settings clientSettings(const node_settings& settings)
@@ -203,6 +209,8 @@
         hooks.attemptEnded = [this](std::uint64_t memberId, bool answered) { m_membership->callEnded(memberId, answered); };
         hooks.misdirected = [this](const server_start& start) { m_serverReports.misdirected(start); };
         hooks.loadUnreadable = [this](const server_start& start) { recordUnreadableLoad(start); };
+        hooks.noticeChanged = [this](const server_start& start, const server_notice& notice) { serverNoticeChanged(start, notice); };
+        hooks.noticeUnreadable = [this](const server_start& start) { recordUnreadableNotice(start); };
         hooks.serverEnded = [this](const server_end& end) {
             logServerEnd(end);
             m_poison.serverEnded(end);
@@ -364,7 +372,7 @@
         }
         m_nextLoadLog = now + loadLogPeriod;
         const auto& gate = m_calls.target().gate();
-        logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "entered", std::to_string(m_calls.entry().inProgress()) }, { "members", std::to_string(m_members->size()) }, { "version", std::to_string(m_routes.version()) } });
+        logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "rate_limit", rateLimitText(m_calls.target().notice()) }, { "sent", std::to_string(gate.counters().admitted) }, { "entered", std::to_string(m_calls.entry().inProgress()) }, { "members", std::to_string(m_members->size()) }, { "version", std::to_string(m_routes.version()) } });
     }
 
     void routed_process::scheduleTick()
@@ -457,7 +465,7 @@
 
     routed_parts routed_process::parts() const
     {
-        return { m_calls, m_serverReports, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, m_store.returns(), m_members->size(), m_stop.draining(), m_unreadableLoads };
+        return { m_calls, m_serverReports, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, m_store.returns(), m_members->size(), m_stop.draining(), m_unreadableLoads, m_unreadableNotices };
     }
 
     void routed_process::collectState(state_receiver receiver)
@@ -511,6 +519,21 @@
         logEvent(events::serverLoadUnreadable, { { "instance", start.instanceId } });
     }
 
+    void routed_process::recordUnreadableNotice(const server_start& start)
+    {
+        ++m_unreadableNotices;
+        if (start == m_lastUnreadableNoticeStart) {
+            return;
+        }
+        m_lastUnreadableNoticeStart = start;
+        logEvent(events::serverNoticeUnreadable, { { "instance", start.instanceId } });
+    }
+
+    void routed_process::serverNoticeChanged(const server_start& start, const server_notice& notice)
+    {
+        m_noticeLog.changed(start, notice, std::chrono::steady_clock::now());
+    }
+
     // Runs the handlers that are still queued: an undelivered message would keep its actor, and
     // thereby the process, alive forever.
     void routed_process::endActors()
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -155,6 +155,13 @@
     m_pace.updateLoad(load, m_server->slots, m_gate.inFlight(), now);
 }
 
+void routed_target::noticeReceived(const server_start& start, const received_notice& answer, time_point)
+{
+    if (m_notices.answered(start, answer) && m_hooks.noticeChanged) {
+        m_hooks.noticeChanged(start, m_notices.current(start));
+    }
+}
+
 poison_status routed_target::standingOf(const call_request& request) const
 {
     return m_hooks.standingOf ? m_hooks.standingOf(request.context.content) : poison_status::Harmless;
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission_gate.h"
 #include "backend/server_end_detector.h"
+#include "backend/server_notices.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_observation.h"
@@ -35,6 +36,8 @@
     // The backend server answered a request of this content. Server errors don't count: a server
     // that gives up at the deadline might have been terminated by the request a moment later.
     std::function<void(request_fingerprint)> contentServed;
+    // What a start of the backend server announces has changed.
+    std::function<void(const server_start&, const server_notice&)> noticeChanged;
     std::function<std::uint64_t()> random;
     call_observer observed;
 };
@@ -97,6 +100,9 @@
     // This start of the backend server reported its load; ignored if it is not the current one.
     void serverReportedLoad(const server_start&, const server_load&, time_point now);
 
+    // An answer of this start of the backend server carried the notice.
+    void noticeReceived(const server_start&, const received_notice&, time_point now);
+
     // The result of the check that target_hooks::checkServer started.
     void serverChecked(server_presence, time_point now);
 
@@ -116,6 +122,8 @@
     bool isServerInDoubt() const { return m_lostRuns.inDoubt(); }
     const admission_gate& gate() const { return m_gate; }
     const server_pace& pace() const { return m_pace; }
+    // What the current start of the backend server has announced.
+    server_notice notice() const { return m_server ? m_notices.current(m_server->start) : server_notice {}; }
 
 private:
     // The cuts that a run's onward calls met at the servers of one service. The mean is used,
@@ -166,6 +174,7 @@
     time_point m_warmupEnd;
     std::optional<server_report> m_server;
     bool m_takesWork = false;
+    server_notices m_notices;
     bool m_stopping = false;
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
     run_deadlines m_deadlines;
--- a/Source/node/server_reports.cpp
+++ b/Source/node/server_reports.cpp
@@ -14,14 +14,6 @@
     constexpr std::uint32_t maxLinesPerInterval = 2;
     constexpr std::chrono::seconds lineInterval { 10 };
 
-    std::string bornText(const server_start& start)
-    {
-        if (!start.born) {
-            return "";
-        }
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(start.born->time_since_epoch()).count());
-    }
-
 }
 
 server_reports::server_reports(server_report_hooks hooks)
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -65,6 +65,8 @@
         marks = readAnswerMarks(response->fields);
         if (response->status == statusMisdirected) {
             m_hooks.misdirected(start);
+        } else {
+            readNotice(start, *response, marks);
         }
     }
     if (marks.load || marks.isLoadUnreadable) {
@@ -73,4 +75,16 @@
     m_hooks.answered(runId, classifyAnswer(std::move(result), marks));
 }
 
+// An answer without the request's id may come from anything that listens at the address.
+void server_runs::readNotice(const server_start& start, const http_response& response, const answer_metadata& marks)
+{
+    if (marks.requestId.empty()) {
+        return;
+    }
+    if (marks.isRateLimitUnreadable || marks.isLeavingUnreadable) {
+        m_hooks.noticeUnreadable(start);
+    }
+    m_hooks.noticeReceived(start, { marks.notice, marks.isSealed && !marks.isRateLimitUnreadable, response.headerReceived });
+}
+
 }
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -2,9 +2,11 @@
 
 #include "backend/instance_client.h"
 #include "backend/server_end_detector.h"
+#include "backend/server_notices.h"
 #include "backend/server_tracker.h"
 #include "call/call_answer.h"
 #include "call/call_request.h"
+#include "call/request_metadata.h"
 #include "call/server_load.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +26,10 @@
     std::function<void(const server_start&)> misdirected;
     // Called with the load that a start of the server reports; std::nullopt if it is unreadable.
     std::function<void(const server_start&, const std::optional<server_load>&)> loadReported;
+    // Called with what an answer of a start of the server announces, or does not announce.
+    std::function<void(const server_start&, const received_notice&)> noticeReceived;
+    // Called if a part of what it announces is unreadable.
+    std::function<void(const server_start&)> noticeUnreadable;
 };
 
 // Runs requests on the local backend server, with the headers of the platform's server protocol.
@@ -47,6 +53,7 @@
 
 private:
     void ended(std::uint64_t runId, const server_start&, instance_result);
+    void readNotice(const server_start&, const http_response&, const answer_metadata&);
 
     std::string m_address;
     server_run_hooks m_hooks;
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -130,6 +130,9 @@
     gauge& serverSlowdown = oneGauge("vanillashunt_server_slowdown", "How much longer than usually work takes at the own backend server now.");
     counter& contradictedLoads = oneCounter("vanillashunt_server_loads_contradicted_total", "Loads told by the own backend server that contradict what the node knows.");
     counter& unreadableLoads = oneCounter("vanillashunt_server_loads_unreadable_total", "Loads told by the own backend server that cannot be read.");
+    gauge& serverRateLimit = oneGauge("vanillashunt_server_rate_limit", "Requests per second that the own backend server accepts from all nodes together; +Inf if it names no limit.");
+    counter& serverRequests = oneCounter("vanillashunt_server_requests_total", "Requests sent to the own backend server.");
+    counter& unreadableNotices = oneCounter("vanillashunt_server_notices_unreadable_total", "Answers of the own backend server with an announcement that cannot be read.");
     counter& storeReturns = oneCounter("vanillashunt_store_returns_total", "Returns of the platform's store from an earlier copy.");
     counter& quotaAsks = oneCounter("vanillashunt_quota_asks_total", "Asks for requests of organisations, to the pool of the zone.");
     counter& quotaUnanswered = oneCounter("vanillashunt_quota_unanswered_total", "Messages on quotas that were not answered in time.");
@@ -212,6 +215,9 @@
     all.serverSlowdown.Set(gauges.serverSlowdown);
     raiseTo(all.contradictedLoads, gauges.contradictedLoads);
     raiseTo(all.unreadableLoads, gauges.unreadableLoads);
+    all.serverRateLimit.Set(gauges.serverRateLimit);
+    raiseTo(all.serverRequests, gauges.serverRequests);
+    raiseTo(all.unreadableNotices, gauges.unreadableNotices);
     raiseTo(all.storeReturns, gauges.storeReturns);
     raiseTo(all.quotaAsks, gauges.quotaAsks);
     raiseTo(all.quotaUnanswered, gauges.quotaUnanswered);
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,8 @@
     std::uint64_t quotaWaiting = 0;
     // How much longer than usually work takes at the own backend server now.
     double serverSlowdown = 1;
+    // Requests per second that the own backend server accepts; infinite if it names no limit.
+    double serverRateLimit = std::numeric_limits<double>::infinity();
     // Totals since the start of the process.
     std::uint64_t crossedAnswers = 0;
     std::uint64_t damagedAnswers = 0;
@@ -37,6 +40,9 @@
     std::uint64_t refusedReports = 0;
     std::uint64_t contradictedLoads = 0;
     std::uint64_t unreadableLoads = 0;
+    std::uint64_t unreadableNotices = 0;
+    // Requests sent to the own backend server.
+    std::uint64_t serverRequests = 0;
     std::uint64_t storeReturns = 0;
     std::uint64_t quotaAsks = 0;
     std::uint64_t quotaUnanswered = 0;
--- a/Tests/PlatformWire/platform_wire_test.cpp
+++ b/Tests/PlatformWire/platform_wire_test.cpp
@@ -190,6 +190,37 @@
     EXPECT_FALSE(readRequestTerms({}).remaining);
 }
 
+// Guards against a limit that is misread: any text that is no single decimal number names none.
+TEST(AnswerHeaders, TellTheRateLimitOfTheServer)
+{
+    auto limitIn = [](const http_fields& fields) { return readAnswerMarks(fields); };
+    EXPECT_EQ(limitIn({ { "server-limit", "7.1" } }).notice.rateLimit, 7.1);
+    EXPECT_EQ(limitIn({ { "Server-Limit", "0" } }).notice.rateLimit, 0);
+    EXPECT_EQ(limitIn({ { "Server-Limit", "0.0001" } }).notice.rateLimit, 0.0001);
+    EXPECT_FALSE(limitIn({}).notice.rateLimit);
+    EXPECT_FALSE(limitIn({}).isRateLimitUnreadable);
+    for (const std::string text : { "", "few", "-1", "-0", "1e3", "7.1/s", " 7", "7,1", "inf", "nan", "0x10", "+3" }) {
+        auto marks = limitIn({ { "Server-Limit", text } });
+        EXPECT_FALSE(marks.notice.rateLimit) << text;
+        EXPECT_TRUE(marks.isRateLimitUnreadable) << text;
+    }
+    auto twice = limitIn({ { "Server-Limit", "7" }, { "Server-Limit", "8" } });
+    EXPECT_FALSE(twice.notice.rateLimit);
+    EXPECT_TRUE(twice.isRateLimitUnreadable);
+}
+
+// Guards against missing that a server leaves, and against taking an unknown word for it.
+TEST(AnswerHeaders, TellThatTheServerLeaves)
+{
+    EXPECT_TRUE(readAnswerMarks({ { "server-leaving", "1" } }).notice.isLeaving);
+    EXPECT_FALSE(readAnswerMarks({ { "Server-Leaving", "0" } }).notice.isLeaving);
+    EXPECT_FALSE(readAnswerMarks({ { "Server-Leaving", "0" } }).isLeavingUnreadable);
+    auto unknown = readAnswerMarks({ { "Server-Leaving", "soon" }, { "Server-Limit", "3" } });
+    EXPECT_FALSE(unknown.notice.isLeaving);
+    EXPECT_TRUE(unknown.isLeavingUnreadable);
+    EXPECT_EQ(unknown.notice.rateLimit, 3);
+}
+
 TEST(RequestHeaders, WriteRetryAfterInSecondsWithFractions)
 {
     EXPECT_EQ(retryAfterField(std::chrono::milliseconds(350)).value, "0.350");
