--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "RoutedSoak/soak_server.h"
 #include "RoutedWorld/platform_world.h"
 #include "RoutedWorld/routed_node.h"
+#include "RoutedWorld/soak_server.h"
 
 #include <atomic>
 #include <memory>
--- a/Tests/RoutedWorld/soak_server.cpp
+++ b/Tests/RoutedWorld/soak_server.cpp
@@ -1,4 +1,4 @@
-#include "RoutedSoak/soak_server.h"
+#include "RoutedWorld/soak_server.h"
 
 #include <algorithm>
 
@@ -57,6 +57,31 @@
     return static_cast<std::size_t>(m_runStartTimes.end() - std::upper_bound(m_runStartTimes.begin(), m_runStartTimes.end(), moment));
 }
 
+void soak_server::announce(const std::string& rateLimit, bool isLeaving)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_rateLimit = rateLimit;
+    m_isLeaving = isLeaving;
+}
+
+std::size_t soak_server::arrivalsAfter(std::chrono::steady_clock::time_point moment)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::size_t>(m_arrivalTimes.end() - std::upper_bound(m_arrivalTimes.begin(), m_arrivalTimes.end(), moment));
+}
+
+std::size_t soak_server::mostArrivals(std::chrono::milliseconds span, std::chrono::steady_clock::time_point moment)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    auto first = std::upper_bound(m_arrivalTimes.begin(), m_arrivalTimes.end(), moment);
+    std::size_t most = 0;
+    for (auto last = first; last != m_arrivalTimes.end(); ++last) {
+        first = std::lower_bound(first, last, *last - span);
+        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+}
+
 std::int64_t soak_server::born()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -94,18 +119,36 @@
     }
 }
 
+http_fields soak_server::announcedFields() const
+{
+    http_fields fields;
+    if (!m_rateLimit.empty()) {
+        fields.push_back({ "Server-Limit", m_rateLimit });
+    }
+    if (m_isLeaving) {
+        fields.push_back({ "Server-Leaving", "1" });
+    }
+    return fields;
+}
+
 void soak_server::called(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     auto id = fieldValue(request.fields, "Vanillashunt-Request-Id");
     auto own = instance();
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_arrivalTimes.push_back(std::chrono::steady_clock::now());
+    auto announced = announcedFields();
+    announced.push_back({ "Vanillashunt-Request-Id", id });
     if (fieldValue(request.fields, "Vanillashunt-Expect-Instance") != own) {
-        exchange->respond({ 421, { { "Vanillashunt-Instance-Id", own }, { "Vanillashunt-Request-Id", id } }, "" });
+        lock.unlock();
+        announced.push_back({ "Vanillashunt-Instance-Id", own });
+        exchange->respond({ 421, std::move(announced), "" });
         return;
     }
-    std::unique_lock<std::mutex> lock(m_mutex);
     if (m_random() % refusedOneIn == 0) {
         lock.unlock();
-        exchange->respond({ 503, { { "Vanillashunt-Not-Executed", "1" }, { "Vanillashunt-Request-Id", id } }, "" });
+        announced.push_back({ "Vanillashunt-Not-Executed", "1" });
+        exchange->respond({ 503, std::move(announced), "" });
         return;
     }
     ++m_runs[id];
@@ -113,7 +156,7 @@
     auto time = m_random() % slowOneIn == 0 ? slowRun : usualRun;
     auto fields = loadFields();
     lock.unlock();
-    fields.push_back({ "Vanillashunt-Request-Id", id });
+    fields.insert(fields.end(), announced.begin(), announced.end());
     fields.push_back({ "Vanillashunt-Server-Seal", "seal-" + own });
     answerLater(time, exchange, { 200, std::move(fields), "ran " + id });
 }
--- a/Tests/RoutedWorld/soak_server.h
+++ b/Tests/RoutedWorld/soak_server.h
@@ -38,6 +38,15 @@
     // Another start with the same id, at the given time.
     void startAgainAt(std::int64_t born);
 
+    // What all its answers announce from now on: the text of its rate limit, empty for none, and
+    // whether it leaves.
+    void announce(const std::string& rateLimit, bool isLeaving);
+
+    // Number of requests that arrived after the moment, whatever became of them, and the highest
+    // number that arrived in any span of this length after it.
+    std::size_t arrivalsAfter(std::chrono::steady_clock::time_point moment);
+    std::size_t mostArrivals(std::chrono::milliseconds span, std::chrono::steady_clock::time_point moment);
+
     // How often each request ran, by its id.
     std::map<std::string, int> runs();
 
@@ -48,6 +57,7 @@
     // What it tells of its load: mostly the truth, at times that it is slow, and at times a lie,
     // rubbish or nothing.
     http_fields loadFields();
+    http_fields announcedFields() const;
     void called(const http_request&, const std::shared_ptr<http_exchange>&);
     void answerLater(std::chrono::milliseconds, const std::shared_ptr<http_exchange>&, http_response);
 
@@ -58,6 +68,9 @@
     int m_starts = 1;
     std::int64_t m_born = 1;
     std::uint64_t m_number;
+    std::string m_rateLimit;
+    bool m_isLeaving = false;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::map<std::string, int> m_runs;
     std::vector<std::chrono::steady_clock::time_point> m_runStartTimes;
     context_thread m_loop;
