Keep the rate limit that a server names, over all nodes together

A server in need got what routing gave it, whatever it had named. The class: a fact about a server that all nodes are bound by had no place where it is kept, and would have died with the process of the node beside the server, as everything does that this node alone knows.

What callers saw: nothing at first; the server was driven at two to three times what it takes, and failed.

How: all requests for a server pass the node beside it, so the sum over all nodes is one token bucket there, in the admission gate: a call without a token waits, is ordered and is refused like one without a slot, so cut, entrance and retry delays follow. With each answer the node relays what its server named, with the start of the server it belongs to; whoever got such an answer, and only those are bound, sends it along with its requests. A node that was restarted thus learns the limit from the first request that is bound by it, before it runs that request, and starts with an empty bucket. The server's own answers go before; a limit is raised or ended only by the answer to a request that was sent after it was known, so that answers may cross.

Routing takes the limit of such a server to be the calls that it keeps running, draws servers by that, and passes by a server for the time after which it said a call is likely to start.

Weighed: a share of the limit for each node (strands most of it where 195 nodes rarely speak to a server); asks to a pool as for quotas (a round trip for what the target's node knows anyhow); the limit in gossip (a message to all nodes at each change, for the few that send).

Ruled out: that nodes count health probes against the limit: one is made for each start of a node.

--- a/Source/admission/admission_gate.cpp
+++ b/Source/admission/admission_gate.cpp
@@ -47,6 +47,12 @@
 
     constexpr std::chrono::milliseconds minRetryAfter { 100 };
     constexpr std::chrono::milliseconds maxRetryAfter { 1000 };
+    // With a rate limit the delay is known rather than measured, and may be long.
+    constexpr std::chrono::milliseconds maxRateLimitedRetryAfter { 30000 };
+    // How long a nested call may wait for a server with a rate limit.
+    constexpr std::chrono::duration<double> maxRateLimitedWait { 0.5 };
+    // The service time that is assumed before one has been measured.
+    constexpr std::chrono::duration<double> assumedServiceTime { 0.5 };
     // Time constant of the exponential decay of the count of refusals.
     constexpr std::chrono::duration<double> refusalDecayTime { 1 };
 
@@ -70,6 +76,31 @@
     advance(now);
 }
 
+void admission_gate::setRateLimit(std::optional<double> callsPerSecond, std::chrono::steady_clock::time_point now)
+{
+    m_rateLimiter.setRate(callsPerSecond, now);
+    advance(now);
+}
+
+std::uint32_t admission_gate::limit() const
+{
+    if (!m_rateLimiter.isLimited() || m_limitNow == 0) {
+        return m_limitNow;
+    }
+    auto serviceTime = m_serviceTime.count() > 0 ? std::chrono::duration<double>(m_serviceTime) : assumedServiceTime;
+    auto running = std::ceil(m_rateLimiter.cap(m_limitNow / serviceTime.count()) * serviceTime.count());
+    return std::clamp(static_cast<std::uint32_t>(running), 1U, m_limitNow);
+}
+
+std::size_t admission_gate::nestedBound() const
+{
+    auto bound = nestedQueueBound(limit(), drainRate());
+    if (!m_rateLimiter.isLimited()) {
+        return bound;
+    }
+    return std::clamp<std::size_t>(static_cast<std::size_t>(drainRate() * maxRateLimitedWait.count()), 1, std::max<std::size_t>(1, bound));
+}
+
 admission_decision admission_gate::arrive(const admission_request& request, std::chrono::steady_clock::time_point now)
 {
     advance(now);
@@ -160,7 +191,7 @@
         return refuseForOverload(call, verdict_reason::Overload, now);
     }
     m_waiting.add(call);
-    if (m_waiting.sizeOf(importance::Confirmed) <= nestedQueueBound(m_limitNow, m_drainRate)) {
+    if (m_waiting.sizeOf(importance::Confirmed) <= nestedBound()) {
         return { admission_outcome::Wait, {} };
     }
     recordNoCapacity();
@@ -178,7 +209,7 @@
 
 admission_decision admission_gate::enqueue(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
-    if (m_waiting.size() >= queueBound(m_limitNow, m_drainRate)) {
+    if (m_waiting.size() >= queueBound(limit(), drainRate())) {
         recordNoCapacity();
         const auto* victim = victimFor(call);
         const auto& toRefuse = victim ? *victim : call;
@@ -216,6 +247,7 @@
 
 admission_decision admission_gate::run(const waiting_call& call, std::chrono::steady_clock::time_point now)
 {
+    m_rateLimiter.take();
     m_running.emplace(call.callId, running_call { call.organisation, call.requestClass });
     if (call.organisation >= m_runningByOrganisation.size()) {
         m_runningByOrganisation.resize(call.organisation + 1);
@@ -290,10 +322,12 @@
 
 bool admission_gate::waitsTooLong(const waiting_call& call, std::chrono::steady_clock::time_point now) const
 {
-    if (m_running.empty() || m_drainRate <= 0) {
+    bool isRateLimited = m_rateLimiter.isLimited();
+    if (!isRateLimited && (m_running.empty() || m_drainRate <= 0)) {
         return false;
     }
-    auto wait = std::chrono::duration<double>(static_cast<double>(m_waiting.ahead(call)) / m_drainRate);
+    auto ahead = m_waiting.ahead(call);
+    auto wait = isRateLimited ? m_rateLimiter.timeUntil(ahead + 1) : std::chrono::duration<double>(static_cast<double>(ahead) / m_drainRate);
     return wait + m_serviceTime > std::chrono::duration<double>(call.deadline - now);
 }
 
@@ -314,6 +348,15 @@
     return slotFree() && waiting() == 0;
 }
 
+verdict admission_gate::refuseWithoutFreeSlot()
+{
+    if (!m_rateLimiter.isLimited()) {
+        return verdict::notRun(verdict_reason::NoFreeSlot);
+    }
+    m_recentRefusals += 1;
+    return verdict::notRun(verdict_reason::NoFreeSlot, retryAfter());
+}
+
 void admission_gate::finish(std::uint64_t callId, const service_outcome& outcome, std::chrono::steady_clock::time_point now)
 {
     advance(now);
@@ -425,7 +468,7 @@
 // refused at that time.
 void admission_gate::trimQueue(std::chrono::steady_clock::time_point now)
 {
-    while (m_waiting.size() > queueBound(m_limitNow, m_drainRate)) {
+    while (m_waiting.size() > queueBound(limit(), drainRate())) {
         const auto* candidate = m_waiting.evictionCandidate();
         if (!mayRefuse(*candidate, now)) {
             return;
@@ -445,9 +488,10 @@
 std::chrono::milliseconds admission_gate::retryAfter() const
 {
     auto backlog = m_recentRefusals + static_cast<double>(waiting());
-    auto drain = std::max(1.0, m_drainRate);
+    bool isRateLimited = m_rateLimiter.isLimited();
+    auto drain = isRateLimited ? drainRate() : std::max(1.0, m_drainRate);
     auto time = std::chrono::milliseconds(std::llround(std::min(1e6, 1000 * backlog / drain)));
-    time = std::clamp(time, minRetryAfter, maxRetryAfter);
+    time = std::clamp(time, minRetryAfter, isRateLimited ? maxRateLimitedRetryAfter : maxRetryAfter);
     if (!m_settings.randomBelow) {
         return time;
     }
@@ -463,10 +507,11 @@
 
 void admission_gate::advance(std::chrono::steady_clock::time_point now)
 {
-    if (!slotFree() && m_lastAdvance >= m_window.start) {
+    if (!hasSlot() && m_lastAdvance >= m_window.start) {
         m_window.fullTime += now - m_lastAdvance;
     }
     m_lastAdvance = now;
+    m_rateLimiter.refill(now);
     m_limitNow = m_settings.policy == admission_policy::Full ? m_limit.get(now) : m_limit.slots();
     if (now >= m_window.start + windowLength) {
         closeWindow(now);
@@ -502,8 +547,8 @@
     if (m_settings.policy != admission_policy::Full) {
         return;
     }
-    bool standingQueue = static_cast<double>(closed.minWaiting) > std::max(minStandingQueue, m_drainRate * standingQueueTime.count());
-    m_cut.closeWindow({ length, m_drainRate, closed.refusedForCapacity || standingQueue });
+    bool standingQueue = static_cast<double>(closed.minWaiting) > std::max(minStandingQueue, drainRate() * standingQueueTime.count());
+    m_cut.closeWindow({ length, drainRate(), closed.refusedForCapacity || standingQueue });
 }
 
 }
--- a/Source/admission/admission_gate.h
+++ b/Source/admission/admission_gate.h
@@ -5,6 +5,7 @@
 #include "admission/duration_histogram.h"
 #include "admission/min_service_times.h"
 #include "admission/organisation_shares.h"
+#include "admission/rate_limiter.h"
 #include "admission/shedding_cut.h"
 #include "admission/shedding_order.h"
 #include "admission/waiting_calls.h"
@@ -17,7 +18,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -113,6 +116,10 @@
     void setSlots(std::uint32_t slots, std::chrono::steady_clock::time_point now);
     void setSlots(std::uint32_t slots, std::chrono::milliseconds coldStart, std::chrono::steady_clock::time_point now);
 
+    // Sets how many calls per second may start; nothing for no limit. Calls that may not start yet
+    // are treated as if no slot were free.
+    void setRateLimit(std::optional<double> callsPerSecond, std::chrono::steady_clock::time_point now);
+
     // Each organisation's share of the backend server under overload.
     void setShares(const std::map<std::string, double>& shares) { m_shares.setShares(shares); }
 
@@ -134,17 +141,23 @@
     // Whether a call that arrives now would start without waiting.
     bool hasFreeSlot(std::chrono::steady_clock::time_point now);
 
+    // Refuses a call that would have to wait and whose sender tries other servers first. The advised
+    // delay is that before the next call of this sender is likely to start here; zero if it is not known.
+    verdict refuseWithoutFreeSlot();
+
     // The lowest shedding position that is admitted now, for all organisations together.
     shedding_position cut() const { return m_cut.get(); }
     // The same for one organisation.
     shedding_position cutFor(const std::string& organisation) const;
-    std::uint32_t limit() const { return m_limitNow; }
+    // Calls that may run at once. With a rate limit, no more than the calls that it keeps running.
+    std::uint32_t limit() const;
     std::uint32_t slots() const { return m_limit.slots(); }
     std::uint32_t inFlight() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::size_t waiting() const { return m_waiting.size() + m_fifo.size(); }
     std::size_t waiting(importance level) const { return m_waiting.sizeOf(level); }
     // Calls per second that the backend server completes, as measured under load.
-    double drainRate() const { return m_drainRate; }
+    double drainRate() const { return m_rateLimiter.cap(m_drainRate > 0 || !isRateLimited() ? m_drainRate : std::numeric_limits<double>::infinity()); }
+    bool isRateLimited() const { return m_rateLimiter.isLimited(); }
     // The median of the measured service times; zero while unknown.
     std::chrono::microseconds serviceTime() const { return m_serviceTime; }
     const admission_counters& counters() const { return m_counters; }
@@ -190,7 +203,9 @@
     void startFifo(std::chrono::steady_clock::time_point now);
     std::chrono::milliseconds retryAfter() const;
     void advance(std::chrono::steady_clock::time_point now);
-    bool slotFree() const { return m_running.size() < m_limitNow; }
+    bool hasSlot() const { return m_running.size() < m_limitNow; }
+    bool slotFree() const { return hasSlot() && m_rateLimiter.hasToken(); }
+    std::size_t nestedBound() const;
     void recordNoCapacity();
     void updateDrainRate(const window&, std::chrono::duration<double> length);
     void closeWindow(std::chrono::steady_clock::time_point now);
@@ -198,6 +213,7 @@
     admission_settings m_settings;
     concurrency_limit m_limit;
     std::uint32_t m_limitNow = 0;
+    rate_limiter m_rateLimiter;
     organisation_shares m_shares;
     waiting_calls m_waiting { m_shares };
     // When the last nested call arrived.
--- a/Source/backend/server_notices.cpp
+++ b/Source/backend/server_notices.cpp
@@ -15,8 +15,7 @@
 {
     auto& entry = recordOf(hashOf(start));
     auto notice = answer.notice;
-    bool tellsOfLimit = notice.rateLimit || answer.mayEndLimit;
-    if (!tellsOfLimit || (entry.isOwn && answer.received < entry.received)) {
+    if (!changesLimit(entry, answer)) {
         notice.rateLimit = entry.notice.rateLimit;
         return update(entry, notice);
     }
@@ -25,6 +24,20 @@
     return update(entry, notice);
 }
 
+bool server_notices::changesLimit(const record& entry, const received_notice& answer)
+{
+    const auto& limit = answer.notice.rateLimit;
+    if (!limit && !answer.mayEndLimit) {
+        return false;
+    }
+    if (!entry.isOwn) {
+        return true;
+    }
+    const auto& known = entry.notice.rateLimit;
+    bool isRelaxed = known && (!limit || *limit > *known);
+    return isRelaxed ? answer.requestSent >= entry.received : answer.received >= entry.received;
+}
+
 bool server_notices::relayed(const relayed_notice& told, time_point now)
 {
     auto& entry = recordOf(told.start);
@@ -36,11 +49,20 @@
         entry.received = received;
     }
     bool changed = update(entry, notice);
+    relayFrom(entry);
+    return changed;
+}
+
+void server_notices::relayFrom(const server_start& start)
+{
+    relayFrom(recordOf(hashOf(start)));
+}
+
+void server_notices::relayFrom(record& entry)
+{
     if (entry.version == 0) {
-        // The other node gets to know that there is no limit any more.
         entry.version = ++m_version;
     }
-    return changed;
 }
 
 bool server_notices::update(record& entry, const server_notice& notice)
--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -2,6 +2,7 @@
 
 #include "call/http_field.h"
 #include "decision/bottleneck_cost.h"
+#include "decision/server_notice.h"
 #include "decision/shedding_position.h"
 #include "decision/ticket.h"
 #include "decision/verdict.h"
@@ -45,6 +46,8 @@
     // Mean service time of calls of this class at the backend server; zero if the node does not
     // report it.
     std::chrono::microseconds meanServiceTime { 0 };
+    // What the backend server of the answering node announces, if it ever announced anything.
+    std::optional<relayed_notice> notice;
 };
 
 // Returns an answer that a node gives itself, without HTTP status, header fields and body.
--- a/Source/call/call_request.h
+++ b/Source/call/call_request.h
@@ -2,6 +2,7 @@
 
 #include "call/http_field.h"
 #include "decision/request_context.h"
+#include "decision/server_notice.h"
 #include "decision/ticket.h"
 
 #include <cstdint>
@@ -20,6 +21,8 @@
     // tries another target.
     bool refuseIfFull = false;
     request_context context;
+    // What the caller's node last learnt of the target's backend server, if that announced anything.
+    std::optional<relayed_notice> notice;
     // Present if and only if the call is not idempotent.
     std::optional<ticket> permit;
     std::string service;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -335,6 +335,7 @@
     call.targetId = chosen->id;
     call.targetName = chosen->name;
     call.targetInOtherZone = chosen->availabilityZone != m_settings.location.availabilityZone;
+    call.request.notice = m_notices.find(chosen->name, now);
     m_callOfAttempt[call.attemptId] = callId;
     m_router.started(chosen->id, now);
     observe(call, isFirst ? call_decision::Attempt : call_decision::Retry, call.lastRefusal, chosen->name, 0, now);
@@ -352,6 +353,10 @@
     call.attemptId = 0;
     auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.attemptStarted);
     route_outcome routeOutcome { answer.outcome, latency, answer.cut, answer.inFlight, answer.limit, answer.zoneCrossings };
+    if (answer.notice) {
+        m_notices.learn(call.targetName, *answer.notice, now);
+        routeOutcome.isRateLimited = answer.notice->notice.rateLimit.has_value();
+    }
     if (answer.meanServiceTime.count() > 0) {
         routeOutcome.pace = m_paces.learn(call.request.context.requestClass, answer.meanServiceTime);
     }
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -15,6 +15,7 @@
 #include "routes/organisation_directory.h"
 #include "routes/route_table.h"
 #include "routing/free_slot_estimator.h"
+#include "routing/notice_memory.h"
 #include "routing/relative_pace.h"
 #include "routing/router.h"
 
@@ -197,6 +198,7 @@
     entrance_gate m_entranceGate;
     cost_order m_costOrder;
     free_slot_estimator m_freeSlotEstimates;
+    notice_memory m_notices;
     relative_pace m_paces;
     call_intake m_intake = call_intake::All;
     std::unordered_map<std::uint64_t, entry_call> m_calls;
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -18,6 +18,7 @@
 #include "operator/operator_state.h"
 #include "operator/request_journal.h"
 #include "platform/health_answer.h"
+#include "platform/request_headers.h"
 
 #include <boost/asio.hpp>
 #include <caf/actor_system.hpp>
@@ -312,7 +313,13 @@
         const auto& server = m_settings.routes->server;
         m_controlClient.send(server, { "GET", path, { { "Host", server } }, "" }, healthProbeTimeout, [this, start = report.start](const http_result& result) {
             const auto* response = std::get_if<http_response>(&result);
-            m_serverReports.healthProbed(start, response ? readHealthAnswer(*response, start.instanceId) : server_health::Unknown);
+            auto health = response ? readHealthAnswer(*response, start.instanceId) : server_health::Unknown;
+            if (health == server_health::Serving) {
+                // It does not end a limit: a health check may not carry what other answers do.
+                auto now = std::chrono::steady_clock::now();
+                m_calls.target().noticeReceived(start, { readAnswerMarks(response->fields).notice, false, now, now }, now);
+            }
+            m_serverReports.healthProbed(start, health);
         });
     }
 
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -26,6 +26,7 @@
     : m_hooks(std::move(hooks))
     , m_balanceByPace(balanceByPace)
     , m_gate(gateSettings(m_hooks.random))
+    , m_observer(m_hooks.random())
 {
 }
 
@@ -43,7 +44,7 @@
     if (server && server->warmupLeft.count() > 0) {
         m_warmupEnd = now + server->warmupLeft;
     }
-    m_gate.setSlots(takesWork ? usableSlots(server->slots) : 0, takesWork ? server->warmupLeft : std::chrono::milliseconds(0), now);
+    updateGate(server ? server->warmupLeft : std::chrono::milliseconds(0), now);
     if (restarted) {
         m_hooks.serverRestarted();
         // Not before the gate has slots again: waiting calls run at the new start.
@@ -55,6 +56,13 @@
     startReleased(now);
 }
 
+void routed_target::updateGate(std::chrono::milliseconds warmupLeft, time_point now)
+{
+    bool accepts = acceptsWork();
+    m_gate.setSlots(accepts ? usableSlots(m_server->slots) : 0, accepts ? warmupLeft : std::chrono::milliseconds(0), now);
+    m_gate.setRateLimit(notice().rateLimit, now);
+}
+
 // Answers the runs of the previous start as lost. This holds only for a later start of the
 // same instance: a report of another instance may itself be the outdated one.
 void routed_target::endRuns(time_point now)
@@ -86,7 +94,7 @@
     if (!m_server || m_server->service != request.service) {
         return verdict::notRun(verdict_reason::NoBackendServer);
     }
-    if (!m_takesWork) {
+    if (!acceptsWork()) {
         return verdict::notRun(verdict_reason::Draining);
     }
     return refusalOfContent(request);
@@ -114,10 +122,13 @@
 std::uint64_t routed_target::arrive(call_request request, call_replier replier, time_point now)
 {
     auto id = m_hooks.random();
+    if (request.notice) {
+        relayedNoticeReceived(*request.notice, now);
+    }
     request.context.content = fingerprintOf(request.path, request.body);
     auto refusal = refusalBeforeGate(request);
     if (!refusal && request.refuseIfFull && isBetterElsewhere(now)) {
-        refusal = verdict::notRun(verdict_reason::NoFreeSlot);
+        refusal = m_gate.refuseWithoutFreeSlot();
     }
     // The gate gets no organisation and so applies no shares. Positions are drawn per request,
     // so each organisation is shed in proportion to its requests, and requests beyond a quota
@@ -155,9 +166,32 @@
     m_pace.updateLoad(load, m_server->slots, m_gate.inFlight(), now);
 }
 
-void routed_target::noticeReceived(const server_start& start, const received_notice& answer, time_point)
+void routed_target::noticeReceived(const server_start& start, const received_notice& answer, time_point now)
+{
+    if (m_notices.answered(start, answer)) {
+        noticeChanged(start, now);
+    }
+}
+
+// The sender may know more than this node if this node has been restarted since.
+void routed_target::relayedNoticeReceived(const relayed_notice& told, time_point now)
 {
-    if (m_notices.answered(start, answer) && m_hooks.noticeChanged) {
+    bool changed = m_notices.relayed(told, now);
+    if (m_server && told.start != hashOf(m_server->start)) {
+        m_notices.relayFrom(m_server->start);
+    } else if (changed && m_server) {
+        noticeChanged(m_server->start, now);
+    }
+}
+
+void routed_target::noticeChanged(const server_start& start, time_point now)
+{
+    if (m_server && m_server->start == start) {
+        auto warmupLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_warmupEnd - now);
+        updateGate(std::max(warmupLeft, std::chrono::milliseconds(0)), now);
+        startReleased(now);
+    }
+    if (m_hooks.noticeChanged) {
         m_hooks.noticeChanged(start, m_notices.current(start));
     }
 }
@@ -247,7 +281,7 @@
     startReleased(now);
 }
 
-void routed_target::reply(const arrival& call, call_answer answer, time_point now) const
+void routed_target::reply(const arrival& call, call_answer answer, time_point now)
 {
     answer.callId = call.request.callId;
     answer.attempt = call.request.attempt;
@@ -262,10 +296,23 @@
     answer.zoneCrossings = call.zoneCrossings;
     answer.inFlight = m_gate.inFlight() + static_cast<std::uint32_t>(m_gate.waiting());
     answer.limit = m_gate.limit();
+    if (m_gate.isRateLimited() && !m_gate.hasFreeSlot(now)) {
+        answer.inFlight = std::max(answer.inFlight, answer.limit);
+    }
+    answer.notice = relayedNotice(now);
     answer.meanServiceTime = m_pace.meanServiceTime(call.request.context.requestClass, now).value_or(answer.meanServiceTime);
     call.replier(answer);
 }
 
+std::optional<relayed_notice> routed_target::relayedNotice(time_point now) const
+{
+    auto result = m_server ? m_notices.toRelay(m_server->start, now) : std::nullopt;
+    if (result) {
+        result->observer = m_observer;
+    }
+    return result;
+}
+
 void routed_target::startReleased(time_point now)
 {
     for (const auto& released : m_gate.release(now)) {
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -150,6 +150,10 @@
         std::uint32_t zoneCrossings = 0;
     };
 
+    bool acceptsWork() const { return m_takesWork; }
+    void updateGate(std::chrono::milliseconds warmupLeft, time_point now);
+    void noticeChanged(const server_start&, time_point now);
+    void relayedNoticeReceived(const relayed_notice&, time_point now);
     void endRuns(time_point now);
     void reportServerEnd(std::optional<server_end>);
     void recordServiceTime(const arrival&, time_point now);
@@ -161,7 +165,8 @@
     bool isInProgress(request_fingerprint) const;
     std::optional<verdict> refusalOfContent(const call_request&) const;
     void refuse(std::uint64_t arrivalId, const verdict&, time_point now);
-    void reply(const arrival&, call_answer, time_point now) const;
+    void reply(const arrival&, call_answer, time_point now);
+    std::optional<relayed_notice> relayedNotice(time_point now) const;
     static const service_cut* highestMean(const std::vector<service_cut>&);
     void startReleased(time_point now);
     void forgetRun(std::uint64_t runId, const arrival&);
@@ -175,6 +180,8 @@
     std::optional<server_report> m_server;
     bool m_takesWork = false;
     server_notices m_notices;
+    // Identifies this process in the notices that it relays.
+    std::uint64_t m_observer;
     bool m_stopping = false;
     std::unordered_map<std::uint64_t, arrival> m_arrivals;
     run_deadlines m_deadlines;
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -34,11 +34,12 @@
 
 void server_runs::begin(std::uint64_t runId, const server_report& server, const call_request& request, std::chrono::steady_clock::time_point deadline)
 {
-    auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+    auto now = std::chrono::steady_clock::now();
+    auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
     http_request message { request.method, request.path, request.fields, request.body };
     writeServerTerms(message.fields, { std::max(timeLeft, minTimeout), server.start.instanceId, request.callerService, request.context.organisation });
     m_clientIds[runId] = m_client.send(m_address, request.context.requestId, message,
-        [this, runId, start = server.start](instance_result result) { ended(runId, start, std::move(result)); });
+        [this, runId, start = server.start, now](instance_result result) { ended(runId, start, now, std::move(result)); });
 }
 
 void server_runs::cancel(std::uint64_t runId)
@@ -57,7 +58,7 @@
     m_client.probe(m_address, [handler](bool answered) { handler(answered ? server_presence::Reachable : server_presence::Gone); });
 }
 
-void server_runs::ended(std::uint64_t runId, const server_start& start, instance_result result)
+void server_runs::ended(std::uint64_t runId, const server_start& start, time_point sent, instance_result result)
 {
     m_clientIds.erase(runId);
     answer_metadata marks;
@@ -66,7 +67,7 @@
         if (response->status == statusMisdirected) {
             m_hooks.misdirected(start);
         } else {
-            readNotice(start, *response, marks);
+            readNotice(start, sent, *response, marks);
         }
     }
     if (marks.load || marks.isLoadUnreadable) {
@@ -76,7 +77,7 @@
 }
 
 // An answer without the request's id may come from anything that listens at the address.
-void server_runs::readNotice(const server_start& start, const http_response& response, const answer_metadata& marks)
+void server_runs::readNotice(const server_start& start, time_point sent, const http_response& response, const answer_metadata& marks)
 {
     if (marks.requestId.empty()) {
         return;
@@ -84,7 +85,7 @@
     if (marks.isRateLimitUnreadable || marks.isLeavingUnreadable) {
         m_hooks.noticeUnreadable(start);
     }
-    m_hooks.noticeReceived(start, { marks.notice, marks.isSealed && !marks.isRateLimitUnreadable, response.headerReceived });
+    m_hooks.noticeReceived(start, { marks.notice, marks.isSealed && !marks.isRateLimitUnreadable, sent, response.headerReceived });
 }
 
 }
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -52,8 +52,10 @@
     const instance_client_counts& counts() const { return m_client.counts(); }
 
 private:
-    void ended(std::uint64_t runId, const server_start&, instance_result);
-    void readNotice(const server_start&, const http_response&, const answer_metadata&);
+    using time_point = std::chrono::steady_clock::time_point;
+
+    void ended(std::uint64_t runId, const server_start&, time_point sent, instance_result);
+    void readNotice(const server_start&, time_point sent, const http_response&, const answer_metadata&);
 
     std::string m_address;
     server_run_hooks m_hooks;
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -1,5 +1,7 @@
 #include "peer/call_codec.h"
 
+#include "peer/notice_text.h"
+
 #include <caf/binary_deserializer.hpp>
 #include <caf/binary_serializer.hpp>
 #include <caf/meta/type_name.hpp>
@@ -147,6 +149,35 @@
         answer.fields.pop_back();
     }
 
+    // The notice on the target's backend server is the last HTTP field of a request, and precedes the
+    // node's field above in an answer.
+    constexpr const char* noticeFieldName = "Vanillashunt-Server-Notice";
+
+    std::optional<http_field> noticeField(const http_fields& fields, const std::optional<relayed_notice>& notice)
+    {
+        // Without a notice of the node, the receiver would use the value of a field with this name.
+        bool isNameTaken = !fields.empty() && fields.back().name == noticeFieldName;
+        if (!notice && !isNameTaken) {
+            return std::nullopt;
+        }
+        return http_field { noticeFieldName, notice ? toText(*notice) : "" };
+    }
+
+    std::optional<relayed_notice> extractNotice(http_fields& fields)
+    {
+        if (fields.empty() || fields.back().name != noticeFieldName) {
+            return std::nullopt;
+        }
+        auto notice = parseNotice(fields.back().value);
+        fields.pop_back();
+        return notice;
+    }
+
+    std::size_t countOf(const std::optional<http_field>& field)
+    {
+        return field ? 1 : 0;
+    }
+
     // Encodes a frame. Strings are written without an intermediate copy, as their difference
     // from the strings of the previous frame.
     class frame_writer {
@@ -177,11 +208,16 @@
             writeBytes(coded.suffix);
         }
 
+        void writeField(const http_field& field)
+        {
+            writeString(field.name);
+            writeString(field.value);
+        }
+
         void writeFields(const http_fields& values)
         {
             for (const auto& field : values) {
-                writeString(field.name);
-                writeString(field.value);
+                writeField(field);
             }
         }
 
@@ -360,7 +396,8 @@
     numbers.remainingMicroseconds.value = static_cast<std::size_t>(std::clamp(remaining, std::chrono::microseconds(0), maxRemaining).count());
     frame_writer writer(history, {});
     writer.writeNumbers(numbers);
-    writer.beginStrings(requestStringCount + stringsPerField * request.fields.size());
+    auto notice = noticeField(request.fields, request.notice);
+    writer.beginStrings(requestStringCount + stringsPerField * (request.fields.size() + countOf(notice)));
     writer.writeString(context.requestId);
     history.setRequestId(context.requestId);
     writer.writeString(context.organisation);
@@ -370,6 +407,9 @@
     writer.writeString(request.method);
     writer.writeString(request.path);
     writer.writeFields(request.fields);
+    if (notice) {
+        writer.writeField(*notice);
+    }
     writer.writeBytes(request.body);
     if (request.permit) {
         const auto& permit = *request.permit;
@@ -397,13 +437,16 @@
     numbers.zoneCrossings.value = answer.zoneCrossings;
     frame_writer writer(history, requestId);
     writer.writeNumbers(numbers);
+    auto notice = noticeField(answer.fields, answer.notice);
     auto addedField = nodeField(answer);
-    writer.beginStrings(answerStringCount + stringsPerField * (answer.fields.size() + (addedField ? 1 : 0)));
+    writer.beginStrings(answerStringCount + stringsPerField * (answer.fields.size() + countOf(notice) + countOf(addedField)));
     writer.writeString(answer.cost.service);
     writer.writeFields(answer.fields);
+    if (notice) {
+        writer.writeField(*notice);
+    }
     if (addedField) {
-        writer.writeString(addedField->name);
-        writer.writeString(addedField->value);
+        writer.writeField(*addedField);
     }
     writer.writeBytes(answer.body);
     return writer.finish(frame_kind::Answer);
@@ -439,6 +482,7 @@
     request.method = reader.readString();
     request.path = reader.readString();
     request.fields = reader.readFields();
+    request.notice = extractNotice(request.fields);
     request.body = std::string(reader.readBytes());
     if (numbers.hasPermit) {
         permit_payload permit;
@@ -477,6 +521,7 @@
     answer.cost.service = reader.readString();
     answer.fields = reader.readFields();
     extractNodeField(answer);
+    answer.notice = extractNotice(answer.fields);
     answer.body = std::string(reader.readBytes());
     if (!reader.isComplete()) {
         return std::nullopt;
--- a/Source/routing/router.cpp
+++ b/Source/routing/router.cpp
@@ -106,6 +106,7 @@
         option.zoneCrossings = crossings;
         option.pace = hasView ? view->second.pace() : std::nullopt;
         option.limit = hasView ? view->second.limit(target->slots) : std::max(target->slots, 1U);
+        option.isRateLimited = hasView && view->second.isRateLimited();
         result.push_back(option);
     }
     return result;
@@ -163,10 +164,11 @@
         return std::nullopt;
     }
     bool reportsPace = std::any_of(candidates.begin(), candidates.end(), [](const candidate& option) { return option.pace.has_value(); });
-    if (reportsPace && candidates.size() > 1) {
+    bool hasRateLimits = std::any_of(candidates.begin(), candidates.end(), [](const candidate& option) { return option.isRateLimited; });
+    if ((reportsPace || hasRateLimits) && candidates.size() > 1) {
         const auto& first = drawByCapacity(candidates);
         const auto& second = drawByCapacity(candidates);
-        if (!hasFreeSlots) {
+        if (!reportsPace || !hasFreeSlots) {
             return second.load < first.load ? second : first;
         }
         if (m_random(probeInterval) == 0) {
@@ -246,7 +248,7 @@
 bool router::reliesOnRecentLoad(std::uint64_t memberId, std::chrono::steady_clock::time_point now) const
 {
     auto view = m_views.find(memberId);
-    return view != m_views.end() && view->second.hasRecentLoad(now) && !view->second.pace();
+    return view != m_views.end() && view->second.hasRecentLoad(now) && !view->second.pace() && !view->second.isRateLimited();
 }
 
 std::vector<target_status> router::targetStatuses(std::chrono::steady_clock::time_point now) const
--- a/Source/routing/router.h
+++ b/Source/routing/router.h
@@ -42,7 +42,8 @@
 // Chooses the member that a call goes to, from what this node has observed itself. Two members of
 // the node's own availability zone are drawn at random, and the less loaded one is taken. If
 // members report their pace, they are drawn in proportion to their throughput, and the one with
-// the shorter expected response time is taken. A call goes to another zone if the own zone is full,
+// the shorter expected response time is taken. If a member has a rate limit, they are drawn in
+// proportion to the calls that they run. A call goes to another zone if the own zone is full,
 // if no member of it responds, or if fewer of the calls that follow then go to other zones.
 class router {
 public:
@@ -65,7 +66,8 @@
 
     // Whether the member reported its load recently and is chosen by this load. This is false for
     // a member that reports its pace: a fast one is chosen even if it is nearly full, or slow for
-    // a moment.
+    // a moment. It is also false for a member with a rate limit, which is used up by calls that have
+    // ended, too.
     bool reliesOnRecentLoad(std::uint64_t memberId, std::chrono::steady_clock::time_point now) const;
 
     std::vector<target_status> targetStatuses(std::chrono::steady_clock::time_point now) const;
@@ -88,6 +90,7 @@
         // Service time relative to the mean, if the target reports it.
         std::optional<double> pace {};
         std::uint32_t limit = 1;
+        bool isRateLimited = false;
     };
 
     // Returns 0 in the own zone, 1 elsewhere in the own region, and 2 in other regions.
--- a/Source/routing/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -111,6 +111,8 @@
     if (isLatencyMeaningful) {
         m_meanLatency += latencyWeight * (outcome.latency - m_meanLatency);
     }
+    m_isRateLimited = outcome.isRateLimited;
+    m_usedUpUntil = outcome.isRateLimited ? now + outcome.result.retryAfter : now;
     if (outcome.result.run == execution::Ran) {
         updatePace(outcome.pace);
         m_zoneCrossings.add(outcome.zoneCrossings, crossingsWeight, now);
@@ -178,7 +180,8 @@
 double target_view::load(std::uint32_t slots, std::chrono::steady_clock::time_point now) const
 {
     auto othersInFlight = m_limit != 0 ? m_othersInFlight * decay(now - m_loadReportedAt) : 0;
-    return (m_outstanding + othersInFlight) / limit(slots) + loadAtTotalLoss * m_lossShare.get(now);
+    auto load = (m_outstanding + othersInFlight) / limit(slots) + loadAtTotalLoss * m_lossShare.get(now);
+    return now < m_usedUpUntil ? load + 1 : load;
 }
 
 }
--- a/Source/routing/target_view.h
+++ b/Source/routing/target_view.h
@@ -23,6 +23,8 @@
     // Service time relative to the mean, 2 is twice as slow; nothing if the member does not report
     // it.
     std::optional<double> pace {};
+    // Whether the member's backend server limits the requests per second.
+    bool isRateLimited = false;
 };
 
 // What this node has observed itself of one other member: its load, and whether it answers.
@@ -56,6 +58,10 @@
     // Service time relative to the mean; nothing if the member does not report it.
     std::optional<double> pace() const { return m_pace; }
 
+    // Whether its backend server limits the requests per second, so that its limit may be far lower
+    // than that of other members.
+    bool isRateLimited() const { return m_isRateLimited; }
+
     // Whether it reported its load recently, so that load() is up to date.
     bool hasRecentLoad(std::chrono::steady_clock::time_point now) const;
 
@@ -85,6 +91,9 @@
     double m_othersInFlight = 0;
     std::uint32_t m_limit = 0;
     std::optional<double> m_pace;
+    bool m_isRateLimited = false;
+    // Until then its rate limit is likely to be used up.
+    std::chrono::steady_clock::time_point m_usedUpUntil;
     std::chrono::steady_clock::time_point m_loadReportedAt;
     decaying_mean m_zoneCrossings;
 };
--- a/Tests/FreeSlots/balancing_simulation.cpp
+++ b/Tests/FreeSlots/balancing_simulation.cpp
@@ -16,6 +16,9 @@
     constexpr std::chrono::milliseconds tickPeriod { 10 };
     constexpr std::chrono::milliseconds longWait { 10 };
 
+    // How long after an answer with a rate limit the entry that passed it on is bound.
+    constexpr std::chrono::milliseconds boundAfter { 500 };
+
     route_snapshot singleRoute()
     {
         auto configuration = std::make_shared<route_configuration>();
@@ -39,6 +42,7 @@
         for (std::size_t index = 0; index < plan.targets; ++index) {
             member newMember;
             newMember.id = index + 1;
+            newMember.name = "notices-" + std::to_string(index);
             newMember.availabilityZone = "a";
             newMember.service = "notices";
             newMember.slots = plan.slots;
@@ -53,6 +57,11 @@
     : m_plan(plan)
     , m_random(plan.seed)
 {
+    m_told.assign(plan.entries, std::vector<time_point>(plan.targets, time_point::max()));
+    m_processes.resize(plan.targets);
+    m_unanswered.resize(plan.targets);
+    m_result.boundStarts.resize(plan.targets);
+    m_result.starts.resize(plan.targets);
     auto members = membersOf(plan);
     auto routes = singleRoute();
     for (std::size_t index = 0; index < plan.targets; ++index) {
@@ -78,7 +87,7 @@
     auto entry = m_entries.size();
     entry_settings settings;
     settings.location = { "a", "" };
-    settings.ownService = "threads";
+    settings.ownService = std::to_string(entry);
     settings.retries = { 0.2, 48, std::chrono::milliseconds(10000) };
     entry_hooks hooks;
     hooks.send = [this, entry](std::uint64_t attemptId, const member& target, const call_request& request) {
@@ -95,26 +104,55 @@
 }
 
 void balancing_simulation::addTarget(std::size_t index)
+{
+    m_targets.push_back(makeTarget(index));
+}
+
+// A restarted node knows its server by a report, and nothing of what the server announced.
+void balancing_simulation::restartNextTarget()
+{
+    auto index = m_nextRestart++ % m_targets.size();
+    m_targets[index] = makeTarget(index);
+    ++m_processes[index];
+    for (const auto& [entry, attemptId] : std::exchange(m_unanswered[index], {})) {
+        schedule(messageDelay, [this, entry = entry, attemptId = attemptId] { m_entries[entry]->attemptAnswered(attemptId, makeCallAnswer(0, 0, verdict::mayHaveRun(verdict_reason::AnswerLost)), m_now); });
+    }
+    schedule(m_plan.restartInterval, [this] { restartNextTarget(); });
+}
+
+std::unique_ptr<routed_target> balancing_simulation::makeTarget(std::size_t index)
 {
     target_hooks hooks;
     hooks.run = [this, index](std::uint64_t runId, const server_report&, const call_request& request, time_point) { runAtServer(index, runId, request); };
     hooks.cancelRun = [](std::uint64_t) {};
     hooks.random = [this] { return m_random(); };
-    m_targets.push_back(std::make_unique<routed_target>(hooks));
+    auto target = std::make_unique<routed_target>(hooks);
     server_report server;
     server.start.instanceId = "i-" + std::to_string(index);
     server.service = "notices";
     server.slots = m_plan.slots;
-    m_targets.back()->setServer(server, true, m_now);
+    target->setServer(server, true, m_now);
+    return target;
 }
 
 void balancing_simulation::send(std::size_t entry, std::uint64_t attemptId, std::size_t target, call_request request)
 {
     ++m_result.attempts;
     request.refuseIfFull = request.refuseIfFull && m_plan.probesForFreeSlots;
+    if (!m_plan.relaysNotices) {
+        request.notice.reset();
+    }
+    m_unanswered[target].insert({ entry, attemptId });
     m_targets[target]->arrive(
-        std::move(request), [this, entry, attemptId](const call_answer& answer) {
-            schedule(messageDelay, [this, entry, attemptId, answer] { m_entries[entry]->attemptAnswered(attemptId, answer, m_now); });
+        std::move(request), [this, entry, attemptId, target](const call_answer& answer) {
+            m_unanswered[target].erase({ entry, attemptId });
+            schedule(messageDelay, [this, entry, attemptId, target, answer] {
+                bool namesLimit = answer.outcome.run == execution::Ran && answer.notice && answer.notice->notice.rateLimit;
+                if (namesLimit && m_told[entry][target] == time_point::max()) {
+                    m_told[entry][target] = m_now;
+                }
+                m_entries[entry]->attemptAnswered(attemptId, answer, m_now);
+            });
         },
         m_now);
 }
@@ -125,8 +163,15 @@
     ++m_startedCalls;
     m_totalWait += wait;
     m_longWaits += wait > longWait ? 1 : 0;
+    ++m_result.starts[target];
+    if (m_told[std::stoull(request.callerService)][target] < m_now - boundAfter) {
+        m_result.boundStarts[target].push_back(m_now);
+    }
     auto speed = m_plan.speeds[target % m_plan.speeds.size()];
-    schedule(exponential(std::chrono::duration<double>(m_plan.meanWork) / speed * slowdown(target)), [this, target, runId] {
+    schedule(exponential(std::chrono::duration<double>(m_plan.meanWork) / speed * slowdown(target)), [this, target, runId, process = m_processes[target]] {
+        if (process != m_processes[target]) {
+            return;
+        }
         call_answer answer;
         answer.outcome = verdict::answered();
         answer.status = 200;
@@ -134,6 +179,10 @@
             auto running = m_targets[target]->gate().inFlight() - 1;
             m_targets[target]->serverReportedLoad({ "i-" + std::to_string(target) }, { running, 0, m_plan.slots, slowdown(target) }, m_now);
         }
+        auto rateLimit = m_plan.rateLimits[target % m_plan.rateLimits.size()];
+        if (rateLimit > 0) {
+            m_targets[target]->noticeReceived({ "i-" + std::to_string(target) }, { { rateLimit, false }, true, m_now, m_now }, m_now);
+        }
         m_targets[target]->serverAnswered(runId, answer, m_now);
     });
 }
@@ -155,6 +204,8 @@
 void balancing_simulation::recordAnswer(const entry_answer& answer, time_point arrived)
 {
     if (answer.outcome.run != execution::Ran) {
+        ++m_result.refused;
+        m_result.meanRetryDelay += answer.outcome.retryAfter;
         return;
     }
     ++m_result.answered;
@@ -189,6 +240,9 @@
 {
     m_end = m_now + length;
     nextCall();
+    if (m_plan.restartInterval.count() > 0) {
+        schedule(m_plan.restartInterval, [this] { restartNextTarget(); });
+    }
     auto nextTick = m_now;
     while (m_events.top().time < m_end) {
         auto event = m_events.top();
@@ -203,6 +257,9 @@
             target->tick(m_now);
         }
     }
+    if (m_result.refused > 0) {
+        m_result.meanRetryDelay /= static_cast<double>(m_result.refused);
+    }
     m_result.meanWait = m_totalWait / static_cast<double>(m_startedCalls);
     if (!m_latencies.empty()) {
         m_result.meanLatency = std::chrono::duration<double>(std::accumulate(m_latencies.begin(), m_latencies.end(), 0.0) / static_cast<double>(m_latencies.size()));
--- a/Tests/FreeSlots/balancing_simulation.h
+++ b/Tests/FreeSlots/balancing_simulation.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace vanillashunt {
@@ -32,6 +34,12 @@
     bool reportsSpeed = false;
     // Whether targets are asked to refuse a call that would have to wait.
     bool probesForFreeSlots = true;
+    // Requests per second that the servers name in their answers, assigned in turn; 0 for none.
+    std::vector<double> rateLimits { 0 };
+    // Whether entries tell a target's node what they know of its server.
+    bool relaysNotices = true;
+    // Whether a target's node is restarted every so often, each in turn; zero for never.
+    std::chrono::milliseconds restartInterval { 0 };
 };
 
 struct balancing_simulation_result {
@@ -47,6 +55,14 @@
     std::chrono::duration<double> meanLatency { 0 };
     std::chrono::duration<double> latency99 { 0 };
 
+    // Refused calls, and the mean delay after which they were told to retry.
+    std::uint64_t refused = 0;
+    std::chrono::duration<double> meanRetryDelay { 0 };
+    // Calls that started at each server, from entries that had passed on an answer with its rate
+    // limit half a second before or earlier, and all calls that started there.
+    std::vector<std::vector<std::chrono::steady_clock::time_point>> boundStarts;
+    std::vector<std::uint64_t> starts;
+
     double answeredFraction() const { return static_cast<double>(answered) / static_cast<double>(calls); }
 };
 
@@ -77,6 +93,8 @@
     void runAtServer(std::size_t target, std::uint64_t runId, const call_request&);
     void recordAnswer(const entry_answer&, time_point arrived);
     double slowdown(std::size_t target);
+    std::unique_ptr<routed_target> makeTarget(std::size_t index);
+    void restartNextTarget();
     void nextCall();
     void arrive();
     std::chrono::microseconds exponential(std::chrono::duration<double> mean);
@@ -101,6 +119,12 @@
         time_point until;
     };
     std::vector<slow_phase> m_slowPhases;
+    std::size_t m_nextRestart = 0;
+    // Processes of each target so far, and the attempts that its current one has not answered.
+    std::vector<std::size_t> m_processes;
+    std::vector<std::set<std::pair<std::size_t, std::uint64_t>>> m_unanswered;
+    // When an entry first passed on an answer with the rate limit of a target; by entry and target.
+    std::vector<std::vector<time_point>> m_told;
     balancing_simulation_result m_result;
 };
 
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -226,4 +226,49 @@
     EXPECT_EQ(result.body, "own");
 }
 
+// Guards against a client or a server that forges what a node relays of a server, and against a
+// notice that is lost on its way or reaches a server or a client as a field.
+TEST(PeerCalls, CarryWhatAServerAnnounced)
+{
+    auto now = std::chrono::steady_clock::now();
+    const http_field forged { "Vanillashunt-Server-Notice", "1;2;3;4;1;" };
+    const relayed_notice told { 9, { 7.1, true }, 8, 7, std::chrono::milliseconds(250) };
+    for (bool isForged : { false, true }) {
+        for (bool isTold : { false, true }) {
+            frame_history out;
+            frame_history in;
+            auto request = makeRequest(1);
+            request.fields = { { "Host", "a.example" } };
+            call_answer answer = makeAnswer(request, "own");
+            answer.fields = { { "X", "y" } };
+            answer.meanServiceTime = std::chrono::microseconds(isForged ? 5 : 0);
+            if (isForged) {
+                request.fields.push_back(forged);
+                answer.fields.push_back(forged);
+            }
+            if (isTold) {
+                request.notice = told;
+                answer.notice = told;
+            }
+            auto requestFrame = encodeFrame(request, now, out);
+            auto readRequest = decodeRequest({ requestFrame.data() + frameHeaderBytes, requestFrame.size() - frameHeaderBytes }, now, in);
+            ASSERT_TRUE(readRequest);
+            EXPECT_EQ(readRequest->fields.size(), request.fields.size());
+            ASSERT_EQ(readRequest->notice.has_value(), isTold);
+            frame_history answerOut;
+            frame_history answerIn;
+            auto answerFrame = encodeFrame(answer, "r", answerOut);
+            auto readAnswer = decodeAnswer({ answerFrame.data() + frameHeaderBytes, answerFrame.size() - frameHeaderBytes }, "r", answerIn);
+            ASSERT_TRUE(readAnswer);
+            EXPECT_EQ(readAnswer->fields.size(), answer.fields.size());
+            EXPECT_EQ(readAnswer->meanServiceTime, answer.meanServiceTime);
+            ASSERT_EQ(readAnswer->notice.has_value(), isTold);
+            if (isTold) {
+                EXPECT_EQ(readRequest->notice->notice.rateLimit, 7.1);
+                EXPECT_TRUE(readAnswer->notice->notice.isLeaving);
+            }
+        }
+    }
+}
+
 }
--- a/Tests/RoutedEntry/routed_entry_test.cpp
+++ b/Tests/RoutedEntry/routed_entry_test.cpp
@@ -578,4 +578,28 @@
     EXPECT_EQ(agreed.size(), 4U);
 }
 
+// Guards against a limit or a leaving that is lost with the process of the server's node: each node
+// that has learnt of it from an answer tells the successor with its requests.
+TEST(RoutedEntry, TellsATargetWhatItsServerAnnounced)
+{
+    entry_harness harness;
+    harness.configure();
+    harness.arrive();
+    EXPECT_FALSE(harness.sent.back().request.notice);
+    call_answer answer;
+    answer.outcome = verdict::answered();
+    answer.status = 200;
+    answer.limit = 10;
+    answer.notice = relayed_notice { 5, { 7.1, true }, 1, 1, {} };
+    harness.entry().attemptAnswered(harness.sent.back().id, answer, harness.now);
+    // The targets of the harness share their name.
+    harness.now += milliseconds(300);
+    harness.arrive();
+    ASSERT_TRUE(harness.sent.back().request.notice);
+    EXPECT_EQ(harness.sent.back().request.notice->start, 5U);
+    EXPECT_EQ(harness.sent.back().request.notice->notice.rateLimit, 7.1);
+    EXPECT_TRUE(harness.sent.back().request.notice->notice.isLeaving);
+    EXPECT_EQ(harness.sent.back().request.notice->age, milliseconds(300));
+}
+
 }
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <random>
 
 namespace vanillashunt {
 
@@ -42,6 +43,35 @@
                 std::move(request), [this](const call_answer& answer) { answers.push_back(answer); }, now);
         }
 
+        // An answer of the current start announces this.
+        void announce(std::optional<double> rateLimit, bool isLeaving) { m_target.noticeReceived(server.start, { { rateLimit, isLeaving }, true, now, now }, now); }
+
+        // A call arrives whose sender knows this of the server.
+        void arriveWith(const relayed_notice& notice)
+        {
+            call_request request;
+            request.service = "notices";
+            request.path = path;
+            request.context.requestId = "relaying";
+            request.context.deadline = now + milliseconds(2000);
+            request.notice = notice;
+            m_target.arrive(
+                std::move(request), [this](const call_answer& answer) { answers.push_back(answer); }, now);
+        }
+
+        // Calls arrive every few milliseconds for so long; the server answers each at once.
+        void offerCalls(milliseconds length)
+        {
+            for (auto end = now + length; now < end; now += milliseconds(5)) {
+                arrive(0, static_cast<shedding_position>(m_random() % sheddingPositionCount));
+                m_target.tick(now);
+                started += running.size();
+                while (!running.empty()) {
+                    serverAnswers(verdict::answered());
+                }
+            }
+        }
+
         // The server answers the call that has been running for the longest time.
         void serverAnswers(const verdict& outcome, std::uint32_t status = 200)
         {
@@ -75,6 +105,9 @@
         std::vector<request_fingerprint> listedContents;
         poison_status standing = poison_status::Poison;
         int serverChecks = 0;
+        // Calls that offerCalls() started.
+        std::size_t started = 0;
+        std::vector<server_notice> noticeChanges;
         std::vector<server_end> serverEnds;
         std::vector<request_fingerprint> servedContents;
 
@@ -91,10 +124,12 @@
                 return std::count(listedContents.begin(), listedContents.end(), content) != 0 ? standing : poison_status::Harmless;
             };
             result.contentServed = [this](request_fingerprint content) { servedContents.push_back(content); };
+            result.noticeChanged = [this](const server_start&, const server_notice& notice) { noticeChanges.push_back(notice); };
             result.random = [this] { return ++m_lastId; };
             return result;
         }
 
+        std::mt19937 m_random { 1 };
         std::uint64_t m_lastId = 0;
         routed_target m_target;
     };
@@ -479,4 +514,78 @@
     EXPECT_TRUE(harness.target().pace().isSlow(harness.now));
 }
 
+// Guards against a server that gets more requests per second than it takes although slots are free.
+TEST(RoutedTarget, StartsNoMoreCallsThanTheServersRateLimit)
+{
+    target_harness harness;
+    harness.announce(10, false);
+    harness.offerCalls(std::chrono::seconds(20));
+    EXPECT_LE(harness.started, 206U);
+    EXPECT_GE(harness.started, 180U);
+    harness.announce(std::nullopt, false);
+    harness.offerCalls(std::chrono::seconds(1));
+    harness.started = 0;
+    harness.offerCalls(std::chrono::seconds(1));
+    EXPECT_EQ(harness.started, 200U);
+}
+
+// Guards against a limit that waiting calls evade: calls that were admitted to the queue before the
+// server named its limit start within it.
+TEST(RoutedTarget, StartsWaitingCallsWithinARateLimitThatWasNamedMeanwhile)
+{
+    target_harness harness;
+    for (std::uint32_t i = 0; i < slots + 10; ++i) {
+        harness.arrive();
+    }
+    harness.announce(10, false);
+    harness.running.clear();
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        harness.running.push_back(i);
+    }
+    auto before = harness.running.size();
+    for (int i = 0; i < 20; ++i) {
+        harness.now += milliseconds(5);
+        harness.target().tick(harness.now);
+    }
+    EXPECT_LE(harness.running.size(), before + 1);
+}
+
+// Guards against a limit that dies with the process of the server's node. The new process learns it
+// from the first sender that is bound by it, before it starts that call.
+TEST(RoutedTarget, LearnsARateLimitFromTheFirstSenderThatKnowsIt)
+{
+    target_harness harness;
+    relayed_notice told { hashOf(harness.server.start), { 10, false }, 99, 1, milliseconds(700) };
+    harness.arriveWith(told);
+    EXPECT_TRUE(harness.running.empty());
+    EXPECT_EQ(harness.target().notice().rateLimit, 10);
+    ASSERT_EQ(harness.noticeChanges.size(), 1U);
+}
+
+// Guards against a limit of an earlier start, or of another server, that a sender still remembers.
+TEST(RoutedTarget, IgnoresARelayedNoticeOfAnotherStart)
+{
+    target_harness harness;
+    harness.arriveWith({ hashOf({ "i-0" }), { 1, true }, 99, 1, {} });
+    EXPECT_EQ(harness.running.size(), 1U);
+    harness.serverAnswers(verdict::answered());
+    // The sender gets to know that its notice is outdated.
+    ASSERT_TRUE(harness.answers.back().notice);
+    EXPECT_EQ(harness.answers.back().notice->start, hashOf(harness.server.start));
+    EXPECT_FALSE(harness.answers.back().notice->notice.isLeaving);
+}
+
+// Guards against senders that wait at a server whose rate limit is used up while others are free.
+TEST(RoutedTarget, RefusesCallsThatCanRunElsewhereWhileTheRateLimitIsUsedUp)
+{
+    target_harness harness;
+    harness.announce(10, false);
+    harness.arrive(0, 0, true);
+    EXPECT_EQ(harness.answers.back().outcome.reason, verdict_reason::NoFreeSlot);
+    EXPECT_GT(harness.answers.back().outcome.retryAfter.count(), 0);
+    EXPECT_GE(harness.answers.back().inFlight, harness.answers.back().limit);
+    ASSERT_TRUE(harness.answers.back().notice);
+    EXPECT_EQ(harness.answers.back().notice->notice.rateLimit, 10);
+}
+
 }
