Send nothing to a server that says in its answers that it leaves

Cause: Server-Leaving was not read; only reports and deregistrations took a server out. One whose reports go on saying that it is ready, or whose reports do not arrive, got requests until it ended.

What callers saw: answers that are lost when such a server exits.

How: the notice of a start that leaves counts like a report that it drains, for this start and for good: calls that wait are refused as not run and go elsewhere, and the node offers no service to others. It is relayed like a rate limit, so a restarted node learns it from the first request of a node that has passed such an answer on, which is the only kind of request that the promise is about.

Ruled out: taking the word of an answer without it, or of a report, for the end of the leaving.

--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -329,7 +329,7 @@
     {
         bool takesWork = m_serverReports.takesWork();
         m_calls.target().setServer(m_serverReports.current(), takesWork, std::chrono::steady_clock::now());
-        bool offered = takesWork && !m_stop.refusesWork(std::chrono::steady_clock::now());
+        bool offered = takesWork && !m_calls.target().notice().isLeaving && !m_stop.refusesWork(std::chrono::steady_clock::now());
         auto service = offered ? m_serverReports.current()->service : "";
         auto slots = offered ? m_serverReports.current()->slots : 0;
         if (service == m_self.service && slots == m_self.slots) {
@@ -539,6 +539,9 @@
     void routed_process::serverNoticeChanged(const server_start& start, const server_notice& notice)
     {
         m_noticeLog.changed(start, notice, std::chrono::steady_clock::now());
+        if (notice.isLeaving) {
+            serverChanged();
+        }
     }
 
     // Runs the handlers that are still queued: an undelivered message would keep its actor, and
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -150,7 +150,7 @@
         std::uint32_t zoneCrossings = 0;
     };
 
-    bool acceptsWork() const { return m_takesWork; }
+    bool acceptsWork() const { return m_takesWork && !notice().isLeaving; }
     void updateGate(std::chrono::milliseconds warmupLeft, time_point now);
     void noticeChanged(const server_start&, time_point now);
     void relayedNoticeReceived(const relayed_notice&, time_point now);
--- a/Tests/RoutedTarget/routed_target_test.cpp
+++ b/Tests/RoutedTarget/routed_target_test.cpp
@@ -575,6 +575,39 @@
     EXPECT_FALSE(harness.answers.back().notice->notice.isLeaving);
 }
 
+// Guards against requests to a server that says in its answers that it leaves, while its reports go
+// on saying that it is ready. Waiting calls are refused, so that they run elsewhere.
+TEST(RoutedTarget, StartsNoCallOnceTheServerAnnouncesThatItLeaves)
+{
+    target_harness harness;
+    for (std::uint32_t i = 0; i < slots + 5; ++i) {
+        harness.arrive();
+    }
+    harness.announce(std::nullopt, true);
+    EXPECT_EQ(harness.refusals(), 5);
+    harness.target().setServer(harness.server, true, harness.now);
+    harness.arrive();
+    EXPECT_EQ(harness.refusals(), 6);
+    EXPECT_EQ(harness.answers.back().outcome.reason, verdict_reason::Draining);
+    EXPECT_EQ(harness.running.size(), slots);
+    // The next start takes work.
+    harness.server.start.born = std::chrono::system_clock::time_point(milliseconds(1));
+    harness.target().setServer(harness.server, true, harness.now);
+    harness.running.clear();
+    harness.arrive();
+    EXPECT_EQ(harness.running.size(), 1U);
+}
+
+// Guards against a leaving that dies with the process of the server's node, which then takes the
+// server for ready by its reports.
+TEST(RoutedTarget, LearnsThatTheServerLeavesFromTheFirstSenderThatKnowsIt)
+{
+    target_harness harness;
+    harness.arriveWith({ hashOf(harness.server.start), { std::nullopt, true }, 99, 1, milliseconds(700) });
+    EXPECT_TRUE(harness.running.empty());
+    EXPECT_EQ(harness.answers.back().outcome.reason, verdict_reason::Draining);
+}
+
 // Guards against senders that wait at a server whose rate limit is used up while others are free.
 TEST(RoutedTarget, RefusesCallsThatCanRunElsewhereWhileTheRateLimitIsUsedUp)
 {
