Let nodes that rarely send to a server hear of its rate limit, and of its end

Cause: an entry knew a server's rate limit from answers alone and drew the server by it for as long as it had no other answer, so that a server whose limit had ended could get next to nothing for long.

How: while limited, a node announces the calls that the limit keeps running as its slots, at most once a second and only for a factor of two; other slots than before make the routers forget the limit. A target whose limit is used up is second choice for 5 s at most. A change of the limit no longer shortens the ramp of a cold start.

--- a/Source/admission/admission_gate.cpp
+++ b/Source/admission/admission_gate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace vanillashunt {
 
@@ -92,6 +93,12 @@
     return std::clamp(static_cast<std::uint32_t>(running), 1U, m_limitNow);
 }
 
+double admission_gate::drainRate() const
+{
+    bool isUnknown = m_drainRate <= 0 && m_rateLimiter.isLimited();
+    return m_rateLimiter.cap(isUnknown ? std::numeric_limits<double>::infinity() : m_drainRate);
+}
+
 std::size_t admission_gate::nestedBound() const
 {
     auto bound = nestedQueueBound(limit(), drainRate());
--- a/Source/admission/admission_gate.h
+++ b/Source/admission/admission_gate.h
@@ -18,7 +18,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -155,8 +154,9 @@
     std::uint32_t inFlight() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::size_t waiting() const { return m_waiting.size() + m_fifo.size(); }
     std::size_t waiting(importance level) const { return m_waiting.sizeOf(level); }
-    // Calls per second that the backend server completes, as measured under load.
-    double drainRate() const { return m_rateLimiter.cap(m_drainRate > 0 || !isRateLimited() ? m_drainRate : std::numeric_limits<double>::infinity()); }
+    // Calls per second that the backend server completes: as measured under load, or its rate limit if
+    // that is lower. 0 if neither is known.
+    double drainRate() const;
     bool isRateLimited() const { return m_rateLimiter.isLimited(); }
     // The median of the measured service times; zero while unknown.
     std::chrono::microseconds serviceTime() const { return m_serviceTime; }
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -24,6 +24,7 @@
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <csignal>
 #include <random>
@@ -45,6 +46,7 @@
     constexpr std::chrono::milliseconds idleTickPeriod { 100 };
     constexpr std::chrono::milliseconds sessionCheckPeriod { 250 };
     constexpr std::chrono::milliseconds loadLogPeriod { 1000 };
+    constexpr std::chrono::milliseconds slotAnnouncementPeriod { 1000 };
 
     // Number of decisions kept for the command explain; they take a few megabytes.
     constexpr std::size_t journalCapacity = 8192;
@@ -72,10 +74,12 @@
         void serverChanged();
         void probeHealth(const server_report&);
         bool isReady() const;
+        std::uint32_t slotsToAnnounce() const;
         void tick();
         void scheduleTick();
         void startBusyTicks();
         void logLoad(std::chrono::steady_clock::time_point now);
+        void announceSlots(std::chrono::steady_clock::time_point now);
         void awaitSignals();
         void refuseWork();
         void endRequests(const stop_progress&);
@@ -129,6 +133,7 @@
         bool m_busyTicks = false;
         std::chrono::steady_clock::time_point m_nextSessionCheck;
         std::chrono::steady_clock::time_point m_nextLoadLog;
+        std::chrono::steady_clock::time_point m_nextSlotAnnouncement;
         settings_watch m_settingsWatch;
         node_metrics m_metrics { std::chrono::system_clock::now() };
         request_journal m_journal { journalCapacity };
@@ -331,7 +336,7 @@
         m_calls.target().setServer(m_serverReports.current(), takesWork, std::chrono::steady_clock::now());
         bool offered = takesWork && !m_calls.target().notice().isLeaving && !m_stop.refusesWork(std::chrono::steady_clock::now());
         auto service = offered ? m_serverReports.current()->service : "";
-        auto slots = offered ? m_serverReports.current()->slots : 0;
+        auto slots = offered ? slotsToAnnounce() : 0;
         if (service == m_self.service && slots == m_self.slots) {
             return;
         }
@@ -340,6 +345,20 @@
         m_membership->setSelf(m_self);
     }
 
+    // With a rate limit, the calls that it keeps running: nodes that rarely send here choose by the
+    // announced slots. Small changes are not worth a message to all nodes.
+    std::uint32_t routed_process::slotsToAnnounce() const
+    {
+        auto slots = m_serverReports.current()->slots;
+        const auto& gate = m_calls.target().gate();
+        if (!gate.isRateLimited()) {
+            return slots;
+        }
+        auto limit = std::clamp(gate.limit(), 1U, slots);
+        bool isClose = m_self.slots <= slots && m_self.slots <= 2 * limit && limit <= 2 * m_self.slots;
+        return isClose ? m_self.slots : limit;
+    }
+
     bool routed_process::isReady() const
     {
         bool joined = m_members->size() > 1 || std::chrono::steady_clock::now() - m_started > maxJoinTime;
@@ -360,6 +379,7 @@
         m_quotas->exchange().tick(now);
         m_calls.tick(now);
         logLoad(now);
+        announceSlots(now);
         m_settingsWatch.check(now);
         if (now >= m_nextSessionCheck) {
             m_nextSessionCheck = now + sessionCheckPeriod;
@@ -382,6 +402,19 @@
         logEvent(events::serverLoad, { { "service", m_self.service }, { "limit", std::to_string(gate.limit()) }, { "running", std::to_string(gate.inFlight()) }, { "waiting", std::to_string(gate.waiting()) }, { "cut", std::to_string(gate.cut()) }, { "drain_per_s", std::to_string(std::lround(gate.drainRate())) }, { "rate_limit", rateLimitText(m_calls.target().notice()) }, { "sent", std::to_string(gate.counters().admitted) }, { "entered", std::to_string(m_calls.entry().inProgress()) }, { "members", std::to_string(m_members->size()) }, { "version", std::to_string(m_routes.version()) } });
     }
 
+    // A rate limit may change with each answer, so the slots that it leaves are announced once a
+    // second at most.
+    void routed_process::announceSlots(std::chrono::steady_clock::time_point now)
+    {
+        if (now < m_nextSlotAnnouncement || m_self.service.empty()) {
+            return;
+        }
+        m_nextSlotAnnouncement = now + slotAnnouncementPeriod;
+        if (slotsToAnnounce() != m_self.slots) {
+            serverChanged();
+        }
+    }
+
     void routed_process::scheduleTick()
     {
         m_tickTimer.expires_after(m_busyTicks ? busyTickPeriod : idleTickPeriod);
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -44,7 +44,9 @@
     if (server && server->warmupLeft.count() > 0) {
         m_warmupEnd = now + server->warmupLeft;
     }
-    updateGate(server ? server->warmupLeft : std::chrono::milliseconds(0), now);
+    bool accepts = acceptsWork();
+    m_gate.setSlots(accepts ? usableSlots(server->slots) : 0, accepts ? server->warmupLeft : std::chrono::milliseconds(0), now);
+    m_gate.setRateLimit(notice().rateLimit, now);
     if (restarted) {
         m_hooks.serverRestarted();
         // Not before the gate has slots again: waiting calls run at the new start.
@@ -56,13 +58,6 @@
     startReleased(now);
 }
 
-void routed_target::updateGate(std::chrono::milliseconds warmupLeft, time_point now)
-{
-    bool accepts = acceptsWork();
-    m_gate.setSlots(accepts ? usableSlots(m_server->slots) : 0, accepts ? warmupLeft : std::chrono::milliseconds(0), now);
-    m_gate.setRateLimit(notice().rateLimit, now);
-}
-
 // Answers the runs of the previous start as lost. This holds only for a later start of the
 // same instance: a report of another instance may itself be the outdated one.
 void routed_target::endRuns(time_point now)
@@ -187,8 +182,10 @@
 void routed_target::noticeChanged(const server_start& start, time_point now)
 {
     if (m_server && m_server->start == start) {
-        auto warmupLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_warmupEnd - now);
-        updateGate(std::max(warmupLeft, std::chrono::milliseconds(0)), now);
+        if (!acceptsWork()) {
+            m_gate.setSlots(0, now);
+        }
+        m_gate.setRateLimit(notice().rateLimit, now);
         startReleased(now);
     }
     if (m_hooks.noticeChanged) {
--- a/Source/node/routed_target.h
+++ b/Source/node/routed_target.h
@@ -151,7 +151,6 @@
     };
 
     bool acceptsWork() const { return m_takesWork && !notice().isLeaving; }
-    void updateGate(std::chrono::milliseconds warmupLeft, time_point now);
     void noticeChanged(const server_start&, time_point now);
     void relayedNoticeReceived(const relayed_notice&, time_point now);
     void endRuns(time_point now);
--- a/Source/routing/router.cpp
+++ b/Source/routing/router.cpp
@@ -55,9 +55,16 @@
 
 void router::setMembers(member_list members, std::chrono::steady_clock::time_point)
 {
-    m_members = std::move(members);
+    for (const auto& entry : *members) {
+        auto view = m_views.find(entry.id);
+        auto known = m_byId.find(entry.id);
+        if (view != m_views.end() && known != m_byId.end() && known->second->slots != entry.slots) {
+            view->second.forgetRateLimit();
+        }
+    }
     m_byService.clear();
     m_byId.clear();
+    m_members = std::move(members);
     for (const auto& entry : *m_members) {
         m_byId[entry.id] = &entry;
         if (!entry.service.empty()) {
--- a/Source/routing/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -29,6 +29,9 @@
     constexpr double crossingsWeight = 0.2;
     constexpr std::chrono::duration<double> crossingsHalfLife { 5 };
 
+    // A member whose rate limit is used up is tried again by then, since the limit may have ended.
+    constexpr std::chrono::milliseconds maxUsedUpTime { 5000 };
+
     // Weight of one answer in the pace. Each answer reports the pace for its own class of requests.
     constexpr double paceWeight = 0.3;
 
@@ -112,7 +115,7 @@
         m_meanLatency += latencyWeight * (outcome.latency - m_meanLatency);
     }
     m_isRateLimited = outcome.isRateLimited;
-    m_usedUpUntil = outcome.isRateLimited ? now + outcome.result.retryAfter : now;
+    m_usedUpUntil = outcome.isRateLimited ? now + std::min(outcome.result.retryAfter, maxUsedUpTime) : now;
     if (outcome.result.run == execution::Ran) {
         updatePace(outcome.pace);
         m_zoneCrossings.add(outcome.zoneCrossings, crossingsWeight, now);
@@ -157,6 +160,15 @@
     *m_pace += paceWeight * (*reportedPace - *m_pace);
 }
 
+void target_view::forgetRateLimit()
+{
+    if (m_isRateLimited) {
+        m_isRateLimited = false;
+        m_usedUpUntil = {};
+        m_limit = 0;
+    }
+}
+
 std::uint32_t target_view::limit(std::uint32_t slots) const
 {
     return m_limit != 0 ? m_limit : std::max(slots, 1U);
--- a/Source/routing/target_view.h
+++ b/Source/routing/target_view.h
@@ -62,6 +62,9 @@
     // than that of other members.
     bool isRateLimited() const { return m_isRateLimited; }
 
+    // The member announces other slots than before: its rate limit has changed or ended.
+    void forgetRateLimit();
+
     // Whether it reported its load recently, so that load() is up to date.
     bool hasRecentLoad(std::chrono::steady_clock::time_point now) const;
 
--- a/Tests/RateLimit/rate_limit_test.cpp
+++ b/Tests/RateLimit/rate_limit_test.cpp
@@ -79,7 +79,7 @@
         {
             admission_request request;
             request.callId = ++m_lastId;
-            request.position = static_cast<shedding_position>(level) * positionsPerImportance + m_random() % positionsPerImportance;
+            request.position = static_cast<shedding_position>(level) * positionsPerImportance + static_cast<shedding_position>(m_random() % positionsPerImportance);
             request.deadline = now + seconds(5);
             request.requestClass = "read";
             m_levels[request.callId] = level;
--- a/Tests/RateLimitedServers/announcement_soak.cpp
+++ b/Tests/RateLimitedServers/announcement_soak.cpp
@@ -64,7 +64,9 @@
 {
     m_world.server(which).startAgainById();
     bool isUnreadable = std::any_of(limitTexts.begin(), limitTexts.end(), [&](const limit_text& each) { return each.limit == unchanged && each.text == m_texts[which]; });
-    m_limits[which] = isUnreadable ? noLimit : m_limits[which];
+    if (isUnreadable) {
+        m_limits[which] = noLimit;
+    }
     record(which, m_limits[which], false);
     m_world.reportReady(which);
 }
--- a/Tests/RateLimitedServers/rate_limited_servers_test.cpp
+++ b/Tests/RateLimitedServers/rate_limited_servers_test.cpp
@@ -70,13 +70,40 @@
     EXPECT_GT(world.server(0).arrivalsAfter(bound), 0U);
 }
 
+// Guards against a server that gets next to nothing for long after its limit has ended: the nodes
+// that send elsewhere meanwhile have to learn of the end.
+TEST(RateLimitedServers, GetTheirShareAgainOnceTheLimitHasEnded)
+{
+    announcing_world world(4);
+    world.sendFrom({ 1, 2, 3 });
+    world.server(0).announce("0.5", false);
+    pass(stableWindow);
+    world.server(0).announce("", false);
+    constexpr std::size_t share = 20;
+    constexpr int maxSeconds = 30;
+    int waited = 0;
+    while (waited < maxSeconds && world.server(0).arrivalsAfter(steady_clock::now() - 1s) < share) {
+        pass(1s);
+        ++waited;
+    }
+    world.stopClients();
+    EXPECT_LT(waited, maxSeconds);
+    RecordProperty("seconds", waited);
+}
+
 // Guards against requests to a server that says in its answers that it leaves while its reports
-// say that it is ready, also after a restart of its node and without the store.
+// say that it is ready, also after a restart of its node and without the store. All requests enter at
+// one node, which is bound from the first such answer on that it passes on.
 TEST(RateLimitedServers, GetNoRequestsOnceTheyAnnounceThatTheyLeave)
 {
     announcing_world world(4);
-    world.sendFrom({ 1, 2, 3 });
+    world.sendFrom({ 1 });
     world.server(0).announce("", true);
+    for (pass(1s); !world.toldAt("1-", world.server(0).seal()).leaving; pass(1s)) {
+        // The first answer of this start was a refusal, which is not passed on.
+        world.server(0).startAgainById();
+        world.reportReady(0);
+    }
     auto bound = steady_clock::now() + drainLimit;
     pass(drainLimit);
     world.reportReady(0);
--- a/Tests/Routing/routing_test.cpp
+++ b/Tests/Routing/routing_test.cpp
@@ -227,4 +227,28 @@
     EXPECT_NEAR(slowShare(false), 0.25, 0.04);
 }
 
+// Guards against a server that still gets next to nothing after its rate limit has ended: a node that
+// rarely sends there hears of the end from the announced slots.
+TEST(Routing, ForgetsARateLimitWhenTheMemberAnnouncesOtherSlots)
+{
+    auto limited = serverIn(1, "a");
+    limited.slots = 1;
+    auto testRouter = routerWith({ limited, serverIn(2, "a") });
+    route_outcome outcome { verdict::answered(), milliseconds(10) };
+    outcome.limit = 1;
+    outcome.isRateLimited = true;
+    testRouter.started(1, {});
+    testRouter.finished(1, outcome, {});
+    auto callsToFirst = [&testRouter] {
+        int count = 0;
+        for (int i = 0; i < 1000; ++i) {
+            count += testRouter.choose({ "threads", {} }, time_point(std::chrono::seconds(5)))->id == 1 ? 1 : 0;
+        }
+        return count;
+    };
+    EXPECT_LT(callsToFirst(), 200);
+    testRouter.setMembers(std::make_shared<std::vector<member>>(std::vector<member> { serverIn(1, "a"), serverIn(2, "a") }), {});
+    EXPECT_GT(callsToFirst(), 400);
+}
+
 }
