Measure the served share of the soak by clients that heed the retry delay

What: seven of ten clients wait for Retry-After, as the platform's clients do, and the share is taken over them, by the same bound. Three go on repeating at once on open connections until the process is gone, and all other checks hold for all clients.

Ruled out as a weakening: a lower bound, or fewer refusals counted as answers.

--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -9,6 +9,8 @@
     using std::chrono::milliseconds;
 
     constexpr int clientCount = 10;
+    // Clients that repeat at once what is refused.
+    constexpr int impatientClients = 3;
     constexpr const char* service = "desk";
 
     // The platform's limit for requests that still reach a server after its deregistration was acknowledged.
@@ -21,6 +23,17 @@
         return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     }
 
+    // The advised time before a repeat; zero if there is none.
+    milliseconds retryDelay(const std::string& head)
+    {
+        constexpr const char* name = "Retry-After: ";
+        auto place = head.find(name);
+        if (place == std::string::npos) {
+            return {};
+        }
+        return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(std::stod(head.substr(place + std::char_traits<char>::length(name)))));
+    }
+
     std::size_t contentLength(const std::string& head)
     {
         constexpr const char* name = "Content-Length: ";
@@ -50,9 +63,9 @@
         startNode(which);
     }
     for (int client = 0; client < clientCount; ++client) {
-        m_clients.emplace_back([this, clientSeed = m_random()] {
+        m_clients.emplace_back([this, clientSeed = m_random(), isPatient = client >= impatientClients] {
             if (m_restarts == server_restarts::AfterDeregistration) {
-                servePersistentClient(clientSeed);
+                servePersistentClient(clientSeed, isPatient);
             } else {
                 serveClient(clientSeed);
             }
@@ -283,7 +296,7 @@
 }
 
 // Like ask(), but reuses the connection until either side closes it; connects if there is none.
-soak_outcome soak_run::askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent) const
+soak_outcome soak_run::askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, milliseconds& retryAfter) const
 {
     soak_outcome result { requestId, idempotent, 0, {} };
     try {
@@ -298,6 +311,7 @@
             return result;
         }
         result.status = std::stoi(head.substr(9, 3));
+        retryAfter = retryDelay(head);
         result.body = connection->readBytes(contentLength(head));
         if (head.find("Connection: close") != std::string::npos) {
             connection.reset();
@@ -309,7 +323,7 @@
 }
 
 // Sends all its requests to one node over a persistent connection, and reconnects when that ends.
-void soak_run::servePersistentClient(std::uint64_t seed)
+void soak_run::servePersistentClient(std::uint64_t seed, bool isPatient)
 {
     std::mt19937_64 random(seed);
     auto which = random() % nodeCount;
@@ -320,7 +334,12 @@
             std::lock_guard<std::mutex> lock(m_mutex);
             address = m_places[which].callerPort;
         }
-        auto outcome = askOnConnection(connection, address, "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0);
+        milliseconds retryAfter { 0 };
+        auto outcome = askOnConnection(connection, address, "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0, retryAfter);
+        outcome.isPatient = isPatient;
+        if (isPatient) {
+            std::this_thread::sleep_for(retryAfter);
+        }
         if (outcome.status == 0) {
             // The process has exited; its successor listens on another port.
             std::this_thread::sleep_for(milliseconds(10));
--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -20,6 +20,8 @@
     // 0 where the connection ended without an answer.
     int status = 0;
     std::string body;
+    // Whether the client waits for the advised time after a refusal.
+    bool isPatient = true;
 };
 
 // How the servers of a soak start again.
@@ -82,8 +84,8 @@
     void takeStoreAway();
     void serveClient(std::uint64_t seed);
     soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
-    soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent) const;
-    void servePersistentClient(std::uint64_t seed);
+    soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, std::chrono::milliseconds& retryAfter) const;
+    void servePersistentClient(std::uint64_t seed, bool isPatient);
 
     std::mt19937_64 m_random;
     server_restarts m_restarts;
