--- a/Source/routing/notice_memory.h
+++ b/Source/routing/notice_memory.h
@@ -3,7 +3,6 @@
 #include "decision/server_notice.h"
 
 #include <chrono>
-#include <cstddef>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -23,8 +22,6 @@
 
     std::optional<relayed_notice> find(const std::string& node, time_point now) const;
 
-    std::size_t size() const { return m_entries.size(); }
-
 private:
     struct entry {
         relayed_notice told;
--- a/Tests/CrashingServer/main.cpp
+++ b/Tests/CrashingServer/main.cpp
@@ -3,6 +3,7 @@
 // whose path has the word "poison". For one with "slow" it prints a line and takes
 // ten seconds.
 
+#include "RawSocket/message_head.h"
 #include "RawSocket/raw_socket.h"
 
 #include <cstdlib>
@@ -12,21 +13,12 @@
 namespace {
 
 using boost::asio::ip::tcp;
+using vanillashunt::fieldOf;
 
 constexpr std::chrono::milliseconds runTime { 20 };
 constexpr std::chrono::milliseconds slowRunTime { 10000 };
 constexpr int crashed = 3;
 
-std::string fieldOf(const std::string& head, const std::string& name)
-{
-    auto place = head.find("\r\n" + name + ": ");
-    if (place == std::string::npos) {
-        return "";
-    }
-    place += name.size() + 4;
-    return head.substr(place, head.find("\r\n", place) - place);
-}
-
 std::string answerTo(const std::string& head, const std::string& instance)
 {
     auto marks = "\r\nVanillashunt-Request-Id: " + fieldOf(head, "Vanillashunt-Request-Id");
--- a/Tests/FreeSlots/free_slots_test.cpp
+++ b/Tests/FreeSlots/free_slots_test.cpp
@@ -1,9 +1,8 @@
 #include "FreeSlots/balancing_simulation.h"
+#include "Harness/sliding_window.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-
 namespace vanillashunt {
 
 namespace {
@@ -29,17 +28,6 @@
         return balancing_simulation(plan).run(std::chrono::seconds(5));
     }
 
-    std::size_t mostInFourSeconds(const std::vector<std::chrono::steady_clock::time_point>& times)
-    {
-        std::size_t most = 0;
-        auto first = times.begin();
-        for (auto last = times.begin(); last != times.end(); ++last) {
-            first = std::lower_bound(first, last, *last - std::chrono::seconds(4));
-            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-        }
-        return most;
-    }
-
     // Few entries, so that each has learnt the limits and is bound by them.
     balancing_simulation_plan limitedAndRestarted(std::uint64_t seed)
     {
@@ -56,7 +44,7 @@
         int exceeded = 0;
         for (std::size_t target = 0; target < plan.targets; ++target) {
             auto limit = plan.rateLimits[target % plan.rateLimits.size()];
-            bool isExceeded = limit > 0 && static_cast<double>(mostInFourSeconds(result.boundStarts[target])) > 6 * limit + 5;
+            bool isExceeded = limit > 0 && static_cast<double>(mostWithin(std::chrono::seconds(4), result.boundStarts[target])) > 6 * limit + 5;
             exceeded += isExceeded ? 1 : 0;
         }
         return exceeded;
@@ -174,7 +162,7 @@
     auto result = balancing_simulation(plan).run(std::chrono::seconds(20));
     std::uint64_t starts = 0;
     for (std::size_t target = 0; target < plan.targets; ++target) {
-        EXPECT_LE(static_cast<double>(mostInFourSeconds(result.boundStarts[target])), 6 * limit + 5) << target;
+        EXPECT_LE(static_cast<double>(mostWithin(std::chrono::seconds(4), result.boundStarts[target])), 6 * limit + 5) << target;
         starts += result.starts[target];
     }
     EXPECT_GT(static_cast<double>(starts), 0.85 * limit * 20 * static_cast<double>(plan.targets));
--- a/Tests/RateLimit/rate_limit_test.cpp
+++ b/Tests/RateLimit/rate_limit_test.cpp
@@ -1,3 +1,4 @@
+#include "Harness/sliding_window.h"
 #include "admission/admission_gate.h"
 #include "admission/rate_limiter.h"
 
@@ -24,17 +25,6 @@
         return tolerance * rate * std::chrono::duration<double>(window).count() + slack;
     }
 
-    std::size_t mostInAnyWindow(const std::vector<time_point>& times)
-    {
-        std::size_t most = 0;
-        auto first = times.begin();
-        for (auto last = times.begin(); last != times.end(); ++last) {
-            first = std::lower_bound(first, last, *last - window);
-            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-        }
-        return most;
-    }
-
     // A gate with free slots and far more demand than its rate limit allows.
     class limited_gate {
     public:
@@ -144,7 +134,7 @@
         limited_gate limited(rate);
         limited.offer(50, seconds(60), { importance::Interactive });
         EXPECT_GE(limited.starts.size(), 6U) << rate;
-        EXPECT_LE(static_cast<double>(mostInAnyWindow(limited.starts)), allowed(rate)) << rate;
+        EXPECT_LE(static_cast<double>(mostWithin(window, limited.starts)), allowed(rate)) << rate;
     }
 }
 
@@ -157,7 +147,7 @@
         limited.offer(rate * 10, seconds(8), { importance::Interactive });
         limited.offer(rate / 10, seconds(8), { importance::Interactive });
         limited.offer(rate * 30, seconds(8), { importance::Interactive });
-        EXPECT_LE(static_cast<double>(mostInAnyWindow(limited.starts)), allowed(rate)) << rate;
+        EXPECT_LE(static_cast<double>(mostWithin(window, limited.starts)), allowed(rate)) << rate;
         EXPECT_GE(static_cast<double>(limited.starts.size()), 0.8 * rate * 16) << rate;
     }
 }
@@ -170,7 +160,7 @@
     limited.gate().setRateLimit(2.5, limited.now);
     limited.starts.clear();
     limited.offer(200, seconds(8), { importance::Interactive });
-    EXPECT_LE(static_cast<double>(mostInAnyWindow(limited.starts)), allowed(2.5));
+    EXPECT_LE(static_cast<double>(mostWithin(window, limited.starts)), allowed(2.5));
     limited.gate().setRateLimit(std::nullopt, limited.now);
     limited.offer(20, seconds(1), { importance::Interactive });
     limited.starts.clear();
--- a/Tests/RateLimitedServers/announcement_soak.cpp
+++ b/Tests/RateLimitedServers/announcement_soak.cpp
@@ -32,16 +32,16 @@
 {
     for (std::size_t which : { 0, 1 }) {
         m_limits[which] = noLimit;
-        record(which, noLimit, false);
+        recordLimit(which);
     }
     m_world.sendFrom({ 2, 3 });
 }
 
-void announcement_soak::record(std::size_t which, double limit, bool isLeaving)
+void announcement_soak::recordLimit(std::size_t which)
 {
     auto start = m_world.server(which).seal();
     m_serverOf[start] = which;
-    m_announcements[start].push_back({ std::chrono::steady_clock::now(), limit, isLeaving });
+    m_announcements[start].push_back({ std::chrono::steady_clock::now(), m_limits[which] });
 }
 
 void announcement_soak::announceLimit(std::size_t which)
@@ -56,7 +56,7 @@
     if (chosen.limit != unchanged) {
         m_limits[which] = chosen.limit;
     }
-    record(which, m_limits[which], false);
+    recordLimit(which);
 }
 
 // The next start announces the same, but an unreadable limit means none there.
@@ -67,7 +67,7 @@
     if (isUnreadable) {
         m_limits[which] = noLimit;
     }
-    record(which, m_limits[which], false);
+    recordLimit(which);
     m_world.reportReady(which);
 }
 
@@ -91,7 +91,6 @@
 void announcement_soak::leave(std::size_t which)
 {
     m_world.server(which).announce(m_texts[which], true);
-    record(which, m_limits[which], true);
     std::this_thread::sleep_for(drainLimit);
     m_world.reportReady(which);
     m_world.restartNode(which);
--- a/Tests/RateLimitedServers/announcement_soak.h
+++ b/Tests/RateLimitedServers/announcement_soak.h
@@ -32,11 +32,10 @@
 private:
     using time_point = std::chrono::steady_clock::time_point;
 
-    // What one start of a server announces from a moment on; no limit is infinite.
+    // The limit that one start of a server names from a moment on; no limit is infinite.
     struct announcement {
         time_point from;
         double limit = 0;
-        bool isLeaving = false;
     };
 
     // The text of the header and the limit that it names.
@@ -53,7 +52,7 @@
     void freeze(std::size_t which);
     void takeStoreAway();
     void leave(std::size_t which);
-    void record(std::size_t which, double limit, bool isLeaving);
+    void recordLimit(std::size_t which);
     std::vector<time_point> boundArrivalsAt(const std::string& start);
     void checkLimit(const std::string& start, std::vector<std::string>& found);
     void checkLeaving(const std::string& start, std::vector<std::string>& found);
--- a/Tests/RateLimitedServers/announcing_world.cpp
+++ b/Tests/RateLimitedServers/announcing_world.cpp
@@ -1,5 +1,7 @@
 #include "RateLimitedServers/announcing_world.h"
 
+#include "RawSocket/message_head.h"
+
 #include <csignal>
 
 namespace vanillashunt {
@@ -16,16 +18,6 @@
         return std::to_string(entry) + "-" + std::to_string(client) + "-" + std::to_string(number);
     }
 
-    std::string fieldOf(const std::string& answer, const std::string& name)
-    {
-        auto place = answer.find("\r\n" + name + ": ");
-        if (place == std::string::npos) {
-            return "";
-        }
-        place += name.size() + 4;
-        return answer.substr(place, answer.find("\r\n", place) - place);
-    }
-
 }
 
 announcing_world::announcing_world(std::size_t nodes)
--- a/Tests/RoutedWorld/soak_server.cpp
+++ b/Tests/RoutedWorld/soak_server.cpp
@@ -1,5 +1,7 @@
 #include "RoutedWorld/soak_server.h"
 
+#include "Harness/sliding_window.h"
+
 #include <algorithm>
 
 namespace vanillashunt {
@@ -89,14 +91,13 @@
 
 std::size_t soak_server::mostArrivals(std::chrono::milliseconds span, std::chrono::steady_clock::time_point moment)
 {
-    auto all = arrivals();
-    auto first = std::find_if(all.begin(), all.end(), [moment](const soak_arrival& each) { return each.time > moment; });
-    std::size_t most = 0;
-    for (auto last = first; last != all.end(); ++last) {
-        first = std::find_if(first, last, [&](const soak_arrival& each) { return each.time >= last->time - span; });
-        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    std::vector<std::chrono::steady_clock::time_point> times;
+    for (const auto& each : arrivals()) {
+        if (each.time > moment) {
+            times.push_back(each.time);
+        }
     }
-    return most;
+    return mostWithin(span, times);
 }
 
 std::int64_t soak_server::born()
