--- a/Source/admission/admission_gate.cpp
+++ b/Source/admission/admission_gate.cpp
@@ -48,11 +48,11 @@
 
     constexpr std::chrono::milliseconds minRetryAfter { 100 };
     constexpr std::chrono::milliseconds maxRetryAfter { 1000 };
-    // With a rate limit the delay is known rather than measured, and may be long.
+    // With a rate limit the delay follows from the rate, and may be long.
     constexpr std::chrono::milliseconds maxRateLimitedRetryAfter { 30000 };
     // How long a nested call may wait for a server with a rate limit.
     constexpr std::chrono::duration<double> maxRateLimitedWait { 0.5 };
-    // The service time that is assumed before one has been measured.
+    // The service time that is assumed while it is unknown.
     constexpr std::chrono::duration<double> assumedServiceTime { 0.5 };
     // Time constant of the exponential decay of the count of refusals.
     constexpr std::chrono::duration<double> refusalDecayTime { 1 };
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -346,7 +346,7 @@
     }
 
     // With a rate limit, the calls that it keeps running: nodes that rarely send here choose by the
-    // announced slots. Small changes are not worth a message to all nodes.
+    // announced slots. Changes below a factor of two are not announced, to limit gossip.
     std::uint32_t routed_process::slotsToAnnounce() const
     {
         auto slots = m_serverReports.current()->slots;
