--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -26,11 +26,12 @@
         : m_store(freeAddress("127.0.81.9"))
     {
         m_store.put("op/config", configuration(7, { { "stay-read", "/leny950/", "idempotent", service, 1.2, 2 } }, { service }));
-        const char* zones[] = { "cyberjaya", "shah-alam", "bangsar" };
+        const std::vector<std::string> zones { "cyberjaya", "shah-alam", "bangsar" };
         for (int number = 0; number < 3; ++number) {
-            auto name = std::string("sidecar-") + zones[number] + "-1";
-            auto& added = machines.emplace_back(std::make_unique<machine>(record, name, "127.0.81." + std::to_string(number + 1), zones[number], service, m_store.at()));
-            auto& server = servers.emplace_back(std::make_unique<app_server>(record, added->application(), added->control(), service, zones[number], "i-stay" + std::to_string(number + 1), 139));
+            const auto& zone = zones[static_cast<std::size_t>(number)];
+            auto name = "sidecar-" + zone + "-1";
+            auto& added = machines.emplace_back(std::make_unique<machine>(record, name, "127.0.81." + std::to_string(number + 1), zone, service, m_store.at(), zones));
+            auto& server = servers.emplace_back(std::make_unique<app_server>(record, added->application(), added->control(), service, zone, "i-stay" + std::to_string(number + 1), 139));
             server->setWork(work);
             added->start();
         }
--- a/review/stand_in/world.cpp
+++ b/review/stand_in/world.cpp
@@ -531,7 +531,7 @@
     }
 }
 
-machine::machine(record_file& record, std::string name, const std::string& ip, std::string zone, std::string service, const address& storeAddress)
+machine::machine(record_file& record, std::string name, const std::string& ip, std::string zone, std::string service, const address& storeAddress, const std::vector<std::string>& zones)
     : m_record(record)
     , m_name(std::move(name))
     , m_ip(ip)
@@ -550,12 +550,16 @@
         throw cannot_run("CASE_FOLDER is not set");
     }
     m_settingsPath = std::string(folder) + "/" + m_name + ".toml";
+    std::string zoneList;
+    for (const auto& each : zones) {
+        zoneList.append(zoneList.empty() ? "\"" : ",\"").append(each).append("\"");
+    }
     // deploy/node.toml, filled in as the platform does.
     std::ofstream(m_settingsPath) << "[node]\nname = \"" << m_name << "\"\navailability_zone = \"" << m_zone << "\"\nregion = \"klang\"\nmesh = \"" << m_store.text() << "\"\noutgoing_address = \"" << m_ip
                                   << "\"\n\n[caller]\nlisten = \"" << m_outbound.text() << "\"\n\n[backend]\nlisten = \"" << m_control.text() << "\"\n\n[peer]\nlisten = \"" << m_peer.text()
                                   << "\"\n\n[operators]\nlisten = \"" << m_operators.text() << "\"\n\n[platform]\nendpoints = [\"" << m_store.text() << "\"]\n\n[limits]\nmax_body = \"64MiB\"\n\n[routes]\nservice = \"" << m_service
                                   << "\"\nserver = \"" << m_application.text() << "\"\nready_listen = \"" << m_ready.text()
-                                  << "\"\nretry_ratio = 0.2\nretry_slack = 48\nretry_window_seconds = 10\ngrace_seconds = 6\nzones = [\"cyberjaya\",\"shah-alam\",\"bangsar\"]\n";
+                                  << "\"\nretry_ratio = 0.2\nretry_slack = 48\nretry_window_seconds = 10\ngrace_seconds = 6\nzones = [" << zoneList << "]\n";
 }
 
 machine::~machine()
--- a/review/stand_in/world.h
+++ b/review/stand_in/world.h
@@ -205,7 +205,7 @@
 // settings of the deploy file.
 class machine {
 public:
-    machine(record_file& record, std::string name, const std::string& ip, std::string zone, std::string service, const address& storeAddress);
+    machine(record_file& record, std::string name, const std::string& ip, std::string zone, std::string service, const address& storeAddress, const std::vector<std::string>& zones);
     ~machine();
     machine(const machine&) = delete;
     machine& operator=(const machine&) = delete;
