Log and count client connections that are full or end with requests unanswered

Neither log nor metrics told why: a client that leaves, an answer that cannot be written, a time limit and a session that the node itself drops all looked alike.

Events 208 (a connection is full) and 209 (a connection ended with requests unanswered, with its cause), four metrics, and the part "clients" of the dump.

Tests: PipelinedClients.AreReportedWhenTheyLeaveWithRequestsUnanswered, MetricsPage, EventCatalogue.

--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -2,6 +2,8 @@
 
 #include "caller/pipeline_session.h"
 
+#include <algorithm>
+
 namespace vanillashunt {
 
 namespace asio = boost::asio;
@@ -73,6 +75,16 @@
     return count;
 }
 
+std::size_t pipeline_server::connections() const
+{
+    return m_state->sessions.size();
+}
+
+std::size_t pipeline_server::fullConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const pipeline_session* session) { return session->isFull(); }));
+}
+
 const pipeline_server_counts& pipeline_server::counts() const
 {
     return m_state->counts;
--- a/Source/caller/pipeline_server.h
+++ b/Source/caller/pipeline_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/connection_loss.h"
 #include "http/http_server.h"
 #include "routes/route_configuration.h"
 
@@ -18,6 +19,10 @@
     std::function<client_limits()> limits;
     // Handles each complete request; its fields include Host. The exchange is answered once.
     http_handler request;
+    // Reports that a connection has reached the maximum number of unanswered requests. Optional.
+    std::function<void(std::size_t unanswered)> connectionFull;
+    // Optional.
+    std::function<void(const connection_loss&)> connectionLost;
 };
 
 // Connections accepted, and requests that the server rejected itself, since its start.
@@ -26,6 +31,10 @@
     std::uint64_t malformed = 0;
     std::uint64_t tooLarge = 0;
     std::uint64_t tooSlow = 0;
+    // Times that a connection became full.
+    std::uint64_t filled = 0;
+    // Requests that were unanswered when their connection ended.
+    std::uint64_t abandonedRequests = 0;
 };
 
 // Serves HTTP/1.1 with pipelining: the requests of one connection are processed concurrently and
@@ -51,6 +60,12 @@
     // Number of requests that are being processed or whose answers are being sent.
     std::size_t inProgress() const;
 
+    // Number of open connections.
+    std::size_t connections() const;
+
+    // Number of connections on which no further request is accepted before one is answered.
+    std::size_t fullConnections() const;
+
     const pipeline_server_counts& counts() const;
 
     struct state;
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -96,6 +96,9 @@
 pipeline_session::~pipeline_session()
 {
     m_server->sessions.erase(this);
+    if (!m_closed) {
+        reportLoss(connection_loss_cause::SessionDestroyed);
+    }
 }
 
 void pipeline_session::start()
@@ -141,13 +144,18 @@
         reject(statusRequestTimeout, "the request did not arrive in time");
         return;
     }
-    clientGone();
+    clientGone(connection_loss_cause::AnswerNotRead);
+}
+
+bool pipeline_session::isFull() const
+{
+    return m_exchanges.size() >= maxExchanges;
 }
 
 void pipeline_session::read()
 {
-    bool isFull = m_exchanges.size() >= maxExchanges || (!canAcceptRequest() && m_stream.received().size() >= maxReadAheadBytes);
-    if (m_reading || m_closed || isFull) {
+    bool isPaused = isFull() || (!canAcceptRequest() && m_stream.received().size() >= maxReadAheadBytes);
+    if (m_reading || m_closed || isPaused) {
         return;
     }
     m_reading = true;
@@ -163,7 +171,7 @@
         return;
     }
     if (error) {
-        clientGone();
+        clientGone(connection_loss_cause::ClientClosed);
         return;
     }
     parse();
@@ -175,7 +183,7 @@
 // on another node.
 bool pipeline_session::canAcceptRequest() const
 {
-    if (m_closed || m_closing || m_exchanges.size() >= maxExchanges) {
+    if (m_closed || m_closing || isFull()) {
         return false;
     }
     return !m_server->closingAfterAnswers || m_exchanges.empty();
@@ -250,6 +258,12 @@
     m_closing = m_closing || next->closes;
     m_exchanges.push_back(next);
     enter(stage::Answering);
+    if (isFull()) {
+        ++m_server->counts.filled;
+        if (m_server->hooks.connectionFull) {
+            m_server->hooks.connectionFull(m_exchanges.size());
+        }
+    }
     m_server->hooks.request(std::move(request), next);
 }
 
@@ -337,7 +351,7 @@
         return;
     }
     if (error) {
-        clientGone();
+        clientGone(connection_loss_cause::WriteFailed);
         return;
     }
     flush();
@@ -374,8 +388,9 @@
     read();
 }
 
-void pipeline_session::clientGone()
+void pipeline_session::clientGone(connection_loss_cause cause)
 {
+    reportLoss(cause);
     close();
     auto exchanges = std::exchange(m_exchanges, {});
     for (const auto& pending : exchanges) {
@@ -385,6 +400,19 @@
     }
 }
 
+void pipeline_session::reportLoss(connection_loss_cause cause)
+{
+    auto isUnanswered = [](const std::shared_ptr<exchange>& pending) { return !pending->answered; };
+    auto unanswered = static_cast<std::size_t>(std::count_if(m_exchanges.begin(), m_exchanges.end(), isUnanswered));
+    if (unanswered == 0) {
+        return;
+    }
+    m_server->counts.abandonedRequests += unanswered;
+    if (m_server->hooks.connectionLost) {
+        m_server->hooks.connectionLost({ cause, unanswered, m_stream.received().size() });
+    }
+}
+
 void pipeline_session::closeIfIdle()
 {
     error_code error;
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -42,6 +42,8 @@
     void closeIfIdle();
     // Sends the available answers, in the order of their requests.
     void flush();
+    // Whether no further request is accepted before one is answered.
+    bool isFull() const;
     std::size_t inProgress() const { return m_exchanges.size() + (m_writing ? 1 : 0); }
 
 private:
@@ -71,7 +73,8 @@
     std::string formatAnswer(const exchange&, bool closes) const;
     void written(const boost::system::error_code&);
     void closeGracefully();
-    void clientGone();
+    void clientGone(connection_loss_cause);
+    void reportLoss(connection_loss_cause);
     void close();
     void enter(stage);
     void enterNextStage();
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -45,9 +45,11 @@
 inline constexpr event serverLoad { 205, severity::Info, "load of the own backend server" };
 inline constexpr event attemptRepeated { 206, severity::Info, "request sent to another target" };
 inline constexpr event ticketHandedOver { 207, severity::Info, "a request's ticket was handed over to another home" };
+inline constexpr event clientConnectionFull { 208, severity::Info, "client connection is full" };
+inline constexpr event clientConnectionLost { 209, severity::Warning, "client connection ended with requests unanswered" };
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, clientConnectionFull, clientConnectionLost, logLinesLeftOut };
 
 }
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -36,6 +36,11 @@
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
     calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
     calls["server"]["foreign_answers"] = Json::UInt64(parts.calls.serverCounts().foreignAnswers);
+    auto& clients = calls["clients"];
+    clients["connections"] = Json::UInt64(parts.clients.connections());
+    clients["full"] = Json::UInt64(parts.clients.fullConnections());
+    clients["filled"] = Json::UInt64(parts.clients.counts().filled);
+    clients["abandoned_requests"] = Json::UInt64(parts.clients.counts().abandonedRequests);
     return calls;
 }
 
@@ -65,6 +70,10 @@
     gauges.damagedAnswers = parts.calls.peerCounts().damagedAnswers;
     gauges.connectsFailed = parts.calls.peerCounts().connectsFailed;
     gauges.damagedFrames = parts.peers.damagedFrames();
+    gauges.clientConnections = parts.clients.connections();
+    gauges.fullClientConnections = parts.clients.fullConnections();
+    gauges.clientConnectionsFilled = parts.clients.counts().filled;
+    gauges.abandonedRequests = parts.clients.counts().abandonedRequests;
     gauges.refusedReports = parts.server.refused();
     gauges.poisonContents = parts.poison.poisonCount();
     gauges.serverSlowdown = parts.calls.target().pace().slowdown(std::chrono::steady_clock::now());
--- a/Source/node/routed_dump.h
+++ b/Source/node/routed_dump.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/pipeline_server.h"
 #include "node/replicated_poison_ledger.h"
 #include "node/route_watch.h"
 #include "node/routed_calls.h"
@@ -20,6 +21,7 @@
     const replicated_poison_ledger& poison;
     const quota_exchange& quotas;
     const peer_server& peers;
+    const pipeline_server& clients;
     std::uint64_t storeReturns = 0;
     std::size_t members = 0;
     bool draining = false;
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/pipeline_server.h"
 #include "events/event_catalogue.h"
+#include "node/client_connection_log.h"
 #include "node/membership_service.h"
 #include "node/quota_service.h"
 #include "node/replicated_poison_ledger.h"
@@ -120,6 +121,7 @@
         route_watch m_routes;
         replicated_poison_ledger m_poison;
         std::unique_ptr<quota_service> m_quotas;
+        client_connection_log m_connectionLog;
         std::unique_ptr<pipeline_server> m_clientServer;
         std::unique_ptr<http_server> m_reportServer;
         std::unique_ptr<http_server> m_readinessServer;
@@ -276,6 +278,8 @@
             return limits;
         };
         hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { m_calls.requestArrived(std::move(request), exchange); };
+        hooks.connectionFull = [this](std::size_t unanswered) { m_connectionLog.full(unanswered, std::chrono::steady_clock::now()); };
+        hooks.connectionLost = [this](const connection_loss& loss) { m_connectionLog.lost(loss, std::chrono::steady_clock::now()); };
         return hooks;
     }
 
@@ -505,7 +509,7 @@
 
     routed_parts routed_process::parts() const
     {
-        return { m_calls, m_serverReports, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, m_store.returns(), m_members->size(), m_stop.draining(), m_unreadableLoads, m_unreadableNotices };
+        return { m_calls, m_serverReports, m_routes, m_poison, m_quotas->exchange(), *m_peerServer, *m_clientServer, m_store.returns(), m_members->size(), m_stop.draining(), m_unreadableLoads, m_unreadableNotices };
     }
 
     void routed_process::collectState(state_receiver receiver)
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -118,6 +118,10 @@
     gauge& ledgerEntries = oneGauge("vanillashunt_ledger_entries", "Tickets that the home remembers.");
     gauge& inboundCalls = oneGauge("vanillashunt_inbound_calls", "Calls to the own backend server that are in progress.");
     gauge& outboundCalls = oneGauge("vanillashunt_outbound_calls", "Calls of callers and of the own backend server that are in progress.");
+    gauge& clientConnections = oneGauge("vanillashunt_client_connections", "Open connections of clients.");
+    gauge& fullClientConnections = oneGauge("vanillashunt_client_connections_full", "Connections of clients on which no further request is accepted until one is answered.");
+    counter& clientConnectionsFilled = oneCounter("vanillashunt_client_connections_filled_total", "Times that a connection of a client became full.");
+    counter& abandonedRequests = oneCounter("vanillashunt_client_requests_abandoned_total", "Requests that were unanswered when the connection of their client ended.");
     gauge& draining = oneGauge("vanillashunt_draining", "1 while the node takes no new work, else 0.");
     gauge& contractRevision = oneGauge("vanillashunt_contract_revision", "Store revision of the newest contract in force here.");
     gauge& members = oneGauge("vanillashunt_members", "Members that this node knows.");
@@ -203,6 +207,10 @@
     all.ledgerEntries.Set(static_cast<double>(gauges.ledgerEntries));
     all.inboundCalls.Set(static_cast<double>(gauges.inboundCalls));
     all.outboundCalls.Set(static_cast<double>(gauges.outboundCalls));
+    all.clientConnections.Set(static_cast<double>(gauges.clientConnections));
+    all.fullClientConnections.Set(static_cast<double>(gauges.fullClientConnections));
+    raiseTo(all.clientConnectionsFilled, gauges.clientConnectionsFilled);
+    raiseTo(all.abandonedRequests, gauges.abandonedRequests);
     all.draining.Set(gauges.draining ? 1 : 0);
     all.contractRevision.Set(static_cast<double>(gauges.contractRevision));
     all.members.Set(static_cast<double>(gauges.members));
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -21,6 +21,9 @@
     std::uint64_t ledgerEntries = 0;
     std::uint64_t inboundCalls = 0;
     std::uint64_t outboundCalls = 0;
+    std::uint64_t clientConnections = 0;
+    // Client connections on which no further request is accepted before one is answered.
+    std::uint64_t fullClientConnections = 0;
     bool draining = false;
     std::int64_t contractRevision = 0;
     std::uint64_t members = 0;
@@ -37,6 +40,10 @@
     std::uint64_t damagedAnswers = 0;
     std::uint64_t damagedFrames = 0;
     std::uint64_t connectsFailed = 0;
+    // Client connections that became full.
+    std::uint64_t clientConnectionsFilled = 0;
+    // Requests that were unanswered when the connection of their client ended.
+    std::uint64_t abandonedRequests = 0;
     std::uint64_t refusedReports = 0;
     std::uint64_t contradictedLoads = 0;
     std::uint64_t unreadableLoads = 0;
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -24,6 +24,8 @@
             pipeline_server_hooks hooks;
             hooks.limits = [this] { return limits; };
             hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { addRequest(std::move(request), exchange); };
+            hooks.connectionFull = [this](std::size_t) { add([this] { ++m_timesFull; }); };
+            hooks.connectionLost = [this](const connection_loss& loss) { add([&] { m_losses.push_back(loss); }); };
             m_server = std::make_unique<pipeline_server>(m_loop.context, "127.0.0.1:0", hooks);
         }
 
@@ -60,6 +62,20 @@
             m_changed.wait(lock, [&] { return m_clientsGone >= count; });
         }
 
+        connection_loss waitForLoss()
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_changed.wait(lock, [&] { return !m_losses.empty(); });
+            return m_losses.front();
+        }
+
+        pipeline_server_counts counts()
+        {
+            pipeline_server_counts result;
+            onLoop([&] { result = m_server->counts(); });
+            return result;
+        }
+
         void enforceTimeouts(std::chrono::milliseconds elapsed)
         {
             onLoop([this, elapsed] { m_server->enforceTimeouts(std::chrono::steady_clock::now() + elapsed); });
@@ -75,13 +91,15 @@
     private:
         void addRequest(http_request request, const std::shared_ptr<http_exchange>& exchange)
         {
-            exchange->setDisconnectHandler([this] {
-                std::lock_guard<std::mutex> lock(m_mutex);
-                ++m_clientsGone;
-                m_changed.notify_all();
-            });
+            exchange->setDisconnectHandler([this] { add([this] { ++m_clientsGone; }); });
+            add([&] { m_arrived.push_back({ std::move(request), exchange }); });
+        }
+
+        // Changes what the test waits for.
+        void add(const std::function<void()>& change)
+        {
             std::lock_guard<std::mutex> lock(m_mutex);
-            m_arrived.push_back({ std::move(request), exchange });
+            change();
             m_changed.notify_all();
         }
 
@@ -91,6 +109,8 @@
         std::condition_variable m_changed;
         std::vector<arrived_request> m_arrived;
         std::size_t m_clientsGone = 0;
+        std::size_t m_timesFull = 0;
+        std::vector<connection_loss> m_losses;
         context_thread m_loop;
         std::unique_ptr<pipeline_server> m_server;
     };
@@ -193,6 +213,22 @@
     server.waitForClientGone(2);
 }
 
+// Guards against connections that end with requests unanswered and leave no trace for the operator.
+TEST(PipelinedClients, AreReportedWhenTheyLeaveWithRequestsUnanswered)
+{
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0") + get("/1") + get("/2"));
+    server.answer(0, "first");
+    client.readUntil("first");
+    server.request(2);
+    client.close();
+    auto loss = server.waitForLoss();
+    EXPECT_EQ(loss.cause, connection_loss_cause::ClientClosed);
+    EXPECT_EQ(loss.unanswered, 2U);
+    EXPECT_EQ(server.counts().abandonedRequests, 2U);
+}
+
 TEST(PipelinedClients, AreDisconnectedAfterTheirLastAnswer)
 {
     server_harness server;
