Let the server of pipelined clients own its connections

Cause: a session was kept alive by the handlers of its outstanding read and write alone. With 32 requests unanswered it starts no read, and before the first answer it writes nothing, so that the end of the last read's handler destroyed it and closed its socket. The exchanges hold the session by weak pointers; their answers went nowhere, and their disconnect handlers were not called. The other state in which nothing is read (65,536 bytes read ahead while the node stops) ended alike.

The server owns each session from its start until it is closed, and closes those that are left when it is destroyed. Whether a read or a write is outstanding no longer decides on a connection's life, in either state and in any later one. The cause session_destroyed cannot occur any more; a connection that the end of the node's process closes is reported as node_ended.

--- a/Source/caller/connection_loss.cpp
+++ b/Source/caller/connection_loss.cpp
@@ -11,10 +11,10 @@
         return "write_failed";
     case connection_loss_cause::AnswerNotRead:
         return "answer_not_read";
-    case connection_loss_cause::SessionDestroyed:
+    case connection_loss_cause::NodeEnded:
         break;
     }
-    return "session_destroyed";
+    return "node_ended";
 }
 
 }
--- a/Source/caller/connection_loss.h
+++ b/Source/caller/connection_loss.h
@@ -8,7 +8,7 @@
     ClientClosed, // The client closed or reset the connection.
     WriteFailed, // An answer could not be sent.
     AnswerNotRead, // The client did not read an answer within the time limit.
-    SessionDestroyed, // The node gave up the connection although the client was there.
+    NodeEnded, // The node's process ends.
 };
 
 // The end of a client connection that had unanswered requests.
--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -10,16 +10,10 @@
 
 namespace {
 
-    // Closing one session may close others, so all are kept alive during the iteration.
+    // A session that is closed leaves the server's set, which therefore is copied for an iteration.
     std::vector<std::shared_ptr<pipeline_session>> sessionsOf(const pipeline_server::state& server)
     {
-        std::vector<std::shared_ptr<pipeline_session>> result;
-        for (auto* candidate : server.sessions) {
-            if (auto session = candidate->weak_from_this().lock()) {
-                result.push_back(std::move(session));
-            }
-        }
-        return result;
+        return { server.sessions.begin(), server.sessions.end() };
     }
 
 }
@@ -38,6 +32,9 @@
 pipeline_server::~pipeline_server()
 {
     stopAccepting();
+    for (const auto& session : sessionsOf(*m_state)) {
+        session->abandon();
+    }
 }
 
 std::string pipeline_server::address() const
@@ -69,7 +66,7 @@
 std::size_t pipeline_server::inProgress() const
 {
     std::size_t count = 0;
-    for (const auto* session : m_state->sessions) {
+    for (const auto& session : m_state->sessions) {
         count += session->inProgress();
     }
     return count;
@@ -82,7 +79,7 @@
 
 std::size_t pipeline_server::fullConnections() const
 {
-    return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const pipeline_session* session) { return session->isFull(); }));
+    return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const auto& session) { return session->isFull(); }));
 }
 
 const pipeline_server_counts& pipeline_server::counts() const
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -89,20 +89,12 @@
     : m_stream(std::move(socket))
     , m_server(std::move(server))
 {
-    m_server->sessions.insert(this);
-    ++m_server->counts.connections;
-}
-
-pipeline_session::~pipeline_session()
-{
-    m_server->sessions.erase(this);
-    if (!m_closed) {
-        reportLoss(connection_loss_cause::SessionDestroyed);
-    }
 }
 
 void pipeline_session::start()
 {
+    m_server->sessions.insert(shared_from_this());
+    ++m_server->counts.connections;
     enter(stage::Idle);
     read();
 }
@@ -135,6 +127,9 @@
 
 void pipeline_session::enforceTimeouts(time_point now)
 {
+    if (m_closed) {
+        return;
+    }
     auto limit = timeLimit(m_stage);
     if (limit == std::chrono::milliseconds::max() || now - m_stageEntered < limit) {
         return;
@@ -422,11 +417,19 @@
     }
 }
 
+void pipeline_session::abandon()
+{
+    reportLoss(connection_loss_cause::NodeEnded);
+    close();
+}
+
+// The caller keeps the session alive: the server gives it up.
 void pipeline_session::close()
 {
     m_closed = true;
     error_code ignored;
     m_stream.socket().close(ignored);
+    m_server->sessions.erase(shared_from_this());
 }
 
 }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -24,7 +24,9 @@
 
     std::unique_ptr<connection_acceptor> acceptor;
     pipeline_server_hooks hooks;
-    std::unordered_set<pipeline_session*> sessions;
+    // The open connections. They are owned here, since a connection may have neither a read nor a write
+    // outstanding while its requests are processed.
+    std::unordered_set<std::shared_ptr<pipeline_session>> sessions;
     pipeline_server_counts counts;
     bool closingAfterAnswers = false;
 };
@@ -35,11 +37,12 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     pipeline_session(boost::asio::ip::tcp::socket, std::shared_ptr<pipeline_server::state>);
-    ~pipeline_session();
 
     void start();
     void enforceTimeouts(time_point now);
     void closeIfIdle();
+    // Closes the connection without a further answer. The handlers of its requests are not called.
+    void abandon();
     // Sends the available answers, in the order of their requests.
     void flush();
     // Whether no further request is accepted before one is answered.
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -62,6 +62,20 @@
             m_changed.wait(lock, [&] { return m_clientsGone >= count; });
         }
 
+        // Waits until a connection has become full this many times.
+        void waitUntilFull(std::size_t times = 1)
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_changed.wait(lock, [&] { return m_timesFull >= times; });
+        }
+
+        std::size_t fullConnections()
+        {
+            std::size_t result = 0;
+            onLoop([&] { result = m_server->fullConnections(); });
+            return result;
+        }
+
         connection_loss waitForLoss()
         {
             std::unique_lock<std::mutex> lock(m_mutex);
@@ -120,6 +134,71 @@
         return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
     }
 
+    std::string post(const std::string& path, const std::string& body)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    // As many requests, "/0" and so on.
+    std::string gets(std::size_t count)
+    {
+        std::string requests;
+        for (std::size_t number = 0; number < count; ++number) {
+            requests += get("/" + std::to_string(number));
+        }
+        return requests;
+    }
+
+    // Requests and answers of one connection, in random sizes.
+    struct exchange_plan {
+        explicit exchange_plan(std::uint32_t seed)
+            : random(seed)
+        {
+            constexpr std::size_t maxRequests = 300;
+            constexpr std::size_t maxBodyBytes = 60000;
+            auto count = 1 + random() % maxRequests;
+            for (std::size_t number = 0; number < count; ++number) {
+                bool hasLargeBody = random() % 16 == 0;
+                requests += post("/" + std::to_string(number), std::string(random() % (hasLargeBody ? maxBodyBytes : 8), 'q'));
+                bool hasLargeAnswer = random() % 16 == 0;
+                answers.push_back(std::string(random() % (hasLargeAnswer ? maxBodyBytes : 8), 'a') + " end " + std::to_string(number) + "\n");
+            }
+        }
+
+        // Sends the requests in pieces.
+        void send(raw_socket& client)
+        {
+            constexpr std::size_t maxPieceBytes = 30000;
+            for (std::size_t sent = 0; sent < requests.size();) {
+                auto piece = requests.substr(sent, 1 + random() % maxPieceBytes);
+                client.send(piece);
+                sent += piece.size();
+            }
+        }
+
+        std::mt19937 random;
+        std::string requests;
+        std::vector<std::string> answers;
+    };
+
+    // Answers all requests, in random order.
+    void answerAll(server_harness& server, const std::vector<std::string>& answers, std::mt19937& random)
+    {
+        std::vector<std::size_t> unanswered;
+        std::size_t arrived = 0;
+        for (std::size_t answered = 0; answered < answers.size(); ++answered) {
+            if (unanswered.empty()) {
+                server.request(arrived);
+            }
+            for (; arrived < server.requestCount(); ++arrived) {
+                unanswered.push_back(arrived);
+            }
+            std::swap(unanswered[random() % unanswered.size()], unanswered.back());
+            server.answer(unanswered.back(), answers[unanswered.back()]);
+            unanswered.pop_back();
+        }
+    }
+
 }
 
 TEST(PipelinedClients, AreAnsweredInTheOrderOfTheirRequests)
@@ -135,6 +214,51 @@
     EXPECT_NE(client.readUntil("third").find("X-Number: 2"), std::string::npos);
 }
 
+// Guards against connections that are reset, while their requests run, as soon as no further request is
+// accepted and nothing is left to send.
+TEST(PipelinedClients, AreAnsweredWhenTheySendMoreThanAConnectionTakes)
+{
+    constexpr std::size_t count = 200;
+    constexpr std::size_t group = 8;
+    server_harness server;
+    auto client = server.connect();
+    client.send(gets(count));
+    server.waitUntilFull();
+    ASSERT_EQ(server.fullConnections(), 1U);
+    EXPECT_EQ(server.requestCount(), 32U);
+    for (std::size_t first = 0; first < count; first += group) {
+        for (std::size_t number = first + group; number-- > first;) {
+            server.answer(number, "end " + std::to_string(number) + "\n");
+        }
+    }
+    for (std::size_t number = 0; number < count; ++number) {
+        auto text = std::to_string(number);
+        ASSERT_NE(client.readUntil("end " + text + "\n").find("X-Number: " + text + "\r\n"), std::string::npos);
+    }
+    EXPECT_EQ(server.counts().abandonedRequests, 0U);
+}
+
+// Guards against answers that are lost or swapped when many requests of mixed sizes are sent ahead.
+TEST(PipelinedClients, AreAnsweredInOrderAtAnyDepthAndSize)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        server_harness server;
+        auto client = server.connect();
+        exchange_plan plan(seed);
+        std::mt19937 random(seed);
+        std::thread sender([&] { plan.send(client); });
+        std::thread answerer([&] { answerAll(server, plan.answers, random); });
+        std::size_t number = 0;
+        for (const auto& answer : plan.answers) {
+            auto head = client.readUntil("\r\n\r\n");
+            EXPECT_NE(head.find("X-Number: " + std::to_string(number++) + "\r\n"), std::string::npos) << "seed " << seed;
+            EXPECT_EQ(client.readBytes(answer.size()), answer) << "seed " << seed;
+        }
+        sender.join();
+        answerer.join();
+    }
+}
+
 TEST(PipelinedClients, MaySendBodiesInChunksAndInPieces)
 {
     server_harness server;
