Notice a client that leaves a connection from which nothing is read

Callers saw nothing of it; servers did: the requests of a client that had left a full connection went on until the first of them was answered, up to 32 of them.

Two states stop the reader: 32 unanswered requests, and 65,536 bytes read ahead while the node stops. In both, the check of the time limits (each 250 ms) now asks the socket whether the peer has closed it, which poll(2) tells without reading (POLLRDHUP). Reading on instead would hold what the client sends ahead in memory; the socket is to hold it, so that the client is slowed down.

A close that does not fit into the receive buffer behind the unread requests cannot be noticed without reading; it is noticed when the first answer is sent, as the write is answered by a reset.

The gauge vanillashunt_client_connections_paused counts both states.

--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -77,9 +77,9 @@
     return m_state->sessions.size();
 }
 
-std::size_t pipeline_server::fullConnections() const
+std::size_t pipeline_server::pausedConnections() const
 {
-    return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const auto& session) { return session->isFull(); }));
+    return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const auto& session) { return session->isPaused(); }));
 }
 
 const pipeline_server_counts& pipeline_server::counts() const
--- a/Source/caller/pipeline_server.h
+++ b/Source/caller/pipeline_server.h
@@ -48,7 +48,8 @@
     // The address that it listens on: "IP:port".
     std::string address() const;
 
-    // Closes connections whose client exceeds a time limit; must be called several times a second.
+    // Closes connections whose client exceeds a time limit, or has left while nothing was read from its
+    // connection; must be called several times a second.
     void enforceTimeouts(std::chrono::steady_clock::time_point now);
 
     // Closes each connection after its last pending answer, so that clients connect to other nodes.
@@ -63,8 +64,8 @@
     // Number of open connections.
     std::size_t connections() const;
 
-    // Number of connections on which no further request is accepted before one is answered.
-    std::size_t fullConnections() const;
+    // Number of connections from which nothing is read before an answer has been sent.
+    std::size_t pausedConnections() const;
 
     const pipeline_server_counts& counts() const;
 
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -1,5 +1,7 @@
 #include "caller/pipeline_session.h"
 
+#include "http/peer_close.h"
+
 #include <algorithm>
 
 namespace vanillashunt {
@@ -130,6 +132,11 @@
     if (m_closed) {
         return;
     }
+    // Without an outstanding read nothing else reports that the client has left.
+    if (!m_reading && isClosedByPeer(m_stream.socket())) {
+        clientGone(connection_loss_cause::ClientClosed);
+        return;
+    }
     auto limit = timeLimit(m_stage);
     if (limit == std::chrono::milliseconds::max() || now - m_stageEntered < limit) {
         return;
@@ -142,15 +149,20 @@
     clientGone(connection_loss_cause::AnswerNotRead);
 }
 
+// Whether no further request is accepted before one is answered.
 bool pipeline_session::isFull() const
 {
     return m_exchanges.size() >= maxExchanges;
 }
 
+bool pipeline_session::isPaused() const
+{
+    return isFull() || (!canAcceptRequest() && m_stream.bytes().size() >= maxReadAheadBytes);
+}
+
 void pipeline_session::read()
 {
-    bool isPaused = isFull() || (!canAcceptRequest() && m_stream.received().size() >= maxReadAheadBytes);
-    if (m_reading || m_closed || isPaused) {
+    if (m_reading || m_closed || isPaused()) {
         return;
     }
     m_reading = true;
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -45,8 +45,8 @@
     void abandon();
     // Sends the available answers, in the order of their requests.
     void flush();
-    // Whether no further request is accepted before one is answered.
-    bool isFull() const;
+    // Whether nothing is read before an answer has been sent.
+    bool isPaused() const;
     std::size_t inProgress() const { return m_exchanges.size() + (m_writing ? 1 : 0); }
 
 private:
@@ -65,6 +65,7 @@
 
     void read();
     void bytesArrived(const boost::system::error_code&);
+    bool isFull() const;
     bool canAcceptRequest() const;
     void parse();
     bool parseOne();
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -38,7 +38,7 @@
     calls["server"]["foreign_answers"] = Json::UInt64(parts.calls.serverCounts().foreignAnswers);
     auto& clients = calls["clients"];
     clients["connections"] = Json::UInt64(parts.clients.connections());
-    clients["full"] = Json::UInt64(parts.clients.fullConnections());
+    clients["paused"] = Json::UInt64(parts.clients.pausedConnections());
     clients["filled"] = Json::UInt64(parts.clients.counts().filled);
     clients["abandoned_requests"] = Json::UInt64(parts.clients.counts().abandonedRequests);
     return calls;
@@ -71,7 +71,7 @@
     gauges.connectsFailed = parts.calls.peerCounts().connectsFailed;
     gauges.damagedFrames = parts.peers.damagedFrames();
     gauges.clientConnections = parts.clients.connections();
-    gauges.fullClientConnections = parts.clients.fullConnections();
+    gauges.pausedClientConnections = parts.clients.pausedConnections();
     gauges.clientConnectionsFilled = parts.clients.counts().filled;
     gauges.abandonedRequests = parts.clients.counts().abandonedRequests;
     gauges.refusedReports = parts.server.refused();
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -119,7 +119,7 @@
     gauge& inboundCalls = oneGauge("vanillashunt_inbound_calls", "Calls to the own backend server that are in progress.");
     gauge& outboundCalls = oneGauge("vanillashunt_outbound_calls", "Calls of callers and of the own backend server that are in progress.");
     gauge& clientConnections = oneGauge("vanillashunt_client_connections", "Open connections of clients.");
-    gauge& fullClientConnections = oneGauge("vanillashunt_client_connections_full", "Connections of clients on which no further request is accepted until one is answered.");
+    gauge& pausedClientConnections = oneGauge("vanillashunt_client_connections_paused", "Connections of clients from which nothing is read until an answer is sent.");
     counter& clientConnectionsFilled = oneCounter("vanillashunt_client_connections_filled_total", "Times that a connection of a client became full.");
     counter& abandonedRequests = oneCounter("vanillashunt_client_requests_abandoned_total", "Requests that were unanswered when the connection of their client ended.");
     gauge& draining = oneGauge("vanillashunt_draining", "1 while the node takes no new work, else 0.");
@@ -208,7 +208,7 @@
     all.inboundCalls.Set(static_cast<double>(gauges.inboundCalls));
     all.outboundCalls.Set(static_cast<double>(gauges.outboundCalls));
     all.clientConnections.Set(static_cast<double>(gauges.clientConnections));
-    all.fullClientConnections.Set(static_cast<double>(gauges.fullClientConnections));
+    all.pausedClientConnections.Set(static_cast<double>(gauges.pausedClientConnections));
     raiseTo(all.clientConnectionsFilled, gauges.clientConnectionsFilled);
     raiseTo(all.abandonedRequests, gauges.abandonedRequests);
     all.draining.Set(gauges.draining ? 1 : 0);
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -22,8 +22,8 @@
     std::uint64_t inboundCalls = 0;
     std::uint64_t outboundCalls = 0;
     std::uint64_t clientConnections = 0;
-    // Client connections on which no further request is accepted before one is answered.
-    std::uint64_t fullClientConnections = 0;
+    // Client connections from which nothing is read before an answer has been sent.
+    std::uint64_t pausedClientConnections = 0;
     bool draining = false;
     std::int64_t contractRevision = 0;
     std::uint64_t members = 0;
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -58,8 +58,13 @@
 
         void waitForClientGone(std::size_t count)
         {
+            constexpr std::chrono::milliseconds checkPeriod { 5 };
             std::unique_lock<std::mutex> lock(m_mutex);
-            m_changed.wait(lock, [&] { return m_clientsGone >= count; });
+            while (!m_changed.wait_for(lock, checkPeriod, [&] { return m_clientsGone >= count; })) {
+                lock.unlock();
+                enforceTimeouts({});
+                lock.lock();
+            }
         }
 
         // Waits until a connection has become full this many times.
@@ -69,13 +74,21 @@
             m_changed.wait(lock, [&] { return m_timesFull >= times; });
         }
 
-        std::size_t fullConnections()
+        std::size_t pausedConnections()
         {
             std::size_t result = 0;
-            onLoop([&] { result = m_server->fullConnections(); });
+            onLoop([&] { result = m_server->pausedConnections(); });
             return result;
         }
 
+        // Waits until nothing is read from a connection.
+        void waitUntilPaused()
+        {
+            while (pausedConnections() == 0) {
+                std::this_thread::yield();
+            }
+        }
+
         connection_loss waitForLoss()
         {
             std::unique_lock<std::mutex> lock(m_mutex);
@@ -224,7 +237,7 @@
     auto client = server.connect();
     client.send(gets(count));
     server.waitUntilFull();
-    ASSERT_EQ(server.fullConnections(), 1U);
+    ASSERT_EQ(server.pausedConnections(), 1U);
     EXPECT_EQ(server.requestCount(), 32U);
     for (std::size_t first = 0; first < count; first += group) {
         for (std::size_t number = first + group; number-- > first;) {
@@ -337,6 +350,40 @@
     server.waitForClientGone(2);
 }
 
+// Guards against requests that go on for a client that has left a full connection, from which nothing is
+// read.
+TEST(PipelinedClients, CancelAllRequestsByLeavingAFullConnection)
+{
+    for (bool isReset : { false, true }) {
+        server_harness server;
+        auto client = server.connect();
+        client.send(gets(40));
+        server.waitUntilFull();
+        isReset ? client.reset() : client.close();
+        server.waitForClientGone(32);
+        EXPECT_EQ(server.waitForLoss().cause, connection_loss_cause::ClientClosed);
+        EXPECT_EQ(server.requestCount(), 32U);
+    }
+}
+
+// Guards against requests that go on for a client that has left a connection from which nothing is read,
+// since the node stops and enough has been read ahead.
+TEST(PipelinedClients, CancelTheirRequestByLeavingDuringAStop)
+{
+    // More than is read ahead, and less than fits into the receive buffer behind that.
+    constexpr std::size_t bytesSentAhead = 120000;
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.request(0);
+    server.closeAfterAnswers();
+    client.send(post("/1", std::string(bytesSentAhead, 'q')));
+    server.waitUntilPaused();
+    client.close();
+    server.waitForClientGone(1);
+    EXPECT_EQ(server.requestCount(), 1U);
+}
+
 // Guards against connections that end with requests unanswered and leave no trace for the operator.
 TEST(PipelinedClients, AreReportedWhenTheyLeaveWithRequestsUnanswered)
 {
