Discard what a client still sends when a stop closes its connection

Callers saw: a client that sends many requests ahead while its node stops is blocked in its send, since the node reads nothing beyond 65,536 bytes, also after it has sent the last answer with "Connection: close" and has shut down its side. After 2 s the socket was closed with unread bytes, which resets the connection; a client that reads only after it has sent could lose the last answer.

The bytes read ahead are discarded when the connection is shut down, so that the reader, which stops because of them, starts again and discards the rest until the client closes.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -204,11 +204,16 @@
         }
     }
     if (m_closing) {
-        // Bytes after the last accepted request are discarded.
-        m_stream.received().consume(m_stream.received().size());
+        discardReceived();
     }
 }
 
+// Bytes after the last accepted request are not parsed.
+void pipeline_session::discardReceived()
+{
+    m_stream.received().consume(m_stream.received().size());
+}
+
 // Returns whether a complete request was parsed.
 bool pipeline_session::parseOne()
 {
@@ -385,13 +390,14 @@
     }
 }
 
-// Shuts down the sending side first. Closing the socket while it has unread bytes would reset the
-// connection, and the client could lose the last answer.
+// Shuts down the sending side first, and discards what the client still sends. Closing the socket while it
+// has unread bytes would reset the connection, and the client could lose the last answer.
 void pipeline_session::closeGracefully()
 {
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     enter(stage::Lingering);
+    discardReceived();
     read();
 }
 
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -76,6 +76,7 @@
     void answerWith(http_response, bool closes);
     std::string formatAnswer(const exchange&, bool closes) const;
     void written(const boost::system::error_code&);
+    void discardReceived();
     void closeGracefully();
     void clientGone(connection_loss_cause);
     void reportLoss(connection_loss_cause);
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -384,6 +384,26 @@
     EXPECT_EQ(server.requestCount(), 1U);
 }
 
+// Guards against a stop that blocks a client in the middle of what it sends, and resets its connection
+// before it has read its last answer.
+TEST(PipelinedClients, GetTheirLastAnswerDuringAStopWhileTheySend)
+{
+    // More than the server and both sockets hold.
+    constexpr std::size_t bytesSentAhead = 16 * 1024 * 1024;
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.request(0);
+    server.closeAfterAnswers();
+    std::thread sender([&client] { client.send(post("/1", std::string(bytesSentAhead, 'q'))); });
+    server.waitUntilPaused();
+    server.answer(0, "last");
+    sender.join();
+    EXPECT_NE(client.readUntil("last").find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.endsWithoutReset());
+    EXPECT_EQ(server.requestCount(), 1U);
+}
+
 // Guards against connections that end with requests unanswered and leave no trace for the operator.
 TEST(PipelinedClients, AreReportedWhenTheyLeaveWithRequestsUnanswered)
 {
--- a/Tests/RawSocket/raw_socket.h
+++ b/Tests/RawSocket/raw_socket.h
@@ -96,6 +96,14 @@
         return std::exchange(m_read, {});
     }
 
+    // Reads to the end; whether the peer closed the connection and did not reset it.
+    bool endsWithoutReset()
+    {
+        boost::system::error_code error;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(m_read), error);
+        return error == boost::asio::error::eof;
+    }
+
     void close() { m_socket.close(); }
 
     // Resets the connection (RST), as after a crash: reads at the other side fail.
