Reject a request that is too slow once, also behind an unanswered one

Callers saw: a client whose second request does not arrive within the header or idle time limit, while the first is being processed, got the answer to the first and then several 408 responses, each with "Connection: close", one for each check of the time limits (4 a second). Responses behind one that closes the connection belong to no request. The exchanges of the connection grew with each check.

Cause: reject() queued its answer behind the unanswered request and left the connection in the stage whose time limit had run out. It now enters the stage in which answers are awaited.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -300,6 +300,7 @@
     m_closing = true;
     auto rejected = std::make_shared<exchange>(shared_from_this(), false, false);
     m_exchanges.push_back(rejected);
+    enter(stage::Answering);
     rejected->respond({ status, { { "Content-Type", "text/plain" } }, reason + "\n" });
 }
 
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -340,6 +340,25 @@
     EXPECT_EQ(slow.readToEnd().substr(0, 12), "HTTP/1.1 408");
 }
 
+// Guards against answers that follow an answer with "Connection: close": a request that does not arrive in
+// time behind an unanswered one is rejected once, and not at each check.
+TEST(PipelinedClients, AreRejectedOnceForARequestThatIsTooSlow)
+{
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0") + "GET /1 HTTP/1.1\r\nHost:");
+    server.request(0);
+    for (int check = 0; check < 3; ++check) {
+        server.enforceTimeouts(server.limits.headerTimeout);
+    }
+    EXPECT_EQ(server.counts().tooSlow, 1U);
+    server.answer(0, "first");
+    EXPECT_EQ(client.readUntil("first").find("Connection: close"), std::string::npos);
+    auto rejection = client.readToEnd();
+    EXPECT_EQ(rejection.substr(0, 12), "HTTP/1.1 408");
+    EXPECT_EQ(rejection.rfind("HTTP/1.1"), 0U);
+}
+
 TEST(PipelinedClients, CancelAllRequestsByClosingTheConnection)
 {
     server_harness server;
