Limit the time for reading an answer also while further requests are in progress

Callers saw nothing; operators would have seen memory grow: a client that reads no answer, while another of its requests is unanswered or arrives, kept its connection, the answers and the requests for ever. The time limit for reading an answer belonged to a stage of the connection that any further request ended.

A write now has its own time limit (10 s as before), whatever else the connection waits for; the stage Sending is gone. Answers that are available together are sent together up to 65,536 bytes, so that each large one has the time limit to itself, and the copy that is being sent is bounded by that and one answer.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -29,7 +29,10 @@
     // buffer.
     constexpr std::size_t maxReadAheadBytes = 65536;
 
-    // How long a client may take to read an answer, and to close its side of the connection.
+    // Answers are sent together up to this size, so that each large one has the time limit to itself.
+    constexpr std::size_t maxBatchBytes = 65536;
+
+    // How long a client may take to read what is sent at once, and to close its side of the connection.
     constexpr std::chrono::milliseconds sendTimeout { 10000 };
     constexpr std::chrono::milliseconds lingerTimeout { 2000 };
 
@@ -119,8 +122,6 @@
         return limits.idleTimeout;
     case stage::Answering:
         return std::chrono::milliseconds::max();
-    case stage::Sending:
-        return sendTimeout;
     case stage::Lingering:
         break;
     }
@@ -137,6 +138,10 @@
         clientGone(connection_loss_cause::ClientClosed);
         return;
     }
+    if (m_writing && now - m_writeStarted >= sendTimeout) {
+        clientGone(connection_loss_cause::AnswerNotRead);
+        return;
+    }
     auto limit = timeLimit(m_stage);
     if (limit == std::chrono::milliseconds::max() || now - m_stageEntered < limit) {
         return;
@@ -333,7 +338,7 @@
     if (m_writing || m_closed) {
         return;
     }
-    while (!m_exchanges.empty() && m_exchanges.front()->answered) {
+    while (!m_exchanges.empty() && m_exchanges.front()->answered && m_outgoingBytes.size() < maxBatchBytes) {
         auto next = m_exchanges.front();
         m_exchanges.pop_front();
         bool closes = next->closes || (m_server->closingAfterAnswers && m_exchanges.empty());
@@ -344,8 +349,9 @@
         return;
     }
     m_writing = true;
+    m_writeStarted = std::chrono::steady_clock::now();
     if (m_exchanges.empty()) {
-        enter(stage::Sending);
+        enter(stage::Answering);
     }
     bool completed = m_stream.send(asio::buffer(m_outgoingBytes), [self = shared_from_this()](const error_code& error, std::size_t) {
         self->m_writing = false;
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -53,13 +53,12 @@
     class exchange;
     using parser = message_parser<true>;
 
-    // What the session waits for; each stage but Answering has a time limit.
+    // What the session waits for; each stage but Answering has a time limit. A write has its own.
     enum class stage {
         Idle, // The first byte of a request.
         Header, // The rest of a header.
         Body, // The rest of a body.
-        Answering, // Answers from the server; the client has no time limit.
-        Sending, // The client to read an answer.
+        Answering, // Answers from the server, and the client to read them.
         Lingering, // The client to close the connection after the last answer.
     };
 
@@ -92,6 +91,7 @@
     std::string m_outgoingBytes;
     stage m_stage = stage::Idle;
     time_point m_stageEntered;
+    time_point m_writeStarted;
     bool m_reading = false;
     bool m_writing = false;
     // Whether no further request is accepted on this connection.
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -423,6 +423,25 @@
     EXPECT_EQ(server.requestCount(), 1U);
 }
 
+// Guards against a connection, with its answers and its requests, that is kept for a client that reads no
+// answer and sends further requests.
+TEST(PipelinedClients, AreDisconnectedWhenTheyReadNoAnswer)
+{
+    // More than both sockets hold.
+    constexpr std::size_t answerBytes = 32 * 1024 * 1024;
+    constexpr std::chrono::seconds sendTimeout { 10 };
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0") + get("/1"));
+    server.request(1);
+    server.answer(0, std::string(answerBytes, 'a'));
+    client.send(get("/2"));
+    server.request(2);
+    server.enforceTimeouts(sendTimeout);
+    server.waitForClientGone(2);
+    EXPECT_EQ(server.waitForLoss().cause, connection_loss_cause::AnswerNotRead);
+}
+
 // Guards against connections that end with requests unanswered and leave no trace for the operator.
 TEST(PipelinedClients, AreReportedWhenTheyLeaveWithRequestsUnanswered)
 {
