Serve pipelined requests that are answered at once by a loop

Callers saw nothing yet. A request that was answered while it was handed over sent its answer, and parsed the next request, in a nested call: the depth of the stack grew with the number of requests in one read, and each level re-entered the handler of requests. Only the size of a read bounded it.

Accepting requests and sending answers is one loop now; what happens within it is picked up by it. Requests are accepted first, so that answers available at once leave in one write.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -66,7 +66,7 @@
         response = std::move(value);
         m_whenGone = nullptr;
         if (auto session = m_session.lock()) {
-            session->flush();
+            session->advance();
         }
     }
 
@@ -186,7 +186,19 @@
         clientGone(connection_loss_cause::ClientClosed);
         return;
     }
-    parse();
+    advance();
+}
+
+// Accepts requests and sends answers until either has to wait. A request that is answered while it is
+// handed over, and a write that completes at once, are continued by this loop and not by a nested call,
+// so that the stack does not grow with the number of requests.
+void pipeline_session::advance()
+{
+    if (std::exchange(m_advancing, true)) {
+        return;
+    }
+    while (acceptRequest() || sendAnswers()) { }
+    m_advancing = false;
     read();
 }
 
@@ -201,16 +213,14 @@
     return !m_server->closingAfterAnswers || m_exchanges.empty();
 }
 
-void pipeline_session::parse()
+// Returns whether a request was accepted or rejected.
+bool pipeline_session::acceptRequest()
 {
-    while (canAcceptRequest() && m_stream.received().size() > 0) {
-        if (!parseOne()) {
-            break;
-        }
-    }
     if (m_closing) {
         discardReceived();
+        return false;
     }
+    return canAcceptRequest() && m_stream.received().size() > 0 && parse();
 }
 
 // Bytes after the last accepted request are not parsed.
@@ -219,8 +229,8 @@
     m_stream.received().consume(m_stream.received().size());
 }
 
-// Returns whether a complete request was parsed.
-bool pipeline_session::parseOne()
+// Returns whether a request was completed or rejected.
+bool pipeline_session::parse()
 {
     if (!m_parser) {
         beginParser();
@@ -234,7 +244,7 @@
         }
         if (error) {
             rejectUnparsable(error);
-            return false;
+            return true;
         }
     }
     if (m_parser->is_done()) {
@@ -333,10 +343,11 @@
     return text;
 }
 
-void pipeline_session::flush()
+// Returns whether answers were sent, in the order of their requests, without waiting.
+bool pipeline_session::sendAnswers()
 {
     if (m_writing || m_closed) {
-        return;
+        return false;
     }
     while (!m_exchanges.empty() && m_exchanges.front()->answered && m_outgoingBytes.size() < maxBatchBytes) {
         auto next = m_exchanges.front();
@@ -346,7 +357,7 @@
         m_outgoingBytes += formatAnswer(*next, closes);
     }
     if (m_outgoingBytes.empty()) {
-        return;
+        return false;
     }
     m_writing = true;
     m_writeStarted = std::chrono::steady_clock::now();
@@ -354,17 +365,18 @@
         enter(stage::Answering);
     }
     bool completed = m_stream.send(asio::buffer(m_outgoingBytes), [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->m_writing = false;
         self->written(error);
+        self->advance();
     });
     if (completed) {
-        m_writing = false;
         written({});
     }
+    return completed;
 }
 
 void pipeline_session::written(const error_code& error)
 {
+    m_writing = false;
     m_outgoingBytes = {};
     if (m_closed) {
         return;
@@ -373,17 +385,11 @@
         clientGone(connection_loss_cause::WriteFailed);
         return;
     }
-    flush();
-    if (m_writing) {
-        return;
-    }
     if (m_closing && m_exchanges.empty()) {
         closeGracefully();
         return;
     }
     enterNextStage();
-    parse();
-    read();
 }
 
 void pipeline_session::enterNextStage()
@@ -405,7 +411,6 @@
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     enter(stage::Lingering);
     discardReceived();
-    read();
 }
 
 void pipeline_session::clientGone(connection_loss_cause cause)
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -43,8 +43,8 @@
     void closeIfIdle();
     // Closes the connection without a further answer. The handlers of its requests are not called.
     void abandon();
-    // Sends the available answers, in the order of their requests.
-    void flush();
+    // Continues after an answer has become available.
+    void advance();
     // Whether nothing is read before an answer has been sent.
     bool isPaused() const;
     std::size_t inProgress() const { return m_exchanges.size() + (m_writing ? 1 : 0); }
@@ -66,13 +66,13 @@
     void bytesArrived(const boost::system::error_code&);
     bool isFull() const;
     bool canAcceptRequest() const;
-    void parse();
-    bool parseOne();
+    bool acceptRequest();
+    bool parse();
     void beginParser();
     void requestComplete();
     void reject(unsigned status, const std::string& reason);
     void rejectUnparsable(const boost::system::error_code&);
-    void answerWith(http_response, bool closes);
+    bool sendAnswers();
     std::string formatAnswer(const exchange&, bool closes) const;
     void written(const boost::system::error_code&);
     void discardReceived();
@@ -94,6 +94,7 @@
     time_point m_writeStarted;
     bool m_reading = false;
     bool m_writing = false;
+    bool m_advancing = false;
     // Whether no further request is accepted on this connection.
     bool m_closing = false;
     bool m_closed = false;
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <condition_variable>
+#include <cstdint>
+#include <limits>
 #include <mutex>
 #include <random>
 
@@ -113,11 +115,33 @@
             onLoop([this] { m_server->closeAfterAnswers(); });
         }
 
+        // Answers each request within the handler from now on.
+        void answerAtOnce()
+        {
+            onLoop([this] { m_answersAtOnce = true; });
+        }
+
+        // The distance on the stack between the calls of the handler, in bytes.
+        std::size_t stackDepthOfHandlers()
+        {
+            std::size_t result = 0;
+            onLoop([&] { result = m_highestFrame - m_lowestFrame; });
+            return result;
+        }
+
         client_limits limits;
 
     private:
         void addRequest(http_request request, const std::shared_ptr<http_exchange>& exchange)
         {
+            char local = 0;
+            auto frame = reinterpret_cast<std::uintptr_t>(&local);
+            m_lowestFrame = std::min(m_lowestFrame, frame);
+            m_highestFrame = std::max(m_highestFrame, frame);
+            if (m_answersAtOnce) {
+                exchange->respond({ 200, {}, request.target + " end\n" });
+                return;
+            }
             exchange->setDisconnectHandler([this] { add([this] { ++m_clientsGone; }); });
             add([&] { m_arrived.push_back({ std::move(request), exchange }); });
         }
@@ -137,6 +161,9 @@
         std::vector<arrived_request> m_arrived;
         std::size_t m_clientsGone = 0;
         std::size_t m_timesFull = 0;
+        bool m_answersAtOnce = false;
+        std::uintptr_t m_lowestFrame = std::numeric_limits<std::uintptr_t>::max();
+        std::uintptr_t m_highestFrame = 0;
         std::vector<connection_loss> m_losses;
         context_thread m_loop;
         std::unique_ptr<pipeline_server> m_server;
@@ -272,6 +299,24 @@
     }
 }
 
+// Guards against a stack that grows with the number of requests that are answered as they are parsed.
+TEST(PipelinedClients, AreAnsweredAtOnceWithoutRecursion)
+{
+    constexpr std::size_t count = 20000;
+    constexpr std::size_t maxStackBytes = 1024;
+    server_harness server;
+    server.answerAtOnce();
+    auto client = server.connect();
+    std::thread sender([&client] { client.send(gets(count)); });
+    for (std::size_t number = 0; number < count; ++number) {
+        auto end = "/" + std::to_string(number) + " end\n";
+        auto answer = client.readUntil(end);
+        ASSERT_EQ(answer.substr(answer.rfind("\r\n\r\n") + 4), end);
+    }
+    sender.join();
+    EXPECT_LT(server.stackDepthOfHandlers(), maxStackBytes);
+}
+
 TEST(PipelinedClients, MaySendBodiesInChunksAndInPieces)
 {
     server_harness server;
