Notice a client that leaves behind its next request, at every other HTTP port

Callers of the command node, and operators, saw nothing; servers did: a client that had sent its next request and then left was not noticed, and its request went on to its end.

As on the connections of pipelined clients, the socket is asked whether the peer has closed it, each 250 ms from the moment at which the next request has arrived. Clients that send nothing ahead are noticed at once, as before, and cost no timer.

Test, on the commit before: SequentialClients.CancelTheirRequestByLeavingAfterTheySentTheNext (closed and reset) never ends, as the request is not cancelled (stopped after 10 s).

--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include "http/connection_acceptor.h"
+#include "http/peer_close.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -22,6 +23,9 @@
     constexpr unsigned statusTooLarge = 413;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
+    // How often a client that has sent its next request is checked for having left.
+    constexpr std::chrono::milliseconds departureCheckPeriod { 250 };
+
     http_response badRequestResponse(const error_code& error)
     {
         bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
@@ -76,6 +80,7 @@
     void close();
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_departureTimer;
     std::shared_ptr<http_server::state> m_server;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -124,6 +129,7 @@
 
 http_session::http_session(tcp::socket socket, std::shared_ptr<http_server::state> server)
     : m_stream(std::move(socket))
+    , m_departureTimer(m_stream.get_executor())
     , m_server(std::move(server))
 {
     m_server->sessions.insert(this);
@@ -194,7 +200,8 @@
 }
 
 // Waits for the socket to become readable while a request is being handled. The client
-// has then either closed the connection or already sent its next request.
+// has then either closed the connection or already sent its next request. That request stays in
+// the socket; whether the client closes the connection behind it is checked periodically.
 void http_session::watchForDisconnect()
 {
     m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), number = m_exchangeNumber](error_code error) {
@@ -207,16 +214,11 @@
     if (error || exchangeNumber != m_exchangeNumber || !m_exchange) {
         return;
     }
-    char byte = 0;
-    error_code readError;
-    auto& socket = m_stream.socket();
-    socket.non_blocking(true, readError);
-    auto count = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, readError);
-    if (readError == asio::error::would_block) {
-        watchForDisconnect();
-        return;
-    }
-    if (!readError && count > 0) {
+    if (!isClosedByPeer(m_stream.socket())) {
+        m_departureTimer.expires_after(departureCheckPeriod);
+        m_departureTimer.async_wait([self = shared_from_this(), exchangeNumber](error_code timerError) {
+            self->clientSocketReadable(timerError, exchangeNumber);
+        });
         return;
     }
     auto abandonedExchange = std::exchange(m_exchange, nullptr);
@@ -228,6 +230,7 @@
 {
     m_exchange.reset();
     ++m_exchangeNumber;
+    m_departureTimer.cancel();
     bool keepOpen = keepAlive && !m_server->closingAfterResponses;
     m_response = {};
     m_response.version(11);
@@ -261,6 +264,7 @@
 void http_session::close()
 {
     m_idle = true;
+    m_departureTimer.cancel();
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
--- /dev/null
+++ b/Tests/SequentialClients/sequential_clients_test.cpp
@@ -0,0 +1,114 @@
+#include "RawSocket/raw_socket.h"
+#include "http/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+namespace vanillashunt {
+
+namespace {
+
+    // A server whose exchanges the test keeps and answers.
+    class server_harness {
+    public:
+        explicit server_harness(const http_server_limits& limits = {})
+        {
+            m_loop.runAndWait([&] {
+                m_server = std::make_unique<http_server>(m_loop.context, "127.0.0.1:0", limits, [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) { add(exchange); });
+            });
+        }
+
+        ~server_harness()
+        {
+            m_loop.runAndWait([this] { m_server.reset(); });
+        }
+
+        raw_socket connect() const { return raw_socket::connectTo(m_server->address()); }
+
+        // Waits for the exchange with this number, counted from 0.
+        std::shared_ptr<http_exchange> exchange(std::size_t number)
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_changed.wait(lock, [&] { return m_exchanges.size() > number; });
+            return m_exchanges[number];
+        }
+
+        void answer(std::size_t number, const std::string& body)
+        {
+            auto answered = exchange(number);
+            m_loop.runAndWait([&] { answered->respond({ 200, {}, body }); });
+        }
+
+        void countDisconnect(std::size_t number)
+        {
+            auto observed = exchange(number);
+            m_loop.runAndWait([&] {
+                observed->setDisconnectHandler([this] {
+                    std::lock_guard<std::mutex> lock(m_mutex);
+                    ++m_disconnects;
+                    m_changed.notify_all();
+                });
+            });
+        }
+
+        void waitForDisconnects(std::size_t count)
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_changed.wait(lock, [&] { return m_disconnects >= count; });
+        }
+
+        void waitUntilIdle()
+        {
+            std::size_t inProgress = 1;
+            while (inProgress > 0) {
+                m_loop.runAndWait([&] { inProgress = m_server->inProgress(); });
+            }
+        }
+
+        void closeAfterResponses()
+        {
+            m_loop.runAndWait([this] { m_server->closeAfterResponses(); });
+        }
+
+    private:
+        void add(const std::shared_ptr<http_exchange>& exchange)
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_exchanges.push_back(exchange);
+            m_changed.notify_all();
+        }
+
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::vector<std::shared_ptr<http_exchange>> m_exchanges;
+        std::size_t m_disconnects = 0;
+        context_thread m_loop;
+        std::unique_ptr<http_server> m_server;
+    };
+
+    std::string get(const std::string& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    }
+
+}
+
+// Guards against a request that goes on for a client that has left after it had sent its next request,
+// which nobody reads before the first is answered.
+TEST(SequentialClients, CancelTheirRequestByLeavingAfterTheySentTheNext)
+{
+    for (bool isReset : { false, true }) {
+        server_harness server;
+        auto client = server.connect();
+        client.send(get("/0"));
+        server.countDisconnect(0);
+        client.send(get("/1") + get("/2"));
+        isReset ? client.reset() : client.close();
+        server.waitForDisconnects(1);
+    }
+}
+
+}
