Close connections of HTTP ports without a reset behind the last answer

Callers of the command node saw: a client that had sent more than the node read got a reset instead of its last answer when the node stopped, or instead of the 413 that said why its request was refused. The socket was closed with unread bytes right after the last write, and the kernel then resets the connection and drops what is not delivered.

The sending side is shut down first, and what the client still sends is discarded until it closes, for 2 s at most, as the connections of pipelined clients do.

--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -23,6 +23,9 @@
     constexpr unsigned statusTooLarge = 413;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
+    // How long a client may take to close its side of the connection.
+    constexpr std::chrono::milliseconds lingerTimeout { 2000 };
+
     // How often a client that has sent its next request is checked for having left.
     constexpr std::chrono::milliseconds departureCheckPeriod { 250 };
 
@@ -77,6 +80,8 @@
     void watchForDisconnect();
     void clientSocketReadable(const error_code&, std::uint64_t exchangeNumber);
     void send(http_response, bool keepAlive);
+    void closeGracefully();
+    void discard();
     void close();
 
     beast::tcp_stream m_stream;
@@ -245,11 +250,36 @@
     m_response.prepare_payload();
     m_stream.expires_after(m_server->limits.requestTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this(), keepOpen](error_code error, std::size_t) {
-        if (error || !keepOpen) {
+        if (error) {
+            self->close();
+        } else if (keepOpen) {
+            self->readRequest();
+        } else {
+            self->closeGracefully();
+        }
+    });
+}
+
+// Shuts down the sending side first, and discards what the client still sends. Closing the socket while it
+// has unread bytes would reset the connection, and the client could lose the last answer.
+void http_session::closeGracefully()
+{
+    m_idle = true;
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(lingerTimeout);
+    discard();
+}
+
+void http_session::discard()
+{
+    m_buffer.clear();
+    m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self = shared_from_this()](error_code error, std::size_t) {
+        if (error) {
             self->close();
             return;
         }
-        self->readRequest();
+        self->discard();
     });
 }
 
--- a/Tests/SequentialClients/sequential_clients_test.cpp
+++ b/Tests/SequentialClients/sequential_clients_test.cpp
@@ -94,6 +94,11 @@
         return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
     }
 
+    std::string post(const std::string& path, std::size_t bodyBytes)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'q');
+    }
+
 }
 
 // Guards against a request that goes on for a client that has left after it had sent its next request,
@@ -111,4 +116,32 @@
     }
 }
 
+// Guards against a last answer that is lost by a reset, since the client had sent its next request.
+TEST(SequentialClients, GetTheirLastAnswerDuringAStopWhileTheySend)
+{
+    // More than both sockets hold.
+    constexpr std::size_t bytesSentAhead = 16 * 1024 * 1024;
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.exchange(0);
+    server.closeAfterResponses();
+    std::thread sender([&client] { EXPECT_NO_THROW(client.send(post("/1", bytesSentAhead))); });
+    server.answer(0, "last");
+    sender.join();
+    EXPECT_NE(client.readUntil("last").find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.endsWithoutReset());
+}
+
+// Guards against a rejection that is lost by a reset, since the client is still sending what was rejected.
+TEST(SequentialClients, AreToldThatTheirBodyIsTooLarge)
+{
+    constexpr std::size_t bodyBytes = 16 * 1024 * 1024;
+    server_harness server;
+    auto client = server.connect();
+    EXPECT_NO_THROW(client.send(post("/0", bodyBytes)));
+    EXPECT_EQ(client.readUntil("\r\n").substr(0, 12), "HTTP/1.1 413");
+    EXPECT_TRUE(client.endsWithoutReset());
+}
+
 }
