Cancel a request whose client left before the request was taken up

Callers saw nothing; servers did: a node with contracts hands a request to its actor by a message, and the actor sets the handler for the client's leaving when it takes the message up. A client that left in between was reported to nobody, and its request ran to its end. The same for a call whose peer left.

The handler is now called at once where the client or the peer has left already; for callers of both commands and for peers.

Tests, on the commit before: SequentialClients.CancelTheirRequestByLeavingBeforeItIsTakenUp never ends (stopped after 10 s); PipelinedClients.CancelTheirRequestByLeavingBeforeItIsTakenUp and PeerCalls.CancelIsReportedWhenTheCallIsTakenUpLater fail, as the handler is not called.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -70,11 +70,19 @@
         }
     }
 
-    void setDisconnectHandler(std::function<void()> callback) override { m_whenGone = std::move(callback); }
+    void setDisconnectHandler(std::function<void()> callback) override
+    {
+        if (m_isClientGone) {
+            callback();
+            return;
+        }
+        m_whenGone = std::move(callback);
+    }
 
     void clientGone()
     {
         answered = true;
+        m_isClientGone = true;
         if (auto callback = std::exchange(m_whenGone, nullptr)) {
             callback();
         }
@@ -88,6 +96,7 @@
 private:
     std::weak_ptr<pipeline_session> m_session;
     std::function<void()> m_whenGone;
+    bool m_isClientGone = false;
 };
 
 pipeline_session::pipeline_session(tcp::socket socket, std::shared_ptr<pipeline_server::state> server)
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -114,12 +114,17 @@
 
     void setDisconnectHandler(std::function<void()> callback) override
     {
+        if (m_isClientGone) {
+            callback();
+            return;
+        }
         m_disconnectHandler = std::move(callback);
     }
 
     void clientDisconnected()
     {
         m_session.reset();
+        m_isClientGone = true;
         auto callback = std::exchange(m_disconnectHandler, nullptr);
         if (callback) {
             callback();
@@ -130,6 +135,7 @@
     std::shared_ptr<http_session> m_session;
     std::function<void()> m_disconnectHandler;
     bool m_keepAlive;
+    bool m_isClientGone = false;
 };
 
 http_session::http_session(tcp::socket socket, std::shared_ptr<http_server::state> server)
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -20,7 +20,8 @@
     // Sends the response; further calls do nothing.
     virtual void respond(http_response) = 0;
 
-    // Sets the callback that is called once if the client disconnects before respond().
+    // Sets the callback that is called once if the client disconnects before respond(); it is called at once
+    // if the client has disconnected already.
     virtual void setDisconnectHandler(std::function<void()>) = 0;
 };
 
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -86,12 +86,17 @@
 
         void setCancelHandler(std::function<void()> callback) override
         {
+            if (m_isCancelled) {
+                callback();
+                return;
+            }
             m_cancelHandler = std::move(callback);
         }
 
         void cancelled()
         {
             m_session.reset();
+            m_isCancelled = true;
             auto callback = std::exchange(m_cancelHandler, nullptr);
             if (callback) {
                 callback();
@@ -101,6 +106,7 @@
     private:
         std::shared_ptr<peer_session> m_session;
         std::function<void()> m_cancelHandler;
+        bool m_isCancelled = false;
     };
 
     void peer_session::bytesReceived(const error_code& error)
--- a/Source/peer/peer_server.h
+++ b/Source/peer/peer_server.h
@@ -20,7 +20,8 @@
     // Sends the answer; further calls do nothing.
     virtual void answer(const call_answer&) = 0;
 
-    // Sets the callback that is called once if the peer closes the connection before answer().
+    // Sets the callback that is called once if the peer closes the connection before answer(); it is called
+    // at once if the peer has closed it already.
     virtual void setCancelHandler(std::function<void()>) = 0;
 };
 
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -204,6 +204,26 @@
     EXPECT_EQ(result.body, "own");
 }
 
+// Guards against a call that goes on for a peer that left before the call was taken up.
+TEST(PeerCalls, CancelIsReportedWhenTheCallIsTakenUpLater)
+{
+    asio::io_context context;
+    std::shared_ptr<peer_exchange> arrived;
+    peer_server server(context, "127.0.0.1:0", 1 << 20, [&](const call_request&, std::shared_ptr<peer_exchange> exchange) { arrived = std::move(exchange); });
+    peer_client client(context, {});
+    auto id = client.start(server.address(), makeRequest(7), [](const call_answer&) {});
+    while (!arrived) {
+        context.run_one();
+    }
+    client.cancel(id);
+    while (server.inProgress() > 0) {
+        context.run_one();
+    }
+    bool isCancelled = false;
+    arrived->setCancelHandler([&] { isCancelled = true; });
+    EXPECT_TRUE(isCancelled);
+}
+
 TEST(PeerCalls, InvalidBytesAreCountedAndAffectNoOtherConnection)
 {
     asio::io_context context;
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -414,6 +414,29 @@
     server.waitForClientGone(2);
 }
 
+// Guards against a request that goes on for a client that left before the request was taken up.
+TEST(PipelinedClients, CancelTheirRequestByLeavingBeforeItIsTakenUp)
+{
+    context_thread loop;
+    std::promise<std::shared_ptr<http_exchange>> arrived;
+    std::unique_ptr<pipeline_server> server;
+    pipeline_server_hooks hooks;
+    hooks.limits = [] { return client_limits(); };
+    hooks.request = [&](const http_request&, std::shared_ptr<http_exchange> exchange) { arrived.set_value(std::move(exchange)); };
+    loop.runAndWait([&] { server = std::make_unique<pipeline_server>(loop.context, "127.0.0.1:0", hooks); });
+    auto client = raw_socket::connectTo(server->address());
+    client.send(get("/0"));
+    auto exchange = arrived.get_future().get();
+    client.close();
+    for (std::size_t connections = 1; connections > 0;) {
+        loop.runAndWait([&] { connections = server->connections(); });
+    }
+    bool isCancelled = false;
+    loop.runAndWait([&] { exchange->setDisconnectHandler([&] { isCancelled = true; }); });
+    EXPECT_TRUE(isCancelled);
+    loop.runAndWait([&] { server.reset(); });
+}
+
 // Guards against requests that go on for a client that has left a full connection, from which nothing is
 // read.
 TEST(PipelinedClients, CancelAllRequestsByLeavingAFullConnection)
--- a/Tests/SequentialClients/sequential_clients_test.cpp
+++ b/Tests/SequentialClients/sequential_clients_test.cpp
@@ -116,6 +116,19 @@
     }
 }
 
+// Guards against a request that goes on for a client that left before the request was taken up.
+TEST(SequentialClients, CancelTheirRequestByLeavingBeforeItIsTakenUp)
+{
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.exchange(0);
+    client.close();
+    server.waitUntilIdle();
+    server.countDisconnect(0);
+    server.waitForDisconnects(1);
+}
+
 // Guards against a last answer that is lost by a reset, since the client had sent its next request.
 TEST(SequentialClients, GetTheirLastAnswerDuringAStopWhileTheySend)
 {
