Bound what a peer sends while it does not read its answer

Callers saw nothing yet; a node held in memory whatever a peer sent while the answer to its call was being written: the bytes were not looked at before the write was reported as complete, and reading went on. A peer that is sound sends nothing then but its next request; one that is not, or another program, could take the node over its memory.

The bytes are checked as they come: one request frame, of the maximum size at most, may arrive; anything else closes the connection and counts as damaged, as at other times.

--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -118,11 +118,7 @@
             close();
             return;
         }
-        // The next request may arrive before the write of the previous answer is reported as
-        // complete; it is then decoded after that.
-        if (!m_sendingAnswer) {
-            findRequest();
-        }
+        findRequest();
         if (!m_closed) {
             read();
         }
@@ -140,7 +136,11 @@
             closeDamaged();
             return;
         }
-        requestReceived(found.payload);
+        // The next request may arrive before the write of the previous answer is reported as
+        // complete; it is then decoded after that.
+        if (!m_sendingAnswer) {
+            requestReceived(found.payload);
+        }
     }
 
     void peer_session::requestReceived(std::string_view payload)
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -1,3 +1,4 @@
+#include "RawSocket/raw_socket.h"
 #include "http/socket_address.h"
 #include "peer/call_codec.h"
 #include "peer/peer_client.h"
@@ -224,6 +225,29 @@
     EXPECT_TRUE(isCancelled);
 }
 
+// Guards against bytes without bound from a peer that does not read the answer to its last call.
+TEST(PeerCalls, BytesSentWhileAnAnswerIsUnreadAreBounded)
+{
+    // More than both sockets hold.
+    constexpr std::size_t bytes = 32 * 1024 * 1024;
+    constexpr std::size_t maxBodyBytes = 1 << 20;
+    context_thread loop;
+    std::unique_ptr<peer_server> server;
+    loop.runAndWait([&] {
+        server = std::make_unique<peer_server>(loop.context, "127.0.0.1:0", maxBodyBytes, [&](const call_request& request, const std::shared_ptr<peer_exchange>& exchange) {
+            exchange->answer(makeAnswer(request, std::string(bytes, 'a')));
+        });
+    });
+    auto peer = raw_socket::connectTo(server->address());
+    frame_history sent;
+    auto frame = encodeFrame(makeRequest(7), std::chrono::steady_clock::now(), sent);
+    peer.send({ frame.data(), frame.size() });
+    EXPECT_EQ(peer.readBytes(frameHeaderBytes).size(), frameHeaderBytes);
+    EXPECT_THROW(peer.send(std::string(bytes, 'q')), boost::system::system_error);
+    loop.runAndWait([&] { EXPECT_EQ(server->damagedFrames(), 1U); });
+    loop.runAndWait([&] { server.reset(); });
+}
+
 TEST(PeerCalls, InvalidBytesAreCountedAndAffectNoOtherConnection)
 {
     asio::io_context context;
