Send requests ahead, deep, in the soak

Two more clients send 1 to 64 requests ahead on a connection, at times up to 1,000, read the answers in order, and leave early in one of four cases. The promises are checked for each request that they wait for: in the kind of soak that kills no node, a request without an answer has not run.

--- a/Tests/RawSocket/raw_socket.h
+++ b/Tests/RawSocket/raw_socket.h
@@ -66,6 +66,13 @@
 
     void send(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
 
+    // Sends as many of the bytes as the peer takes before the connection ends.
+    void trySend(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
     // Reads up to and including the text; returns less if the connection ends first.
     std::string readUntil(const std::string& text)
     {
--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -11,6 +11,13 @@
     constexpr int clientCount = 10;
     // Clients that repeat at once what is refused.
     constexpr int impatientClients = 3;
+    // Clients that send requests ahead, besides the others.
+    constexpr int pipeliningClients = 2;
+    // A connection of a node takes 32 requests; mostly fewer than twice that are sent ahead, at times many more.
+    constexpr std::size_t usualDepth = 64;
+    constexpr std::size_t maxDepth = 1000;
+    // The pause of a pipelining client after each connection, so that the others get their share.
+    constexpr milliseconds pipeliningPause { 100 };
     constexpr const char* service = "desk";
 
     // The platform's limit for requests that still reach a server after its deregistration was acknowledged.
@@ -41,6 +48,23 @@
         return place == std::string::npos ? 0 : std::stoul(head.substr(place + std::char_traits<char>::length(name)));
     }
 
+    std::string requestText(const std::string& requestId, bool idempotent)
+    {
+        return std::string(idempotent ? "GET /x/1" : "POST /y/1") + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: " + requestId
+            + "\r\nVanillashunt-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    // Reads one answer; returns its head, without the empty line at its end if the connection ended first.
+    std::string readAnswer(raw_socket& connection, soak_outcome& outcome)
+    {
+        auto head = connection.readUntil("\r\n\r\n");
+        if (head.find("\r\n\r\n") != std::string::npos) {
+            outcome.status = std::stoi(head.substr(9, 3));
+            outcome.body = connection.readBytes(contentLength(head));
+        }
+        return head;
+    }
+
     std::string routeText(const std::string& name, const std::string& prefix, const std::string& kind)
     {
         return R"({"type":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"a.example","prefix":")" + prefix + R"(","kind":")" + kind
@@ -71,6 +95,9 @@
             }
         });
     }
+    for (int client = 0; client < pipeliningClients; ++client) {
+        m_clients.emplace_back([this, clientSeed = m_random()] { servePipeliningClient(clientSeed); });
+    }
 }
 
 soak_run::~soak_run()
@@ -280,16 +307,17 @@
     return result;
 }
 
+std::string soak_run::addressOf(std::size_t which)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_places[which].callerPort;
+}
+
 void soak_run::serveClient(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
     for (int number = 0; !m_ends; ++number) {
-        std::string address;
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            address = m_places[random() % nodeCount].callerPort;
-        }
-        auto outcome = ask(address, "c" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0);
+        auto outcome = ask(addressOf(random() % nodeCount), "c" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0);
         std::lock_guard<std::mutex> lock(m_mutex);
         m_outcomes.push_back(std::move(outcome));
     }
@@ -303,17 +331,10 @@
         if (!connection) {
             connection = std::make_unique<raw_socket>(raw_socket::connectTo(address));
         }
-        connection->send(std::string(idempotent ? "GET /x/1" : "POST /y/1") + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: " + requestId
-            + "\r\nVanillashunt-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
-        auto head = connection->readUntil("\r\n\r\n");
-        if (head.find("\r\n\r\n") == std::string::npos) {
-            connection.reset();
-            return result;
-        }
-        result.status = std::stoi(head.substr(9, 3));
+        connection->send(requestText(requestId, idempotent));
+        auto head = readAnswer(*connection, result);
         retryAfter = retryDelay(head);
-        result.body = connection->readBytes(contentLength(head));
-        if (head.find("Connection: close") != std::string::npos) {
+        if (result.status == 0 || head.find("Connection: close") != std::string::npos) {
             connection.reset();
         }
     } catch (const boost::system::system_error&) {
@@ -329,13 +350,8 @@
     auto which = random() % nodeCount;
     std::unique_ptr<raw_socket> connection;
     for (int number = 0; !m_ends; ++number) {
-        std::string address;
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            address = m_places[which].callerPort;
-        }
         milliseconds retryAfter { 0 };
-        auto outcome = askOnConnection(connection, address, "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0, retryAfter);
+        auto outcome = askOnConnection(connection, addressOf(which), "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0, retryAfter);
         outcome.isPatient = isPatient;
         if (isPatient) {
             std::this_thread::sleep_for(retryAfter);
@@ -349,6 +365,52 @@
     }
 }
 
+// Sends idempotent requests ahead on one connection, and leaves after this number of answers. Returns what it
+// was told of each request that it waited for.
+std::vector<soak_outcome> soak_run::askAhead(const std::string& address, const std::vector<std::string>& requestIds, std::size_t answersRead) const
+{
+    std::string requests;
+    for (const auto& requestId : requestIds) {
+        requests += requestText(requestId, true);
+    }
+    std::vector<soak_outcome> result;
+    try {
+        auto connection = raw_socket::connectTo(address);
+        // If the connection ends while the requests are sent, the answers that have arrived are still read.
+        connection.trySend(requests);
+        bool isOpen = true;
+        for (std::size_t number = 0; number < answersRead; ++number) {
+            soak_outcome outcome { requestIds[number], true, 0, {}, false };
+            isOpen = isOpen && readAnswer(connection, outcome).find("Connection: close") == std::string::npos && outcome.status != 0;
+            result.push_back(std::move(outcome));
+        }
+    } catch (const boost::system::system_error&) {
+        // The process is gone, and accepts no connection.
+    }
+    return result;
+}
+
+// Sends many requests ahead, each time over a new connection to any node; leaves early at times.
+void soak_run::servePipeliningClient(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    for (int number = 0; !m_ends; ++number) {
+        std::vector<std::string> requestIds;
+        auto depth = 1 + random() % (random() % 8 == 0 ? maxDepth : usualDepth);
+        for (std::size_t request = 0; request < depth; ++request) {
+            requestIds.push_back("p" + std::to_string(seed) + "-" + std::to_string(number) + "-" + std::to_string(request));
+        }
+        bool leavesEarly = random() % 4 == 0;
+        auto answersRead = leavesEarly ? random() % depth : depth;
+        auto outcomes = askAhead(addressOf(random() % nodeCount), requestIds, answersRead);
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_outcomes.insert(m_outcomes.end(), outcomes.begin(), outcomes.end());
+        }
+        std::this_thread::sleep_for(pipeliningPause);
+    }
+}
+
 std::vector<soak_outcome> soak_run::outcomes()
 {
     m_ends = true;
--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -84,8 +84,11 @@
     void takeStoreAway();
     void serveClient(std::uint64_t seed);
     soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
+    std::string addressOf(std::size_t which);
     soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, std::chrono::milliseconds& retryAfter) const;
     void servePersistentClient(std::uint64_t seed, bool isPatient);
+    std::vector<soak_outcome> askAhead(const std::string& address, const std::vector<std::string>& requestIds, std::size_t answersRead) const;
+    void servePipeliningClient(std::uint64_t seed);
 
     std::mt19937_64 m_random;
     server_restarts m_restarts;
