Let the load stand-in send requests ahead

No stand-in client could: each waited for its answer, so that no test, measurement or run of Utilities/failures filled a connection.

--- a/Tests/StandIn/http_caller.cpp
+++ b/Tests/StandIn/http_caller.cpp
@@ -48,6 +48,16 @@
     return call;
 }
 
+void http_caller::sendAhead(std::size_t mostUnanswered, const tcp_endpoint& target, http_request request, std::chrono::microseconds timeout, http_call::handler handler)
+{
+    request.prepare_payload();
+    auto& connection = m_ahead[target];
+    if (!connection || !connection->isOpen() || connection->unanswered() >= mostUnanswered) {
+        connection = std::make_shared<pipelined_connection>(m_io, target);
+    }
+    connection->send(std::move(request), timeout, std::move(handler));
+}
+
 http_call::stream_pointer http_caller::takeIdle(const tcp_endpoint& target)
 {
     auto& idle = m_idle[target];
--- a/Tests/StandIn/load_request.cpp
+++ b/Tests/StandIn/load_request.cpp
@@ -109,8 +109,12 @@
     setUnlessEmpty(request, "Vanillashunt-Context", m_context);
     setUnlessEmpty(request, "Vanillashunt-Ticket", m_ticket);
     request.body() = std::string(m_kind.bodyBytes, '.');
-    m_caller->send(target, std::move(request), m_kind.timeout,
-        [self = shared_from_this()](const http_outcome& outcome) { self->finishAttempt(outcome, clock::now()); });
+    auto finished = [self = shared_from_this()](const http_outcome& outcome) { self->finishAttempt(outcome, clock::now()); };
+    if (m_settings.ahead > 1) {
+        m_caller->sendAhead(m_settings.ahead, target, std::move(request), m_kind.timeout, finished);
+    } else {
+        m_caller->send(target, std::move(request), m_kind.timeout, finished);
+    }
 }
 
 void load_request::finishAttempt(const http_outcome& outcome, clock::time_point now)
--- a/Tests/StandIn/load_settings.cpp
+++ b/Tests/StandIn/load_settings.cpp
@@ -88,6 +88,7 @@
             millisecondsOption("retry-delay-ms", settings.retryDelay),
             flagOption("honour-retry-after", settings.honourRetryAfter),
             millisecondsOption("give-up-ms", settings.giveUp),
+            numberOption("ahead", settings.ahead),
             numberOption("seed", settings.seed),
             textOption("out", settings.outFile),
         });
--- a/Tests/StandIn/load_settings.h
+++ b/Tests/StandIn/load_settings.h
@@ -45,6 +45,8 @@
     bool honourRetryAfter = false;
     // No repeat begins later than this after the first attempt; 0 is no bound.
     std::chrono::microseconds giveUp { 0 };
+    // Unanswered requests that a connection may have.
+    std::uint64_t ahead = 1;
     std::uint64_t seed = 1;
     // Standard output where it is empty.
     std::string outFile;
