Enforce body limits where a header comes with the first bytes of its body

A client whose body was over the limit got no truthful 413 when its header came with the body, since body bytes were parsed as header fields (by reading Beast).

Cause: Beast 1.74 reports a Content-Length over the body limit at the end of the header, and goes on, which drops the error, if there are further bytes and the parser is eager. Its limit of boost::none refuses each length. Chunk headers and trailer fields have no limit at all.

message_parser keeps the limit itself: at the end of the header, at the start of the body and at each part of it. http_client and http_server use it in place of Beast's own parsers, which reserve what is declared. Bytes that cannot be parsed yet are limited in each of the four readers.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -218,7 +218,7 @@
                 if (m_parser->is_header_done() && m_headerReceived == time_point {}) {
                     m_headerReceived = std::chrono::steady_clock::now();
                 }
-                if (error == http::error::need_more) {
+                if (error == http::error::need_more && received.size() < maxHeaderBytes) {
                     return;
                 }
                 if (error) {
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -249,7 +249,11 @@
         auto used = m_parser->put(m_stream.received().data(), error);
         m_stream.received().consume(used);
         if (error == http::error::need_more) {
-            break;
+            if (m_stream.received().size() < std::max<std::size_t>(maxReadAheadBytes, m_server->hooks.limits().maxHeaderBytes)) {
+                break;
+            }
+            // A chunk header or trailer fields; the parser limits the header.
+            error = http::error::header_limit;
         }
         if (error) {
             rejectUnparsable(error);
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "http/connection_pool.h"
+#include "http/message_parser.h"
 #include "http/socket_address.h"
 
 #include <boost/asio.hpp>
@@ -20,6 +21,9 @@
 
 namespace {
 
+    // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
+    constexpr std::size_t maxBufferedBytes = 65536;
+
     class client_connection;
 
 }
@@ -163,17 +167,11 @@
 
         void succeed()
         {
-            auto message = m_parser->release();
+            bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
             http_response response;
-            response.status = message.result_int();
-            for (const auto& field : message) {
-                auto name = std::string(field.name_string());
-                if (!isHopByHop(name)) {
-                    response.fields.push_back({ name, std::string(field.value()) });
-                }
-            }
-            response.body = std::move(message.body());
-            bool reusable = message.keep_alive() && m_buffer.size() == 0;
+            response.status = m_parser->status;
+            response.fields = std::move(m_parser->fields);
+            response.body = std::move(m_parser->body);
             end(std::move(response), reusable);
         }
 
@@ -200,9 +198,9 @@
         http_client_settings m_settings;
         beast::tcp_stream m_stream;
         std::string m_address;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { maxBufferedBytes };
         http::request<http::string_body> m_request;
-        std::optional<http::response_parser<http::string_body>> m_parser;
+        std::optional<message_parser<false>> m_parser;
         bool m_sent = false;
         bool m_idle = false;
         bool m_cancelled = false;
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include "http/connection_acceptor.h"
+#include "http/message_parser.h"
 #include "http/peer_close.h"
 
 #include <boost/asio.hpp>
@@ -23,6 +24,9 @@
     constexpr unsigned statusTooLarge = 413;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
+    // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
+    constexpr std::size_t maxBufferedBytes = 4 * std::size_t(maxHeaderBytes);
+
     // How long a client may take to close its side of the connection.
     constexpr std::chrono::milliseconds lingerTimeout { 2000 };
 
@@ -87,8 +91,8 @@
     beast::tcp_stream m_stream;
     asio::steady_timer m_departureTimer;
     std::shared_ptr<http_server::state> m_server;
-    beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    beast::flat_buffer m_buffer { maxBufferedBytes };
+    std::optional<message_parser<true>> m_parser;
     http::response<http::string_body> m_response;
     std::shared_ptr<exchange> m_exchange;
     std::uint64_t m_exchangeNumber = 0;
@@ -193,18 +197,16 @@
         return;
     }
     m_stream.expires_never();
-    auto message = m_parser->release();
     http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-        auto name = std::string(field.name_string());
-        if (!isHopByHop(name)) {
-            request.fields.push_back({ name, std::string(field.value()) });
+    request.method = std::move(m_parser->method);
+    request.target = std::move(m_parser->target);
+    for (auto& field : m_parser->fields) {
+        if (!isHopByHop(field.name)) {
+            request.fields.push_back(std::move(field));
         }
     }
-    request.body = std::move(message.body());
-    m_exchange = std::make_shared<exchange>(shared_from_this(), message.keep_alive());
+    request.body = std::move(m_parser->body);
+    m_exchange = std::make_shared<exchange>(shared_from_this(), m_parser->keep_alive());
     ++m_exchangeNumber;
     watchForDisconnect();
     m_server->handler(std::move(request), m_exchange);
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -3,10 +3,12 @@
 #include "http/http_message.h"
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/optional.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace vanillashunt {
@@ -20,7 +22,15 @@
     using error_code = boost::beast::error_code;
     using string_view = boost::beast::string_view;
 
-    message_parser() { this->eager(true); }
+    message_parser()
+    {
+        this->eager(true);
+        boost::beast::http::basic_parser<isRequest>::body_limit(std::numeric_limits<std::uint64_t>::max());
+    }
+
+    // Sets the maximum size of the body. Hides the limit of the base class, which Boost 1.74 does not enforce
+    // if the first bytes of the body are parsed together with the header.
+    void body_limit(std::uint64_t maxBytes) { m_maxBodyBytes = maxBytes; }
 
     std::string method;
     std::string target;
@@ -44,6 +54,7 @@
     // Memory beyond this is allocated as the body arrives, so that a large Content-Length
     // alone allocates nothing.
     static constexpr std::uint64_t maxReservedBytes = 65536;
+    static constexpr std::uint64_t defaultMaxBodyBytes = 1024ULL * 1024;
 
     void on_request_impl(boost::beast::http::verb, string_view methodText, string_view targetText, int, error_code& error) override
     {
@@ -100,21 +111,39 @@
     {
         error = {};
         m_isHeaderDone = true;
+        if (!this->is_done()) {
+            checkLength(this->content_length(), error);
+        }
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override
     {
         error = {};
+        checkLength(length, error);
+        if (error) {
+            return;
+        }
         body.reserve(static_cast<std::size_t>(std::min(length.value_or(0), maxReservedBytes)));
     }
 
     std::size_t on_body_impl(string_view bytes, error_code& error) override
     {
         error = {};
+        checkLength(body.size() + bytes.size(), error);
+        if (error) {
+            return 0;
+        }
         body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
 
+    void checkLength(const boost::optional<std::uint64_t>& length, error_code& error) const
+    {
+        if (length && *length > m_maxBodyBytes) {
+            error = boost::beast::http::error::body_limit;
+        }
+    }
+
     void on_chunk_header_impl(std::uint64_t, string_view, error_code& error) override { error = {}; }
 
     std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code& error) override { return on_body_impl(bytes, error); }
@@ -123,6 +152,7 @@
 
     static constexpr std::size_t typicalFieldCount = 8;
 
+    std::uint64_t m_maxBodyBytes = defaultMaxBodyBytes;
     bool m_isHeaderDone = false;
 };
 
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -373,6 +373,16 @@
     auto largeBody = server.connect();
     largeBody.send("POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 11\r\n\r\n");
     EXPECT_EQ(largeBody.readToEnd().substr(0, 12), "HTTP/1.1 413");
+    auto begunBody = server.connect();
+    begunBody.send("POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 11\r\n\r\n01234");
+    EXPECT_EQ(begunBody.readToEnd().substr(0, 12), "HTTP/1.1 413");
+    auto largeChunks = server.connect();
+    largeChunks.send("POST /x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n5\r\n01234\r\n");
+    EXPECT_EQ(largeChunks.readToEnd().substr(0, 12), "HTTP/1.1 413");
+    auto endlessChunkHeader = server.connect();
+    endlessChunkHeader.send("POST /x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5;x=");
+    endlessChunkHeader.trySend(std::string(16 * 1024 * 1024, 'x'));
+    EXPECT_EQ(endlessChunkHeader.readToEnd().substr(0, 12), "HTTP/1.1 431");
     auto largeHeader = server.connect();
     largeHeader.send("GET /x HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(400, 'x') + "\r\n\r\n");
     EXPECT_EQ(largeHeader.readToEnd().substr(0, 12), "HTTP/1.1 431");
