--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -33,7 +33,8 @@
 {
     std::ofstream(m_file) << "[node]\nname = \"" << plan.name << "\"\navailability_zone = \"" << plan.availabilityZone << "\"\nmesh = \"" << plan.storeAddress << "\"\n[peer]\njoin = " << quotedList(plan.join)
                           << "\n[platform]\nendpoints = [\"" << plan.storeAddress << "\"]\n[routes]\nservice = \"" << plan.service
-                          << "\"\nserver = \"" << plan.serverAddress << "\"\nzones = " << quotedList(plan.zones) << "\n";
+                          << "\"\nserver = \"" << plan.serverAddress << "\"\nzones = " << quotedList(plan.zones) << "\n"
+                          << plan.furtherSettings;
     process = std::make_unique<child_process>(std::vector<std::string> { VANILLASHUNT_PATH, "routed-node", m_file });
     m_started = waitForLine("VS100");
 }
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -22,6 +22,8 @@
     std::string availabilityZone = "a";
     // Zones that share the organisations' limits.
     std::vector<std::string> zones {};
+    // Further sections of the settings file.
+    std::string furtherSettings {};
 };
 
 // One node as a real process, with ports that it takes itself.
