Name the body limit of message_parser for itself, and satisfy the linter

body_limit() hid the method of the base class; setMaxBodyBytes() cannot be confused with it. Sizes in tests are computed in their own type.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -181,7 +181,7 @@
             m_headerReceived = {};
             m_parser->header_limit(maxHeaderBytes);
             if (auto client = m_client.lock()) {
-                m_parser->body_limit(client->settings.maxBodyBytes);
+                m_parser->setMaxBodyBytes(client->settings.maxBodyBytes);
             }
             m_parser->skip(m_isHeadRequest);
         }
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -277,7 +277,7 @@
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(limits.maxHeaderBytes);
-    m_parser->body_limit(limits.maxBodyBytes);
+    m_parser->setMaxBodyBytes(limits.maxBodyBytes);
     enter(stage::Header);
 }
 
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -112,7 +112,7 @@
             m_request.body() = request.body;
             m_request.prepare_payload();
             m_parser.emplace();
-            m_parser->body_limit(m_settings.maxBodyBytes);
+            m_parser->setMaxBodyBytes(m_settings.maxBodyBytes);
             if (request.method == "HEAD") {
                 m_parser->skip(true);
             }
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -159,7 +159,7 @@
 {
     m_idle = true;
     m_parser.emplace();
-    m_parser->body_limit(m_server->limits.maxBodyBytes);
+    m_parser->setMaxBodyBytes(m_server->limits.maxBodyBytes);
     m_parser->header_limit(maxHeaderBytes);
     m_stream.expires_after(m_server->limits.idleTimeout);
     auto self = shared_from_this();
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -28,9 +28,9 @@
         boost::beast::http::basic_parser<isRequest>::body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
-    // Sets the maximum size of the body. Hides the limit of the base class, which Boost 1.74 does not enforce
-    // if the first bytes of the body are parsed together with the header.
-    void body_limit(std::uint64_t maxBytes) { m_maxBodyBytes = maxBytes; }
+    // Replaces body_limit() of the base class, which Boost 1.74 does not enforce if the first bytes of the
+    // body are parsed together with the header.
+    void setMaxBodyBytes(std::uint64_t maxBytes) { m_maxBodyBytes = maxBytes; }
 
     std::string method;
     std::string target;
--- a/Tests/BodyLimits/body_limits_test.cpp
+++ b/Tests/BodyLimits/body_limits_test.cpp
@@ -18,7 +18,7 @@
     boost::beast::error_code parse(const std::string& text, bool skipsBody = false)
     {
         message_parser<isRequest> parser;
-        parser.body_limit(maxBodyBytes);
+        parser.setMaxBodyBytes(maxBodyBytes);
         parser.skip(skipsBody);
         boost::beast::error_code error;
         std::size_t used = 0;
@@ -83,7 +83,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n" + body(10),
         "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 99000000000\r\n\r\n" + body(10),
-        "HTTP/1.1 200 OK\r\n\r\n" + body(8 * 1024 * 1024),
+        "HTTP/1.1 200 OK\r\n\r\n" + body(8UL * 1024 * 1024),
     };
     for (const auto& answer : answers) {
         auto result = resultOf(answer);
@@ -96,7 +96,7 @@
 {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     for (const auto& beginning : { head + "5;x=", head + "0\r\nX-Trailer: " }) {
-        auto result = resultOf(beginning + body(8 * 1024 * 1024));
+        auto result = resultOf(beginning + body(8UL * 1024 * 1024));
         EXPECT_TRUE(std::holds_alternative<http_failure>(result)) << beginning;
     }
 }
--- a/Tests/EndlessAnswers/endless_answers_test.cpp
+++ b/Tests/EndlessAnswers/endless_answers_test.cpp
@@ -106,6 +106,7 @@
         troubled_node world(answer);
         world.start();
         std::vector<raw_socket> clients;
+        clients.reserve(callers);
         for (int caller = 0; caller < callers; ++caller) {
             clients.push_back(world.node->begin("/x/1", deadline));
         }
@@ -131,6 +132,7 @@
         troubled_node world(answer);
         world.start();
         std::vector<raw_socket> clients;
+        clients.reserve(callers);
         for (int caller = 0; caller < callers; ++caller) {
             clients.push_back(world.node->begin("/x/1", longDeadline));
         }
--- a/Tests/FuzzEdges/edge_inputs.cpp
+++ b/Tests/FuzzEdges/edge_inputs.cpp
@@ -169,7 +169,7 @@
     void parseHttp(std::string_view bytes, message_parser<isRequest>& parser, boost::beast::error_code& error)
     {
         parser.header_limit(8192);
-        parser.body_limit(maxBodyBytes);
+        parser.setMaxBodyBytes(maxBodyBytes);
         while (!bytes.empty() && !parser.is_done()) {
             auto taken = parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
             if (error || taken == 0) {
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -229,7 +229,7 @@
 TEST(PeerCalls, BytesSentWhileAnAnswerIsUnreadAreBounded)
 {
     // More than both sockets hold.
-    constexpr std::size_t bytes = 32 * 1024 * 1024;
+    constexpr std::size_t bytes = 32UL * 1024 * 1024;
     constexpr std::size_t maxBodyBytes = 1 << 20;
     context_thread loop;
     std::unique_ptr<peer_server> server;
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -381,7 +381,7 @@
     EXPECT_EQ(largeChunks.readToEnd().substr(0, 12), "HTTP/1.1 413");
     auto endlessChunkHeader = server.connect();
     endlessChunkHeader.send("POST /x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5;x=");
-    endlessChunkHeader.trySend(std::string(16 * 1024 * 1024, 'x'));
+    endlessChunkHeader.trySend(std::string(16UL * 1024 * 1024, 'x'));
     EXPECT_EQ(endlessChunkHeader.readToEnd().substr(0, 12), "HTTP/1.1 431");
     auto largeHeader = server.connect();
     largeHeader.send("GET /x HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(400, 'x') + "\r\n\r\n");
@@ -486,7 +486,7 @@
 TEST(PipelinedClients, GetTheirLastAnswerDuringAStopWhileTheySend)
 {
     // More than the server and both sockets hold.
-    constexpr std::size_t bytesSentAhead = 16 * 1024 * 1024;
+    constexpr std::size_t bytesSentAhead = 16UL * 1024 * 1024;
     server_harness server;
     auto client = server.connect();
     client.send(get("/0"));
@@ -506,7 +506,7 @@
 TEST(PipelinedClients, AreDisconnectedWhenTheyReadNoAnswer)
 {
     // More than both sockets hold.
-    constexpr std::size_t answerBytes = 32 * 1024 * 1024;
+    constexpr std::size_t answerBytes = 32UL * 1024 * 1024;
     constexpr std::chrono::seconds sendTimeout { 10 };
     server_harness server;
     auto client = server.connect();
--- a/Tests/SequentialClients/sequential_clients_test.cpp
+++ b/Tests/SequentialClients/sequential_clients_test.cpp
@@ -133,7 +133,7 @@
 TEST(SequentialClients, GetTheirLastAnswerDuringAStopWhileTheySend)
 {
     // More than both sockets hold.
-    constexpr std::size_t bytesSentAhead = 16 * 1024 * 1024;
+    constexpr std::size_t bytesSentAhead = 16UL * 1024 * 1024;
     server_harness server;
     auto client = server.connect();
     client.send(get("/0"));
@@ -149,7 +149,7 @@
 // Guards against a rejection that is lost by a reset, since the client is still sending what was rejected.
 TEST(SequentialClients, AreToldThatTheirBodyIsTooLarge)
 {
-    constexpr std::size_t bodyBytes = 16 * 1024 * 1024;
+    constexpr std::size_t bodyBytes = 16UL * 1024 * 1024;
     server_harness server;
     auto client = server.connect();
     EXPECT_NO_THROW(client.send(post("/0", bodyBytes)));
