--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <mutex>
 #include <regex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -367,6 +368,14 @@
         putLocked(key, value);
     }
 
+    // From now on the store turns these machines away with 503; empty for none.
+    void turnAway(std::set<std::string> machines)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_turnedAway = std::move(machines);
+        m_changed.notify_all();
+    }
+
     // When the machine last began to wait for changes of the configuration; nothing if it never did.
     std::map<std::string, steady::time_point> waitsForConfiguration()
     {
@@ -438,6 +447,11 @@
         auto query = queryOf(target);
         std::unique_lock<std::mutex> lock(m_mutex);
         Json::Value json(Json::objectValue);
+        auto isTurnedAway = [this, &peer] { return m_turnedAway.count(peer) != 0; };
+        if (isTurnedAway()) {
+            status = 503;
+            return json;
+        }
         if (path == "/kv-key") {
             bool isThere = m_items.count(query["key"]) != 0;
             status = isThere ? 200 : 404;
@@ -451,7 +465,11 @@
             }
             auto until = steady::now() + std::chrono::milliseconds(std::stoi(query["wait_ms"]));
             auto after = std::stoi(query["after"]);
-            m_changed.wait_until(lock, until, [&] { return m_ending || !since(query["prefix"], after).empty(); });
+            m_changed.wait_until(lock, until, [&] { return m_ending || isTurnedAway() || !since(query["prefix"], after).empty(); });
+            if (isTurnedAway()) {
+                status = 503;
+                return json;
+            }
             json["events"] = since(query["prefix"], after);
         } else if (path == "/kv-txn") {
             return change(request.body, status);
@@ -507,6 +525,7 @@
     std::condition_variable m_changed;
     std::map<std::string, item> m_items;
     std::map<std::string, steady::time_point> m_waits;
+    std::set<std::string> m_turnedAway;
     int m_revision = 1;
     bool m_ending = false;
     listener m_listener;
@@ -630,7 +649,7 @@
     {
         m_heartbeats = std::thread([this] {
             for (int sequence = 1; !m_lost; ++sequence) {
-                heartbeat(sequence);
+                report(instance, "ready", sequence);
                 for (int i = 0; i < 15 && !m_lost; ++i) {
                     pause(0.1);
                 }
@@ -659,27 +678,12 @@
         }
     }
 
-    // How often the server has run a request of this id.
-    int runs(const std::string& requestId)
-    {
-        std::lock_guard<std::mutex> lock(m_mutex);
-        return m_runs[requestId];
-    }
-
-    std::string ip;
-    std::string zone;
-    std::string service;
-    std::string instance;
-    pid_t process = 0;
-    // How long a run takes.
-    double workSeconds = 0.05;
-
-private:
-    void heartbeat(int sequence) const
+    // Sends one report of a server start; returns whether it was acknowledged.
+    bool report(const std::string& start, const std::string& state, int sequence) const
     {
         auto connection = wire::connect(ip, controlPort);
         if (!connection) {
-            return;
+            return false;
         }
         Json::Value body;
         body["service"] = service;
@@ -687,16 +691,32 @@
         body["zone"] = zone;
         body["version"] = "v1";
         body["capacity"] = 139;
-        body["state"] = "ready";
+        body["state"] = state;
         body["warmup_left_s"] = 0;
         body["sequence"] = sequence;
         auto text = jsonText(body);
         message answer;
-        if (connection->send("POST /Instances.Heartbeat/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text)) {
-            connection->read(answer);
-        }
+        return connection->send("POST /Instances.Heartbeat/" + start + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text) && connection->read(answer) && answer.status() == 200;
     }
 
+    // How often the server has run a request of this id.
+    int runs(const std::string& requestId)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return m_runs[requestId];
+    }
+
+    std::string ip;
+    std::string zone;
+    std::string service;
+    std::string instance;
+    pid_t process = 0;
+    // Whether the server has reported that it is leaving; its health check tells so.
+    std::atomic<bool> isLeaving { false };
+    // How long a run takes.
+    double workSeconds = 0.05;
+
+private:
     void serve(wire& connection)
     {
         message request;
@@ -704,7 +724,7 @@
             auto id = request.field("Vanillashunt-Request-Id");
             std::string head = "HTTP/1.1 200 OK\r\nVanillashunt-Request-Id: " + id + "\r\nVanillashunt-Instance-Id: " + instance + "\r\n";
             if (request.word(1) == "/health") {
-                connection.send(head + "Content-Length: 0\r\n\r\n");
+                connection.send(isLeaving ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" : head + "Content-Length: 0\r\n\r\n");
                 continue;
             }
             if (request.field("Vanillashunt-Expect-Instance") != instance) {
