--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -699,6 +699,21 @@
         return connection->send("POST /Instances.Heartbeat/" + start + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text) && connection->read(answer) && answer.status() == 200;
     }
 
+    // Sends the deregistration of the server; returns whether it was acknowledged.
+    bool deregister() const
+    {
+        auto connection = wire::connect(ip, controlPort);
+        message answer;
+        return connection && connection->send("POST /Instances.Deregister/" + instance + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n") && connection->read(answer) && answer.status() == 200;
+    }
+
+    // Kills the node alone; the server goes on.
+    void killNode()
+    {
+        kill(process, SIGKILL);
+        waitpid(std::exchange(process, 0), nullptr, 0);
+    }
+
     // How often the server has run a request of this id.
     int runs(const std::string& requestId)
     {
