--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -728,6 +728,8 @@
     pid_t process = 0;
     // Whether the server has reported that it is leaving; its health check tells so.
     std::atomic<bool> isLeaving { false };
+    // Answers a request in a way of its own, and returns whether it did; empty for a sound server.
+    std::function<bool(wire&, const std::string& head)> spoil;
     // How long a run takes.
     double workSeconds = 0.05;
 
@@ -752,6 +754,9 @@
             }
             m_record.line("server " + instance + " (" + service + ") runs " + id + " " + request.first);
             pause(workSeconds);
+            if (spoil && spoil(connection, head)) {
+                return;
+            }
             auto body = "answer of " + instance + " to " + id;
             if (!connection.send(head + "Vanillashunt-Server-Seal: seal." + instance + "." + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
                 return;
