--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -61,6 +61,7 @@
         bool isSent = connection->send("GET /fleet/x HTTP/1.1\r\nHost: " + std::string(host) + "\r\nVanillashunt-Request-Id: " + id + "\r\nVanillashunt-Deadline-Ms: " + std::to_string(deadlineMilliseconds) + "\r\n\r\n");
         if (isSent && connection->read(answer)) {
             result.answered += answer.status() == 200 ? 1 : 0;
+            record.line(id + " gets " + std::to_string(answer.status()));
             continue;
         }
         auto runs = server.runs(id);
@@ -145,7 +146,11 @@
     while (steady::now() - start < std::chrono::duration<double>(observedSeconds) && !isKilled) {
         spoils = hasTrouble && steady::now() - start < std::chrono::duration<double>(troubleSeconds);
         auto id = "call-" + std::to_string(++asked);
-        threads.emplace_back([&, id] { served += ask(troubled.ip, "/bookings/x", id, deadlineMilliseconds).status() == 200 ? 1 : 0; });
+        threads.emplace_back([&, id] {
+            auto status = ask(troubled.ip, "/bookings/x", id, deadlineMilliseconds).status();
+            served += status == 200 ? 1 : 0;
+            record.line(id + " gets " + std::to_string(status));
+        });
         pause(requestSeconds);
     }
     spoils = false;
--- a/review/stand_in_2/world.h
+++ b/review/stand_in_2/world.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -636,6 +637,8 @@
         auto log = folder + "/" + ip + ".log";
         process = fork();
         if (process == 0) {
+            // The node ends with the case, also if that is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(output, 1);
             dup2(output, 2);
