--- a/Source/backend/backend_client.cpp
+++ b/Source/backend/backend_client.cpp
@@ -40,6 +40,12 @@
         if (!failure.sent) {
             return verdict::notRun(verdict_reason::BackendUnreachable);
         }
+        if (failure.tooLarge) {
+            return verdict::mayHaveRun(verdict_reason::AnswerTooLarge);
+        }
+        if (failure.noMemory) {
+            return verdict::mayHaveRun(verdict_reason::NoMemory);
+        }
         return verdict::mayHaveRun(failure.timedOut ? verdict_reason::DeadlinePassed : verdict_reason::AnswerLost);
     }
 
--- a/Source/backend/instance_answer.cpp
+++ b/Source/backend/instance_answer.cpp
@@ -8,6 +8,19 @@
     constexpr unsigned minSuccessStatus = 200;
     constexpr unsigned minRedirectStatus = 300;
 
+    verdict_reason reasonOf(instance_failure_cause cause)
+    {
+        switch (cause) {
+        case instance_failure_cause::AnswerTooLarge:
+            return verdict_reason::AnswerTooLarge;
+        case instance_failure_cause::NoMemory:
+            return verdict_reason::NoMemory;
+        case instance_failure_cause::Lost:
+            break;
+        }
+        return verdict_reason::AnswerLost;
+    }
+
     bool isSuccess(unsigned status)
     {
         return status >= minSuccessStatus && status < minRedirectStatus;
@@ -15,6 +28,12 @@
 
 }
 
+bool isUsableAnswer(unsigned status, const answer_metadata& metadata, const std::string& requestId)
+{
+    bool isAuthentic = metadata.isSealed && !metadata.isEncoded && !metadata.requestId.empty();
+    return answersRequest(metadata, requestId) && (isAuthentic || !isSuccess(status));
+}
+
 bool answersRequest(const answer_metadata& metadata, const std::string& requestId)
 {
     return metadata.requestId.empty() || metadata.requestId == requestId;
@@ -23,8 +42,7 @@
 call_answer classifyAnswer(instance_result result, const answer_metadata& metadata)
 {
     if (const auto* failure = std::get_if<instance_failure>(&result)) {
-        auto answerLost = verdict::mayHaveRun(verdict_reason::AnswerLost);
-        return makeCallAnswer(0, 0, failure->sent ? answerLost : verdict::notRun(verdict_reason::BackendUnreachable));
+        return makeCallAnswer(0, 0, failure->sent ? verdict::mayHaveRun(reasonOf(failure->cause)) : verdict::notRun(verdict_reason::BackendUnreachable));
     }
     auto& response = std::get<http_response>(result);
     if (metadata.isNotExecuted || response.status == statusMisdirected) {
--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -1,5 +1,6 @@
 #include "backend/instance_client.h"
 
+#include "backend/answer_bounds.h"
 #include "http/connection_pool.h"
 #include "http/message_parser.h"
 #include "http/pooled_connection.h"
@@ -7,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include <array>
 #include <charconv>
 #include <optional>
 
@@ -29,6 +31,8 @@
 
     // Maximum number of answers to other requests that are skipped on one connection.
     constexpr int maxForeignAnswers = 2;
+    // Of a response that cannot be passed on, no more than this is received.
+    constexpr std::uint64_t maxUnusableBytes = 65536;
     constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
     constexpr unsigned minFinalStatus = 200;
 
@@ -41,10 +45,13 @@
     // idle for longer is checked before it is reused.
     constexpr std::chrono::milliseconds uncheckedIdleTime { 20 };
 
-    std::string formatRequest(const http_request& request)
+    // A body up to this size is copied behind the header, to be sent as one buffer.
+    constexpr std::size_t maxCopiedBytes = 16384;
+
+    std::string formatHeader(const http_request& request)
     {
         std::string text;
-        text.reserve(reservedHeaderBytes + request.body.size());
+        text.reserve(reservedHeaderBytes);
         text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
         for (const auto& field : request.fields) {
             text.append(field.name).append(": ").append(field.value).append("\r\n");
@@ -53,7 +60,7 @@
         if (bodyExpected || !request.body.empty()) {
             text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
         }
-        text.append("\r\n").append(request.body);
+        text.append("\r\n");
         return text;
     }
 
@@ -77,11 +84,13 @@
     state(asio::io_context& ioContext, instance_client_settings clientSettings)
         : context(ioContext)
         , settings(std::move(clientSettings))
+        , bounds(settings.maxBodyBytes)
     {
     }
 
     asio::io_context& context;
     instance_client_settings settings;
+    answer_bounds bounds;
     instance_client_counts counts;
     connection_pool<instance_connection, instance_result> pool;
 };
@@ -116,7 +125,12 @@
         {
             m_requestId = requestId;
             m_isHeadRequest = request.method == "HEAD";
-            m_requestBytes = formatRequest(request);
+            m_requestHeader = formatHeader(request);
+            m_requestBody = request.body;
+            if (m_requestBody.size() <= maxCopiedBytes) {
+                m_requestHeader.append(m_requestBody.text());
+                m_requestBody.clear();
+            }
             m_written = false;
             m_sent = false;
             m_foreignAnswers = 0;
@@ -129,6 +143,15 @@
             connect();
         }
 
+        void close()
+        {
+            auto client = m_client.lock();
+            if (client && isUndeclaredAnswerArriving()) {
+                client->bounds.givenUp(m_parser->heldBytes(), std::chrono::steady_clock::now());
+            }
+            pooled_connection::close();
+        }
+
         void becomeIdle() { m_connection.becomeIdle(std::chrono::steady_clock::now(), m_idleTimeout); }
 
     private:
@@ -155,7 +178,8 @@
         void write()
         {
             m_sent = true;
-            bool completed = m_connection.stream().send(asio::buffer(m_requestBytes), [self = shared_from_this()](const error_code& error, std::size_t count) {
+            const std::array<asio::const_buffer, 2> bytes { asio::buffer(m_requestHeader), asio::buffer(m_requestBody.text()) };
+            bool completed = m_connection.stream().send(bytes, [self = shared_from_this()](const error_code& error, std::size_t count) {
                 self->written(!error);
                 // If the write fails at the first byte, nothing was sent.
                 self->m_sent = self->m_sent && !(error && count == 0);
@@ -172,7 +196,8 @@
         void written(bool completed)
         {
             m_written = completed;
-            m_requestBytes = {};
+            m_requestHeader = {};
+            m_requestBody.clear();
         }
 
         void beginAnswer()
@@ -180,10 +205,60 @@
             m_parser.emplace();
             m_headerReceived = {};
             m_parser->header_limit(maxHeaderBytes);
+            m_parser->skip(m_isHeadRequest);
+            m_room = {};
             if (auto client = m_client.lock()) {
                 m_parser->setMaxBodyBytes(client->settings.maxBodyBytes);
+                m_room = byte_reservation(client->settings.budget, byte_place::Server);
             }
-            m_parser->skip(m_isHeadRequest);
+        }
+
+        bool isUndeclaredAnswerArriving() const
+        {
+            return !m_connection.isIdle() && m_parser && m_parser->is_header_done() && !m_parser->is_done() && !m_parser->hasLength();
+        }
+
+        // Asks for room for the next part of an answer.
+        bool canRead()
+        {
+            if (m_connection.isIdle() || !m_parser->is_header_done()) {
+                return true;
+            }
+            auto now = std::chrono::steady_clock::now();
+            auto client = m_client.lock();
+            if (client && !m_parser->hasLength() && m_parser->heldBytes() > client->bounds.maxUndeclaredBytes(now)) {
+                fail("the answer seems to have no end", instance_failure_cause::AnswerTooLarge);
+                return false;
+            }
+            auto wanted = nextReservation(m_parser->heldBytes() + 1, m_parser->mostBytes());
+            auto grant = m_room.reserve(wanted, m_parser->mostBytes(), now, [weak = weak_from_this()](byte_grant later) {
+                if (auto self = weak.lock()) {
+                    self->roomDecided(later);
+                }
+            });
+            if (grant == byte_grant::Refused) {
+                fail("the answer exceeds the memory of the node", instance_failure_cause::AnswerTooLarge);
+            }
+            return grant == byte_grant::Granted;
+        }
+
+        void roomDecided(byte_grant grant)
+        {
+            if (m_connection.isClosed()) {
+                return;
+            }
+            if (grant == byte_grant::Refused) {
+                fail("no room for the answer", instance_failure_cause::NoMemory);
+                return;
+            }
+            read();
+        }
+
+        // Whether the rest of the answer is worth its bytes.
+        bool isUsable(const instance_client_settings& settings) const
+        {
+            bool isLong = m_parser->heldBytes() > maxUnusableBytes;
+            return !isLong || !settings.isUsable || m_parser->status < minFinalStatus || settings.isUsable(m_parser->status, m_parser->fields, m_requestId);
         }
 
         void idleConnectionEnded()
@@ -221,17 +296,30 @@
                 if (error == http::error::need_more && received.size() < maxHeaderBytes) {
                     return;
                 }
+                if (error == http::error::body_limit) {
+                    fail(error.message(), instance_failure_cause::AnswerTooLarge);
+                    return;
+                }
                 if (error) {
                     fail(error.message());
                     return;
                 }
                 if (!m_parser->is_done()) {
+                    endIfUnusable();
                     continue;
                 }
                 answerComplete();
             }
         }
 
+        void endIfUnusable()
+        {
+            auto client = m_client.lock();
+            if (client && m_parser->is_header_done() && !isUsable(client->settings)) {
+                fail("the answer is long and cannot be passed on");
+            }
+        }
+
         void answerComplete()
         {
             auto client = m_client.lock();
@@ -269,15 +357,25 @@
 
         http_response takeResponse()
         {
+            if (auto client = m_client.lock()) {
+                client->bounds.completed(m_parser->heldBytes());
+            }
             m_idleTimeout = idleTimeoutFrom(m_parser->keepAlive);
-            return { m_parser->status, std::move(m_parser->fields), std::move(m_parser->body), m_headerReceived };
+            m_room.complete(m_parser->heldBytes());
+            return { m_parser->status, std::move(m_parser->fields), message_body(std::move(m_parser->body), std::move(m_room)), m_headerReceived };
         }
 
-        void fail(const std::string& message)
+        void fail(const std::string& message, instance_failure_cause cause = instance_failure_cause::Lost)
         {
-            if (!m_connection.isClosed()) {
-                end(instance_failure { m_sent, message }, false);
+            if (m_connection.isClosed()) {
+                return;
+            }
+            auto client = m_client.lock();
+            if (client && cause == instance_failure_cause::AnswerTooLarge) {
+                ++client->counts.oversizedAnswers;
             }
+            m_room = {};
+            end(instance_failure { m_sent, message, cause }, false);
         }
 
         void end(instance_result result, bool reusable)
@@ -289,7 +387,9 @@
 
         std::weak_ptr<instance_client::state> m_client;
         std::string m_requestId;
-        std::string m_requestBytes;
+        std::string m_requestHeader;
+        message_body m_requestBody;
+        byte_reservation m_room;
         std::optional<message_parser<false>> m_parser;
         std::chrono::milliseconds m_idleTimeout { defaultIdleTimeout };
         time_point m_headerReceived;
@@ -332,6 +432,7 @@
 void instance_client::closeIdle()
 {
     m_state->pool.closeIdle();
+    m_state->bounds.reset();
 }
 
 bool instance_client::hasOpenConnection() const
--- a/Source/backend/instance_client.h
+++ b/Source/backend/instance_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/byte_budget.h"
 #include "http/http_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,11 +14,18 @@
 
 namespace vanillashunt {
 
+enum class instance_failure_cause : std::uint8_t {
+    Lost, // The connection failed, or its bytes are no answer to the request.
+    AnswerTooLarge, // The answer exceeds the size limit, or seems to have no end.
+    NoMemory, // The node had no room for the answer.
+};
+
 // Why a request has no answer from the server.
 struct instance_failure {
     // Whether any byte of the request may have reached the server.
     bool sent = false;
     std::string message;
+    instance_failure_cause cause = instance_failure_cause::Lost;
 };
 
 using instance_result = std::variant<http_response, instance_failure>;
@@ -31,6 +39,11 @@
     std::size_t maxIdle = 256;
     // Returns whether the response answers the request with this id; any other response is discarded.
     std::function<bool(const http_response&, const std::string& requestId)> isAnswerTo;
+    // Returns, from the status and the fields of a response to this request, whether it can be passed on
+    // once it is complete. The rest of any other response is not received if it is long. Optional.
+    std::function<bool(unsigned status, const http_fields&, const std::string& requestId)> isUsable;
+    // Limits the bytes of all messages of the node. Optional.
+    std::shared_ptr<byte_budget> budget;
 };
 
 struct instance_client_counts {
@@ -39,6 +52,8 @@
     std::uint64_t foreignAnswers = 0;
     // Bytes received after an answer or on an idle connection.
     std::uint64_t extraBytes = 0;
+    // Answers that were cut off because of their size.
+    std::uint64_t oversizedAnswers = 0;
 };
 
 // Sends requests to one server, one at a time on each connection, and accepts only complete answers
@@ -56,7 +71,7 @@
     // Closes the request's connection, so that the server aborts the request. The handler is not called.
     void cancel(std::uint64_t id);
 
-    // Closes the idle connections that are kept for later requests.
+    // Closes the idle connections that are kept for later requests; the server is judged anew.
     void closeIdle();
 
     // Whether any connection is established.
--- a/Source/call/call_answer.h
+++ b/Source/call/call_answer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/http_field.h"
+#include "call/message_body.h"
 #include "decision/bottleneck_cost.h"
 #include "decision/server_notice.h"
 #include "decision/shedding_position.h"
@@ -23,7 +24,7 @@
     // HTTP status, header fields and body from the backend server; empty unless it answered.
     std::uint32_t status = 0;
     http_fields fields;
-    std::string body;
+    message_body body;
     // After a refusal: the use of the request's ticket that can be claimed next.
     std::uint32_t nextUse = 0;
     // After a refusal by a home node that can run nothing more: the ticket that replaces the
--- a/Source/call/call_request.h
+++ b/Source/call/call_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/http_field.h"
+#include "call/message_body.h"
 #include "decision/request_context.h"
 #include "decision/server_notice.h"
 #include "decision/ticket.h"
@@ -33,7 +34,7 @@
     // Path and query, as they are sent to the backend server.
     std::string path;
     http_fields fields;
-    std::string body;
+    message_body body;
 };
 
 }
--- a/Source/caller/caller_response.cpp
+++ b/Source/caller/caller_response.cpp
@@ -50,6 +50,7 @@
     case verdict_reason::DeadlineTooShort:
         return 504;
     case verdict_reason::AnswerLost:
+    case verdict_reason::AnswerTooLarge:
     case verdict_reason::TicketUnknown:
     case verdict_reason::AnswerNotKept:
         return 502;
--- a/Source/caller/pipeline_server.h
+++ b/Source/caller/pipeline_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/byte_budget.h"
 #include "caller/connection_loss.h"
 #include "http/http_server.h"
 #include "routes/route_configuration.h"
@@ -23,6 +24,8 @@
     std::function<void(std::size_t unanswered)> connectionFull;
     // Optional.
     std::function<void(const connection_loss&)> connectionLost;
+    // Limits the bytes of all messages of the node. Optional.
+    std::shared_ptr<byte_budget> budget {};
 };
 
 // Connections accepted, and requests that the server rejected itself, since its start.
@@ -31,6 +34,8 @@
     std::uint64_t malformed = 0;
     std::uint64_t tooLarge = 0;
     std::uint64_t tooSlow = 0;
+    // Requests for which there was no room.
+    std::uint64_t noRoom = 0;
     // Times that a connection became full.
     std::uint64_t filled = 0;
     // Requests that were unanswered when their connection ended.
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -3,6 +3,7 @@
 #include "http/peer_close.h"
 
 #include <algorithm>
+#include <array>
 
 namespace vanillashunt {
 
@@ -18,6 +19,7 @@
     constexpr unsigned statusRequestTimeout = 408;
     constexpr unsigned statusTooLarge = 413;
     constexpr unsigned statusHeaderTooLarge = 431;
+    constexpr unsigned statusUnavailable = 503;
     constexpr unsigned statusNoContent = 204;
     constexpr unsigned statusNotModified = 304;
 
@@ -32,10 +34,15 @@
     // Answers are sent together up to this size, so that each large one has the time limit to itself.
     constexpr std::size_t maxBatchBytes = 65536;
 
+    // A body up to this size is copied behind its header, to be sent as one buffer.
+    constexpr std::size_t maxCopiedBytes = 16384;
+
     // How long a client may take to read what is sent at once, and to close its side of the connection.
     constexpr std::chrono::milliseconds sendTimeout { 10000 };
     constexpr std::chrono::milliseconds lingerTimeout { 2000 };
 
+    constexpr const char* memoryRetryAfterSeconds = "0.5";
+
     // Removes the fields that the Connection field declares as hop-by-hop, except for Host.
     void removeHopByHop(http_fields& fields, const std::string& connectionField)
     {
@@ -176,7 +183,7 @@
 
 void pipeline_session::read()
 {
-    if (m_reading || m_closed || isPaused()) {
+    if (m_reading || m_closed || m_waitsForRoom || isPaused() || !hasRoom()) {
         return;
     }
     m_reading = true;
@@ -186,6 +193,44 @@
     });
 }
 
+// Asks for room for the next part of a request's body.
+bool pipeline_session::hasRoom()
+{
+    if (!m_parser || !m_parser->is_header_done()) {
+        return true;
+    }
+    auto most = m_parser->mostBytes();
+    auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
+        if (auto self = weak.lock()) {
+            self->roomDecided(later);
+        }
+    });
+    m_waitsForRoom = grant == byte_grant::Waiting;
+    if (grant == byte_grant::Refused) {
+        rejectWithoutRoom();
+    }
+    return grant == byte_grant::Granted;
+}
+
+void pipeline_session::roomDecided(byte_grant grant)
+{
+    m_waitsForRoom = false;
+    if (m_closed || !m_parser) {
+        return;
+    }
+    if (grant == byte_grant::Refused) {
+        rejectWithoutRoom();
+        return;
+    }
+    read();
+}
+
+void pipeline_session::rejectWithoutRoom()
+{
+    ++m_server->counts.noRoom;
+    reject(statusUnavailable, "the node has no memory for the request at present", { { "Retry-After", memoryRetryAfterSeconds } });
+}
+
 void pipeline_session::bytesArrived(const error_code& error)
 {
     if (m_closed) {
@@ -278,6 +323,7 @@
     m_parser->eager(true);
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->setMaxBodyBytes(limits.maxBodyBytes);
+    m_room = byte_reservation(m_server->hooks.budget, byte_place::Caller);
     enter(stage::Header);
 }
 
@@ -289,7 +335,11 @@
         reject(statusBadRequest, "the request must have exactly one Host field, and its body a known length or chunked encoding");
         return;
     }
-    http_request request { std::move(m_parser->method), std::move(m_parser->target), std::move(m_parser->fields), std::move(m_parser->body) };
+    if (!m_room.completeIfRoom(m_parser->heldBytes())) {
+        rejectWithoutRoom();
+        return;
+    }
+    http_request request { std::move(m_parser->method), std::move(m_parser->target), std::move(m_parser->fields), message_body(std::move(m_parser->body), std::move(m_room)) };
     if (!m_parser->connection.empty()) {
         removeHopByHop(request.fields, m_parser->connection);
     }
@@ -322,17 +372,28 @@
 }
 
 // Answers a request that was not accepted, after all earlier ones. No further request is parsed.
-void pipeline_session::reject(unsigned status, const std::string& reason)
+void pipeline_session::reject(unsigned status, const std::string& reason, http_fields furtherFields)
 {
     m_parser.reset();
+    m_room = {};
     m_closing = true;
     auto rejected = std::make_shared<exchange>(shared_from_this(), false, false);
     m_exchanges.push_back(rejected);
     enter(stage::Answering);
-    rejected->respond({ status, { { "Content-Type", "text/plain" } }, reason + "\n" });
+    furtherFields.push_back({ "Content-Type", "text/plain" });
+    rejected->respond({ status, std::move(furtherFields), reason + "\n" });
+}
+
+namespace {
+
+    bool hasNoBody(unsigned status)
+    {
+        return status == statusNoContent || status == statusNotModified;
+    }
+
 }
 
-std::string pipeline_session::formatAnswer(const exchange& answeredExchange, bool closes) const
+std::string pipeline_session::formatHeader(const exchange& answeredExchange, bool closes) const
 {
     const auto& response = answeredExchange.response;
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + ' ';
@@ -342,32 +403,42 @@
             text += field.name + ": " + field.value + "\r\n";
         }
     }
-    bool hasNoBody = response.status == statusNoContent || response.status == statusNotModified;
-    if (!hasNoBody) {
+    if (!hasNoBody(response.status)) {
         text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     }
     if (closes) {
         text += "Connection: close\r\n";
     }
     text += "\r\n";
-    if (!hasNoBody && !answeredExchange.isHeadRequest) {
-        text += response.body;
-    }
     return text;
 }
 
+void pipeline_session::appendAnswer(const exchange& answeredExchange, bool closes)
+{
+    const auto& response = answeredExchange.response;
+    m_outgoingBytes += formatHeader(answeredExchange, closes);
+    if (hasNoBody(response.status) || answeredExchange.isHeadRequest) {
+        return;
+    }
+    if (response.body.size() <= maxCopiedBytes) {
+        m_outgoingBytes += response.body.text();
+    } else {
+        m_outgoingBody = response.body;
+    }
+}
+
 // Returns whether answers were sent, in the order of their requests, without waiting.
 bool pipeline_session::sendAnswers()
 {
     if (m_writing || m_closed) {
         return false;
     }
-    while (!m_exchanges.empty() && m_exchanges.front()->answered && m_outgoingBytes.size() < maxBatchBytes) {
+    while (!m_exchanges.empty() && m_exchanges.front()->answered && m_outgoingBytes.size() < maxBatchBytes && m_outgoingBody.empty()) {
         auto next = m_exchanges.front();
         m_exchanges.pop_front();
         bool closes = next->closes || (m_server->closingAfterAnswers && m_exchanges.empty());
         m_closing = m_closing || closes;
-        m_outgoingBytes += formatAnswer(*next, closes);
+        appendAnswer(*next, closes);
     }
     if (m_outgoingBytes.empty()) {
         return false;
@@ -377,7 +448,8 @@
     if (m_exchanges.empty()) {
         enter(stage::Answering);
     }
-    bool completed = m_stream.send(asio::buffer(m_outgoingBytes), [self = shared_from_this()](const error_code& error, std::size_t) {
+    const std::array<asio::const_buffer, 2> bytes { asio::buffer(m_outgoingBytes), asio::buffer(m_outgoingBody.text()) };
+    bool completed = m_stream.send(bytes, [self = shared_from_this()](const error_code& error, std::size_t) {
         self->written(error);
         self->advance();
     });
@@ -391,6 +463,7 @@
 {
     m_writing = false;
     m_outgoingBytes = {};
+    m_outgoingBody.clear();
     if (m_closed) {
         return;
     }
@@ -470,6 +543,7 @@
 void pipeline_session::close()
 {
     m_closed = true;
+    m_room = {};
     error_code ignored;
     m_stream.socket().close(ignored);
     m_server->sessions.erase(shared_from_this());
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -63,6 +63,9 @@
     };
 
     void read();
+    bool hasRoom();
+    void roomDecided(byte_grant);
+    void rejectWithoutRoom();
     void bytesArrived(const boost::system::error_code&);
     bool isFull() const;
     bool canAcceptRequest() const;
@@ -70,10 +73,11 @@
     bool parse();
     void beginParser();
     void requestComplete();
-    void reject(unsigned status, const std::string& reason);
+    void reject(unsigned status, const std::string& reason, http_fields furtherFields = {});
     void rejectUnparsable(const boost::system::error_code&);
     bool sendAnswers();
-    std::string formatAnswer(const exchange&, bool closes) const;
+    std::string formatHeader(const exchange&, bool closes) const;
+    void appendAnswer(const exchange&, bool closes);
     void written(const boost::system::error_code&);
     void discardReceived();
     void closeGracefully();
@@ -88,11 +92,16 @@
     std::shared_ptr<pipeline_server::state> m_server;
     std::optional<parser> m_parser;
     std::deque<std::shared_ptr<exchange>> m_exchanges;
+    // The room of the request that is being received.
+    byte_reservation m_room;
     std::string m_outgoingBytes;
+    // A long body that follows these bytes.
+    message_body m_outgoingBody;
     stage m_stage = stage::Idle;
     time_point m_stageEntered;
     time_point m_writeStarted;
     bool m_reading = false;
+    bool m_waitsForRoom = false;
     bool m_writing = false;
     bool m_advancing = false;
     // Whether no further request is accepted on this connection.
--- a/Source/command/routed_node_command.cpp
+++ b/Source/command/routed_node_command.cpp
@@ -2,7 +2,9 @@
 
 #include "command/command_line.h"
 #include "command/settings_file.h"
+#include "contract/quantity.h"
 #include "node/routed_process.h"
+#include "settings/node_settings.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -14,19 +16,28 @@
     // Where the platform says where the settings file is.
     constexpr const char* settingsVariable = "VANILLASHUNT_CONFIG";
 
-    constexpr const char* help = R"(usage: vanillashunt routed-node [FILE]
+    constexpr const char* help = R"(usage: vanillashunt routed-node [--memory SIZE] [FILE]
 
 Runs one node that serves the routes of the platform's configuration, with the
 settings file FILE, or the one that VANILLASHUNT_CONFIG names, in the
 foreground, until SIGTERM: then it is no longer ready, finishes what it has and
 exits with 0. SIGHUP has it read the file again.
 
+  --memory SIZE  memory that the process may use, in whole B, KiB or MiB,
+                 instead of memory from [limits] of the settings
+
 The settings need the section [routes]. Logs go to standard output.
 )";
 
     exit_code run(const command& self, const command_arguments& arguments)
     {
-        auto read = readCommandLine(self, arguments, {});
+        std::optional<std::uint64_t> memory;
+        auto takeMemory = [&memory](const std::string& value) -> std::optional<std::string> {
+            memory = parseSize(value);
+            bool isAccepted = memory && *memory >= minMemoryBytes;
+            return isAccepted ? std::nullopt : std::optional("is '" + value + "'; give a size of at least " + formatSize(minMemoryBytes) + ", for example 256MiB");
+        };
+        auto read = readCommandLine(self, arguments, { { "memory", true, takeMemory } });
         if (auto* ended = std::get_if<exit_code>(&read)) {
             return *ended;
         }
@@ -40,7 +51,8 @@
         if (std::holds_alternative<exit_code>(settings)) {
             return exit_code::Usage;
         }
-        const auto& whole = std::get<node_settings>(settings);
+        auto& whole = std::get<node_settings>(settings);
+        whole.memoryBytes = memory.value_or(whole.memoryBytes);
         if (!whole.routes) {
             std::cerr << fileName << ": the section [routes] is missing; add it, or use the command node\n";
             return exit_code::Usage;
--- a/Source/decision/verdict.cpp
+++ b/Source/decision/verdict.cpp
@@ -13,7 +13,7 @@
         "overload", "over_share", "deadline_too_short", "deadline_passed", "caller_gone",
         "no_backend_server", "draining", "peer_unreachable", "answer_lost", "backend_unreachable",
         "backend_refused", "ticket_unknown", "ticket_needed", "answer_not_kept", "no_free_slot", "poison",
-        "unknown_key", "unknown_parent", "over_quota"
+        "unknown_key", "unknown_parent", "over_quota", "answer_too_large", "no_memory"
     };
 
 }
--- a/Source/decision/verdict.h
+++ b/Source/decision/verdict.h
@@ -41,9 +41,11 @@
     UnknownKey, // The request needs the API key of an organisation and has none that is known.
     UnknownParent, // The parent request that it names is not running here.
     OverQuota, // The organisation has used up its request quota.
+    AnswerTooLarge, // The backend server's answer exceeds the size limit, or has no end.
+    NoMemory, // The node has no room for the message.
 };
 
-constexpr int verdictReasonCount = static_cast<int>(verdict_reason::OverQuota) + 1;
+constexpr int verdictReasonCount = static_cast<int>(verdict_reason::NoMemory) + 1;
 
 // The name on the wire, for example "not_run".
 std::string toString(execution);
--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -47,9 +47,11 @@
 inline constexpr event ticketHandedOver { 207, severity::Info, "a request's ticket was handed over to another home" };
 inline constexpr event clientConnectionFull { 208, severity::Info, "client connection is full" };
 inline constexpr event clientConnectionLost { 209, severity::Warning, "client connection ended with requests unanswered" };
+inline constexpr event messageRefused { 210, severity::Warning, "no memory for a message" };
+inline constexpr event answerCutOff { 211, severity::Warning, "answer of the backend server cut off because of its size" };
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, clientConnectionFull, clientConnectionLost, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, clientConnectionFull, clientConnectionLost, messageRefused, answerCutOff, logLinesLeftOut };
 
 }
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -109,8 +109,10 @@
                     m_request.insert(field.name, field.value);
                 }
             }
-            m_request.body() = request.body;
+            m_body = request.body;
+            m_request.body() = { m_body.text().data(), m_body.size() };
             m_request.prepare_payload();
+            m_room = byte_reservation(m_settings.budget, m_settings.place);
             m_parser.emplace();
             m_parser->setMaxBodyBytes(m_settings.maxBodyBytes);
             if (request.method == "HEAD") {
@@ -156,22 +158,66 @@
 
         void read()
         {
-            http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+            http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
                 if (error) {
                     self->fail(error);
                     return;
                 }
-                self->succeed();
+                if (self->m_parser->is_done()) {
+                    self->succeed();
+                } else if (self->hasRoom()) {
+                    self->read();
+                }
             });
         }
 
+        // Asks for room for the next part of the response.
+        bool hasRoom()
+        {
+            if (!m_parser->is_header_done()) {
+                return true;
+            }
+            auto most = m_parser->mostBytes();
+            auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
+                if (auto self = weak.lock()) {
+                    self->roomDecided(later);
+                }
+            });
+            if (grant == byte_grant::Refused) {
+                failWithoutRoom();
+            }
+            return grant == byte_grant::Granted;
+        }
+
+        void roomDecided(byte_grant grant)
+        {
+            if (m_cancelled) {
+                return;
+            }
+            if (grant == byte_grant::Refused) {
+                failWithoutRoom();
+                return;
+            }
+            read();
+        }
+
+        void failWithoutRoom()
+        {
+            http_failure failure;
+            failure.sent = m_sent;
+            failure.noMemory = true;
+            failure.message = "no room for the response";
+            end(std::move(failure), false);
+        }
+
         void succeed()
         {
             bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
             http_response response;
             response.status = m_parser->status;
             response.fields = std::move(m_parser->fields);
-            response.body = std::move(m_parser->body);
+            m_room.complete(m_parser->heldBytes());
+            response.body = message_body(std::move(m_parser->body), std::move(m_room));
             end(std::move(response), reusable);
         }
 
@@ -183,12 +229,15 @@
             http_failure failure;
             failure.sent = m_sent;
             failure.timedOut = error == beast::error::timeout;
+            failure.tooLarge = error == http::error::body_limit;
             failure.message = error.message();
             end(std::move(failure), false);
         }
 
         void end(http_result result, bool reusable)
         {
+            m_body.clear();
+            m_room = {};
             if (auto client = m_client.lock()) {
                 client->pool.end(shared_from_this(), std::move(result), reusable, m_settings.maxIdle);
             }
@@ -199,7 +248,9 @@
         beast::tcp_stream m_stream;
         std::string m_address;
         beast::flat_buffer m_buffer { maxBufferedBytes };
-        http::request<http::string_body> m_request;
+        http::request<http::span_body<const char>> m_request;
+        message_body m_body;
+        byte_reservation m_room;
         std::optional<message_parser<false>> m_parser;
         bool m_sent = false;
         bool m_idle = false;
--- a/Source/http/http_client.h
+++ b/Source/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/byte_budget.h"
 #include "http/http_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,9 @@
     bool sent = false;
     // Whether the timeout of the request expired.
     bool timedOut = false;
+    // Whether the response exceeds the size limit, or there was no room for it.
+    bool tooLarge = false;
+    bool noMemory = false;
     std::string message;
 };
 
@@ -31,6 +35,10 @@
     std::uint64_t maxBodyBytes = 1024ULL * 1024;
     // Maximum number of idle connections kept per server.
     std::size_t maxIdle = 64;
+    // Limits the bytes of all messages of the node. Optional.
+    std::shared_ptr<byte_budget> budget {};
+    // What the received messages count as in the budget.
+    byte_place place = byte_place::Control;
 };
 
 // Sends HTTP/1.1 requests over persistent connections, one request at a time on each
--- a/Source/http/http_message.h
+++ b/Source/http/http_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call/http_field.h"
+#include "call/message_body.h"
 
 #include <chrono>
 #include <string>
@@ -12,14 +13,14 @@
     std::string method;
     std::string target;
     http_fields fields;
-    std::string body;
+    message_body body;
 };
 
 // A complete HTTP response, without its hop-by-hop fields.
 struct http_response {
     unsigned status = 0;
     http_fields fields;
-    std::string body;
+    message_body body;
     // When the header of a backend server's response arrived, which orders responses that were
     // sent on different connections.
     std::chrono::steady_clock::time_point headerReceived {};
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -22,6 +22,7 @@
 
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusTooLarge = 413;
+    constexpr unsigned statusUnavailable = 503;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
     // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
@@ -48,6 +49,20 @@
         return response;
     }
 
+    http_response noRoomResponse()
+    {
+        http_response response;
+        response.status = statusUnavailable;
+        response.fields = {
+            { "Content-Type", "application/json" },
+            { "Vanillashunt-Verdict", "not_run" },
+            { "Vanillashunt-Reason", "no_memory" },
+            { "Retry-After", "1" },
+        };
+        response.body = R"({"verdict":"not_run","reason":"no_memory","message":"the node has no memory for the request at present"})";
+        return response;
+    }
+
 }
 
 class http_session;
@@ -80,6 +95,9 @@
 private:
     class exchange;
 
+    void readRemainder();
+    bool hasRoom();
+    void roomDecided(byte_grant);
     void requestReceived(const error_code&);
     void watchForDisconnect();
     void clientSocketReadable(const error_code&, std::uint64_t exchangeNumber);
@@ -93,8 +111,13 @@
     std::shared_ptr<http_server::state> m_server;
     beast::flat_buffer m_buffer { maxBufferedBytes };
     std::optional<message_parser<true>> m_parser;
-    http::response<http::string_body> m_response;
+    // The room of the request that is being received.
+    byte_reservation m_room;
+    http::response<http::span_body<const char>> m_response;
+    message_body m_responseBody;
     std::shared_ptr<exchange> m_exchange;
+    // Keeps the session while it waits for room, when it has no operation outstanding.
+    std::shared_ptr<http_session> m_waiting;
     std::uint64_t m_exchangeNumber = 0;
     bool m_idle = true;
 };
@@ -161,31 +184,71 @@
     m_parser.emplace();
     m_parser->setMaxBodyBytes(m_server->limits.maxBodyBytes);
     m_parser->header_limit(maxHeaderBytes);
+    m_room = byte_reservation(m_server->limits.budget, m_server->limits.place);
     m_stream.expires_after(m_server->limits.idleTimeout);
     auto self = shared_from_this();
-    auto readRemainder = [self] {
+    auto begin = [self] {
         self->m_idle = false;
         self->m_stream.expires_after(self->m_server->limits.requestTimeout);
-        http::async_read(self->m_stream, self->m_buffer, *self->m_parser, [self](error_code error, std::size_t) {
-            self->requestReceived(error);
-        });
+        self->readRemainder();
     };
     if (m_buffer.size() > 0) {
-        readRemainder();
+        begin();
         return;
     }
     // The idle timeout applies until the first byte; then the request timeout applies.
-    m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self, readRemainder](error_code error, std::size_t count) {
+    m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self, begin](error_code error, std::size_t count) {
         if (error) {
             self->close();
             return;
         }
         // A request that has arrived is answered even while the server is stopping.
         self->m_buffer.commit(count);
-        readRemainder();
+        begin();
     });
 }
 
+void http_session::readRemainder()
+{
+    http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+        if (error || self->m_parser->is_done()) {
+            self->requestReceived(error);
+        } else if (self->hasRoom()) {
+            self->readRemainder();
+        }
+    });
+}
+
+// Asks for room for the next part of a request's body.
+bool http_session::hasRoom()
+{
+    if (!m_parser->is_header_done()) {
+        return true;
+    }
+    auto most = m_parser->mostBytes();
+    auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
+        if (auto self = weak.lock()) {
+            self->roomDecided(later);
+        }
+    });
+    if (grant == byte_grant::Refused) {
+        send(noRoomResponse(), false);
+        return false;
+    }
+    m_waiting = grant == byte_grant::Waiting ? shared_from_this() : nullptr;
+    return grant == byte_grant::Granted;
+}
+
+void http_session::roomDecided(byte_grant grant)
+{
+    m_waiting.reset();
+    if (grant == byte_grant::Refused) {
+        send(noRoomResponse(), false);
+        return;
+    }
+    readRemainder();
+}
+
 void http_session::requestReceived(const error_code& error)
 {
     if (error == http::error::end_of_stream || error == beast::error::timeout) {
@@ -205,7 +268,11 @@
             request.fields.push_back(std::move(field));
         }
     }
-    request.body = std::move(m_parser->body);
+    if (!m_room.completeIfRoom(m_parser->heldBytes())) {
+        send(noRoomResponse(), false);
+        return;
+    }
+    request.body = message_body(std::move(m_parser->body), std::move(m_room));
     m_exchange = std::make_shared<exchange>(shared_from_this(), m_parser->keep_alive());
     ++m_exchangeNumber;
     watchForDisconnect();
@@ -253,11 +320,14 @@
             m_response.insert(field.name, field.value);
         }
     }
-    m_response.body() = std::move(response.body);
+    m_room = {};
+    m_responseBody = std::move(response.body);
+    m_response.body() = { m_responseBody.text().data(), m_responseBody.size() };
     m_response.keep_alive(keepOpen);
     m_response.prepare_payload();
     m_stream.expires_after(m_server->limits.requestTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this(), keepOpen](error_code error, std::size_t) {
+        self->m_responseBody.clear();
         if (error) {
             self->close();
         } else if (keepOpen) {
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/byte_budget.h"
 #include "http/http_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,10 +35,14 @@
     std::chrono::milliseconds requestTimeout { 10000 };
     // Maximum time that a connection stays open without a request.
     std::chrono::milliseconds idleTimeout { 60000 };
+    // Limits the bytes of all messages of the node. Optional.
+    std::shared_ptr<byte_budget> budget {};
+    // What the received requests count as in the budget.
+    byte_place place = byte_place::Control;
 };
 
 // Serves HTTP/1.1 on one port. Responds to malformed requests with 400 and to requests
-// that are too large with 413; the body is a JSON object that contains the reason.
+// that are too large with 413, and to those for which the node has no memory with 503; the body is a JSON object that contains the reason.
 class http_server {
 public:
     // Throws boost::system::system_error if the address cannot be bound.
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -32,6 +32,14 @@
     // body are parsed together with the header.
     void setMaxBodyBytes(std::uint64_t maxBytes) { m_maxBodyBytes = maxBytes; }
 
+    // Bytes of the message that are held.
+    std::uint64_t heldBytes() const { return m_fieldBytes + body.size(); }
+
+    // The most that the message may hold, by its Content-Length or by the limit.
+    std::uint64_t mostBytes() const { return m_fieldBytes + m_length.value_or(m_maxBodyBytes); }
+
+    bool hasLength() const { return m_length.has_value(); }
+
     std::string method;
     std::string target;
     unsigned status = 0;
@@ -54,6 +62,9 @@
     // Memory beyond this is allocated as the body arrives, so that a large Content-Length
     // alone allocates nothing.
     static constexpr std::uint64_t maxReservedBytes = 65536;
+    // A body that grows beyond its memory is copied, which holds it twice. Up to this size it may be.
+    static constexpr std::uint64_t maxCopiedBytes = 1024ULL * 1024;
+    static constexpr std::uint64_t growthFactor = 4;
     static constexpr std::uint64_t defaultMaxBodyBytes = 1024ULL * 1024;
 
     void on_request_impl(boost::beast::http::verb, string_view methodText, string_view targetText, int, error_code& error) override
@@ -102,6 +113,7 @@
         default:
             break;
         }
+        m_fieldBytes += nameText.size() + value.size();
         if (isRequest || name != field::host) {
             fields.push_back({ std::string(nameText), std::string(value) });
         }
@@ -119,6 +131,7 @@
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override
     {
         error = {};
+        m_length = length;
         checkLength(length, error);
         if (error) {
             return;
@@ -133,10 +146,21 @@
         if (error) {
             return 0;
         }
+        makeRoomFor(body.size() + bytes.size());
         body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
 
+    // A long body is allocated once, at its length or at the limit. Pages are resident only when they are used.
+    void makeRoomFor(std::uint64_t size)
+    {
+        if (size <= body.capacity()) {
+            return;
+        }
+        auto capacity = size > maxCopiedBytes ? m_maxBodyBytes : growthFactor * size;
+        body.reserve(static_cast<std::size_t>(std::max(size, m_length.value_or(capacity))));
+    }
+
     void checkLength(const boost::optional<std::uint64_t>& length, error_code& error) const
     {
         if (length && *length > m_maxBodyBytes) {
@@ -153,6 +177,9 @@
     static constexpr std::size_t typicalFieldCount = 8;
 
     std::uint64_t m_maxBodyBytes = defaultMaxBodyBytes;
+    // Content-Length; nothing if the message has none.
+    boost::optional<std::uint64_t> m_length;
+    std::uint64_t m_fieldBytes = 0;
     bool m_isHeaderDone = false;
 };
 
--- a/Source/http/pooled_connection.h
+++ b/Source/http/pooled_connection.h
@@ -12,6 +12,8 @@
 // socket as long as it is open, so that the end of an idle connection is noticed before a
 // request is sent on it. The derived class Connection implements these callbacks:
 //   void bytesReceived();             received bytes are available
+//   bool canRead();                   whether there is room for further bytes; if not, the
+//                                     connection calls read() once there is
 //   void connectionEnded(error_code); the connection ended with a request in progress
 //   void idleConnectionEnded();       the idle connection ended or received unexpected
 //                                     bytes; it is already closed
@@ -58,7 +60,7 @@
             return;
         }
         connection.bytesReceived();
-        if (!m_connection.isClosed()) {
+        if (!m_connection.isClosed() && connection.canRead()) {
             read();
         }
     }
--- a/Source/http/socket_stream.h
+++ b/Source/http/socket_stream.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
@@ -65,25 +66,27 @@
         });
     }
 
-    // Sends all the bytes. Returns true if they were all written immediately; the handler is
+    // Sends all the bytes of a buffer, or of a sequence of buffers. Returns true if they were all written immediately; the handler is
     // not called then. Otherwise the handler is called once, later, with the error and the
     // number of bytes written, and the bytes must stay valid until that call.
-    template <typename Handler>
-    bool send(boost::asio::const_buffer bytes, Handler handler)
+    template <typename Buffers, typename Handler>
+    bool send(const Buffers& bytes, Handler handler)
     {
         error_code error;
         if (!m_socket.non_blocking()) {
             m_socket.non_blocking(true, error);
         }
         auto written = error ? 0 : m_socket.write_some(bytes, error);
-        if (!error && written == bytes.size()) {
+        if (!error && written == boost::asio::buffer_size(bytes)) {
             return true;
         }
         if (error && error != boost::asio::error::would_block) {
             boost::asio::post(m_socket.get_executor(), [handler = std::move(handler), error, written] { handler(error, written); });
             return false;
         }
-        boost::asio::async_write(m_socket, bytes + written, [handler = std::move(handler), written](const error_code& writeError, std::size_t count) {
+        boost::beast::buffers_suffix<Buffers> remaining(bytes);
+        remaining.consume(written);
+        boost::asio::async_write(m_socket, remaining, [handler = std::move(handler), written](const error_code& writeError, std::size_t count) {
             handler(writeError, written + count);
         });
         return false;
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -6,6 +6,7 @@
 #include "node/call_actor.h"
 #include "node/configuration_service.h"
 #include "node/membership_service.h"
+#include "node/message_memory.h"
 #include "node/planned_stop.h"
 #include "operator/call_log.h"
 #include "operator/node_metrics.h"
@@ -44,6 +45,10 @@
     // Time to send the last gossip messages before the process exits.
     constexpr std::chrono::milliseconds finalGossipTime { 100 };
 
+    // Messages of the store and of other nodes about documents: a value of the store has 1.5 MiB, and a
+    // third more as text.
+    constexpr std::uint64_t maxControlBytes = 4ULL * 1024 * 1024;
+
     class node_process {
     public:
         explicit node_process(const node_settings&);
@@ -83,6 +88,7 @@
         std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
         std::mt19937_64 m_random { std::random_device {}() };
         std::uint64_t m_incarnation = m_random();
+        std::shared_ptr<byte_budget> m_budget = makeMessageBudget(m_settings);
         asio::io_context m_context { 1 };
         caf::actor_system_config m_config;
         std::unique_ptr<caf::actor_system> m_system;
@@ -127,12 +133,17 @@
 
         peer_client_settings peerSettings;
         peerSettings.outgoingAddress = settings.outgoingAddress;
-        peerSettings.maxBodyBytes = settings.maxBodyBytes;
+        peerSettings.maxBodyBytes = largestBody(settings, *m_budget);
+        peerSettings.budget = m_budget;
         m_peers = std::make_unique<peer_client>(m_context, peerSettings);
         http_client_settings clientSettings;
         clientSettings.outgoingAddress = settings.outgoingAddress;
-        clientSettings.maxBodyBytes = settings.maxBodyBytes;
-        m_backend = std::make_unique<backend_client>(m_context, clientSettings);
+        clientSettings.maxBodyBytes = maxControlBytes;
+        clientSettings.budget = m_budget;
+        auto backendSettings = clientSettings;
+        backendSettings.maxBodyBytes = largestBody(settings, *m_budget);
+        backendSettings.place = byte_place::Server;
+        m_backend = std::make_unique<backend_client>(m_context, backendSettings);
         m_store = std::make_unique<store_client>(m_context, settings.platformEndpoints, clientSettings);
 
         m_claims = std::make_unique<claim_store>(*m_store);
@@ -161,7 +172,9 @@
             configurationHooks());
 
         http_server_limits callerLimits;
-        callerLimits.maxBodyBytes = settings.maxBodyBytes;
+        callerLimits.maxBodyBytes = largestBody(settings, *m_budget);
+        callerLimits.budget = m_budget;
+        callerLimits.place = byte_place::Caller;
         m_callerServer = std::make_unique<http_server>(m_context, settings.caller.listen, callerLimits,
             [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { handleCallerRequest(std::move(request), exchange); });
         bindPeerPort();
@@ -213,11 +226,13 @@
     {
         constexpr int maxAttempts = 20;
         for (int i = 0; i < maxAttempts; ++i) {
-            m_peerServer = std::make_unique<peer_server>(m_context, m_settings.peer.listen, m_settings.maxBodyBytes,
+            m_peerServer = std::make_unique<peer_server>(
+                m_context, m_settings.peer.listen, largestBody(m_settings, *m_budget),
                 [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) {
                     callStarted();
                     m_host->send(m_calls, peer_call_arrived { std::move(request), exchange });
-                });
+                },
+                m_budget);
             if (isUdpPortFree(m_context, m_peerServer->address())) {
                 return;
             }
@@ -288,11 +303,12 @@
 
     void node_process::tick()
     {
+        m_budget->tick(std::chrono::steady_clock::now());
         m_host->send(m_calls, clock_tick {});
         if (m_stop.exiting()) {
             advanceStop();
         }
-        m_callsInProgress = m_callerServer->inProgress() != 0 || m_peerServer->inProgress() != 0;
+        m_callsInProgress = m_callerServer->inProgress() != 0 || m_peerServer->inProgress() != 0 || m_budget->growing() != 0;
         scheduleTick();
     }
 
@@ -382,6 +398,7 @@
             auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_started);
             auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, m_configuration->contracts() }, calls);
             state["peers"] = dumpPeers();
+            state["messages"] = dumpMessageBudget(*m_budget);
             state["configuration"] = m_configuration->dump();
             m_membership->dump([state, receiver](const Json::Value& membership) {
                 auto complete = state;
@@ -419,6 +436,7 @@
         gauges.damagedAnswers = m_peers->counts().damagedAnswers;
         gauges.connectsFailed = m_peers->counts().connectsFailed;
         gauges.damagedFrames = m_peerServer->damagedFrames();
+        setBudgetGauges(*m_budget, gauges);
         m_metrics.set(gauges);
     }
 
--- a/Source/node/routed_calls.cpp
+++ b/Source/node/routed_calls.cpp
@@ -1,5 +1,6 @@
 #include "node/routed_calls.h"
 
+#include "node/message_memory.h"
 #include "platform/request_headers.h"
 
 namespace vanillashunt {
@@ -11,19 +12,21 @@
     // For clients that do not say how long they wait.
     constexpr std::chrono::milliseconds defaultTimeout { 10000 };
 
-    peer_client_settings peerSettings(const node_settings& settings)
+    peer_client_settings peerSettings(const node_settings& settings, const std::shared_ptr<byte_budget>& budget)
     {
         peer_client_settings result;
         result.outgoingAddress = settings.outgoingAddress;
-        result.maxBodyBytes = settings.maxBodyBytes;
+        result.maxBodyBytes = largestBody(settings, *budget);
+        result.budget = budget;
         return result;
     }
 
-    instance_client_settings instanceSettings(const node_settings& nodeSettings)
+    instance_client_settings instanceSettings(const node_settings& nodeSettings, const std::shared_ptr<byte_budget>& budget)
     {
         instance_client_settings settings;
         settings.outgoingAddress = nodeSettings.outgoingAddress;
-        settings.maxBodyBytes = nodeSettings.maxBodyBytes;
+        settings.maxBodyBytes = largestBody(nodeSettings, *budget);
+        settings.budget = budget;
         return settings;
     }
 
@@ -50,11 +53,11 @@
 
 }
 
-routed_calls::routed_calls(boost::asio::io_context& context, const node_settings& settings, std::uint64_t selfId, time_point started, routed_call_hooks hooks)
+routed_calls::routed_calls(boost::asio::io_context& context, const node_settings& settings, const std::shared_ptr<byte_budget>& budget, std::uint64_t selfId, time_point started, routed_call_hooks hooks)
     : m_selfId(selfId)
     , m_hooks(std::move(hooks))
-    , m_peers(context, peerSettings(settings))
-    , m_runs(context, settings.routes->server, instanceSettings(settings), runHooks())
+    , m_peers(context, peerSettings(settings, budget))
+    , m_runs(context, settings.routes->server, instanceSettings(settings, budget), runHooks())
     , m_target(targetHooks(), settings.routes->balanceByPace)
     , m_entry(entrySettings(settings), entryHooks(), started)
 {
@@ -104,6 +107,7 @@
     hooks.misdirected = [this](const server_start& start) {
         m_hooks.misdirected(start);
     };
+    hooks.answerCutOff = [this](const server_start& start) { m_hooks.answerCutOff(start); };
     hooks.loadReported = [this](const server_start& start, const std::optional<server_load>& load) {
         if (load) {
             m_target.serverReportedLoad(start, *load, std::chrono::steady_clock::now());
--- a/Source/node/routed_calls.h
+++ b/Source/node/routed_calls.h
@@ -29,6 +29,8 @@
     std::function<void(const server_start&)> misdirected;
     // The local backend server reported a load that cannot be parsed.
     std::function<void(const server_start&)> loadUnreadable;
+    // An answer of the local backend server was cut off because of its size.
+    std::function<void(const server_start&)> answerCutOff;
     // What the local backend server announces in its answers has changed, or is unreadable.
     std::function<void(const server_start&, const server_notice&)> noticeChanged;
     std::function<void(const server_start&)> noticeUnreadable;
@@ -52,8 +54,8 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    // The settings must have a section for routes. `started` is the start of the process.
-    routed_calls(boost::asio::io_context&, const node_settings&, std::uint64_t selfId, time_point started, routed_call_hooks);
+    // The settings must have a section for routes. The budget limits the bytes of all messages of the node. `started` is the start of the process.
+    routed_calls(boost::asio::io_context&, const node_settings&, const std::shared_ptr<byte_budget>&, std::uint64_t selfId, time_point started, routed_call_hooks);
 
     // A request from a client or from the local backend server.
     void requestArrived(http_request, const std::shared_ptr<http_exchange>&);
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -34,12 +34,14 @@
     inbound["notices_unreadable"] = Json::UInt64(parts.unreadableNotices);
     calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
+    calls["server"]["answers_cut_off"] = Json::UInt64(parts.calls.serverCounts().oversizedAnswers);
     calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
     calls["server"]["foreign_answers"] = Json::UInt64(parts.calls.serverCounts().foreignAnswers);
     auto& clients = calls["clients"];
     clients["connections"] = Json::UInt64(parts.clients.connections());
     clients["paused"] = Json::UInt64(parts.clients.pausedConnections());
     clients["filled"] = Json::UInt64(parts.clients.counts().filled);
+    clients["refused_without_room"] = Json::UInt64(parts.clients.counts().noRoom);
     clients["abandoned_requests"] = Json::UInt64(parts.clients.counts().abandonedRequests);
     return calls;
 }
@@ -82,6 +84,7 @@
     gauges.unreadableNotices = parts.unreadableNotices;
     gauges.serverRateLimit = parts.calls.target().notice().rateLimit.value_or(gauges.serverRateLimit);
     gauges.serverRequests = parts.calls.target().gate().counters().admitted;
+    gauges.oversizedAnswers = parts.calls.serverCounts().oversizedAnswers;
     gauges.storeReturns = parts.storeReturns;
     gauges.quotaWaiting = parts.quotas.waiting();
     gauges.quotaAsks = parts.quotas.counts().asks;
--- a/Source/node/routed_entry.cpp
+++ b/Source/node/routed_entry.cpp
@@ -23,6 +23,10 @@
     // probes and 2.0 attempts each, and 0.81 without probes (see Tests/FreeSlots).
     constexpr std::size_t maxFreeSlotProbes = 3;
 
+    // Attempts of one request whose answers are given up because of their size: the fault may be that of one
+    // server.
+    constexpr std::uint32_t maxAnswersGivenUp = 1;
+
     // Retry advice if no server or no configuration is known. Usually one is known after this
     // time. The jitter prevents refused clients from returning all at once.
     constexpr std::chrono::milliseconds minRetryAfter { 150 };
@@ -147,7 +151,7 @@
     callRequest.body = std::move(request.message.body);
     auto& context = callRequest.context;
     context.requestId = std::move(request.requestId);
-    context.content = fingerprintOf(callRequest.path, callRequest.body);
+    context.content = fingerprintOf(callRequest.path, callRequest.body.text());
     context.requestClass = matchedRoute->name;
     context.organisation = origin.sender ? origin.sender->name : "";
     context.level = importanceOf(matchedRoute->priority);
@@ -429,6 +433,14 @@
 bool routed_entry::shouldRetry(entry_call& call, const call_answer& answer, std::chrono::microseconds latency, time_point now)
 {
     bool served = answer.outcome.run == execution::Ran && answer.status < minServerErrorStatus;
+    bool givenUp = answer.outcome.reason == verdict_reason::AnswerTooLarge || answer.outcome.reason == verdict_reason::NoMemory;
+    if (givenUp && answer.outcome.run != execution::NotRun) {
+        ++call.answersGivenUp;
+        // The other servers' answers are probably as large; and without room here any answer is too large.
+        if (call.answersGivenUp > maxAnswersGivenUp || answer.limit == 0) {
+            return false;
+        }
+    }
     if (answer.outcome.reason == verdict_reason::Poison) {
         // Every other target would refuse it, too.
         return false;
--- a/Source/node/routed_entry.h
+++ b/Source/node/routed_entry.h
@@ -141,6 +141,8 @@
         // Attempts that reached a backend server or may have reached one.
         std::uint32_t serversReached = 0;
         bool mayHaveRun = false;
+        // Attempts whose answer was given up because of its size.
+        std::uint32_t answersGivenUp = 0;
         // A server error from a backend server, returned if no further attempt gets an answer.
         std::optional<call_answer> serverFailure;
         // The latest refusal, with its retry advice.
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -2,8 +2,10 @@
 
 #include "caller/pipeline_server.h"
 #include "events/event_catalogue.h"
+#include "events/event_limiter.h"
 #include "node/client_connection_log.h"
 #include "node/membership_service.h"
+#include "node/message_memory.h"
 #include "node/quota_service.h"
 #include "node/replicated_poison_ledger.h"
 #include "node/route_watch.h"
@@ -61,6 +63,12 @@
 
     // Limits the log lines for runs cut off at the end of a stop.
     constexpr std::size_t maxRunsLogged = 40;
+    constexpr std::uint32_t maxCutOffLines = 4;
+    constexpr std::chrono::seconds cutOffLineInterval { 10 };
+
+    // Messages of the store, of operators and of other nodes about documents: a value or a page of the
+    // store has 1 MiB, and a third more as text.
+    constexpr std::uint64_t maxControlBytes = 4ULL * 1024 * 1024;
 
     // A node that has found no other members by then may be the only one, and serves alone.
     constexpr std::chrono::milliseconds maxJoinTime { 2000 };
@@ -102,11 +110,13 @@
         void observe(const call_observation&);
         void recordUnreadableLoad(const server_start&);
         void recordUnreadableNotice(const server_start&);
+        void logCutOffAnswer(const server_start&);
         void serverNoticeChanged(const server_start&, const server_notice&);
 
         node_settings m_settings;
         std::chrono::steady_clock::time_point m_started = std::chrono::steady_clock::now();
         std::mt19937_64 m_random { std::random_device {}() };
+        std::shared_ptr<byte_budget> m_budget = makeMessageBudget(m_settings);
         asio::io_context m_context { 1 };
         caf::actor_system_config m_config;
         std::unique_ptr<caf::actor_system> m_system;
@@ -146,16 +156,25 @@
         std::uint64_t m_unreadableNotices = 0;
         server_start m_lastUnreadableNoticeStart;
         server_notice_log m_noticeLog;
+        event_limiter m_cutOffLimiter { maxCutOffLines, cutOffLineInterval };
     };
 
-    http_client_settings clientSettings(const node_settings& settings)
+    http_client_settings controlSettings(const node_settings& settings, const std::shared_ptr<byte_budget>& budget)
     {
         http_client_settings result;
         result.outgoingAddress = settings.outgoingAddress;
-        result.maxBodyBytes = settings.maxBodyBytes;
+        result.maxBodyBytes = maxControlBytes;
+        result.budget = budget;
         return result;
     }
 
+    http_server_limits controlLimits(const std::shared_ptr<byte_budget>& budget)
+    {
+        http_server_limits limits;
+        limits.budget = budget;
+        return limits;
+    }
+
     std::string firstEndpoint(const node_settings& settings)
     {
         return settings.platformEndpoints.empty() ? "" : settings.platformEndpoints.front();
@@ -173,9 +192,9 @@
 
     routed_process::routed_process(const node_settings& settings, settings_source source)
         : m_settings(settings)
-        , m_store(m_context, firstEndpoint(settings), clientSettings(settings))
-        , m_controlClient(m_context, clientSettings(settings))
-        , m_calls(m_context, settings, m_self.id = m_random(), m_started, callHooks())
+        , m_store(m_context, firstEndpoint(settings), controlSettings(settings, m_budget))
+        , m_controlClient(m_context, controlSettings(settings, m_budget))
+        , m_calls(m_context, settings, m_budget, m_self.id = m_random(), m_started, callHooks())
         , m_routes(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone,
               routeHooks())
         , m_poison(m_context, m_store, m_peerRpc, m_self.id, settings.availabilityZone, poisonHooks())
@@ -191,14 +210,15 @@
         m_store.setHooks(storeHooks());
         m_membership = std::make_unique<membership_service>(*m_host, m_context, m_store, settings.mesh, settings.joinAddresses, membershipHooks());
         m_clientServer = std::make_unique<pipeline_server>(m_context, settings.caller.listen, serverHooks());
-        m_reportServer = std::make_unique<http_server>(m_context, settings.backend.listen, http_server_limits {},
+        m_reportServer = std::make_unique<http_server>(m_context, settings.backend.listen, controlLimits(m_budget),
             [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { exchange->respond(m_serverReports.handle(request, std::chrono::steady_clock::now())); });
-        m_readinessServer = std::make_unique<http_server>(m_context, settings.routes->readyListen, http_server_limits {},
+        m_readinessServer = std::make_unique<http_server>(m_context, settings.routes->readyListen, controlLimits(m_budget),
             [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
                 exchange->respond({ isReady() ? statusOk : statusUnavailable, {}, {} });
             });
-        m_peerServer = std::make_unique<peer_server>(m_context, settings.peer.listen, settings.maxBodyBytes,
-            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { m_calls.peerCallArrived(std::move(request), exchange); });
+        m_peerServer = std::make_unique<peer_server>(
+            m_context, settings.peer.listen, largestBody(settings, *m_budget),
+            [this](call_request request, const std::shared_ptr<peer_exchange>& exchange) { m_calls.peerCallArrived(std::move(request), exchange); }, m_budget);
         m_operatorPort = std::make_unique<operator_port>(m_context, settings.operators.listen, operatorHooks());
         m_quotas = std::make_unique<quota_service>(
             m_context, m_operatorPort->address(), settings.mesh, quotaSettings(settings, m_self.id), [this](std::uint64_t bound) { return m_random() % bound; }, m_started);
@@ -218,6 +238,7 @@
         hooks.misdirected = [this](const server_start& start) { m_serverReports.misdirected(start); };
         hooks.loadUnreadable = [this](const server_start& start) { recordUnreadableLoad(start); };
         hooks.noticeChanged = [this](const server_start& start, const server_notice& notice) { serverNoticeChanged(start, notice); };
+        hooks.answerCutOff = [this](const server_start& start) { logCutOffAnswer(start); };
         hooks.noticeUnreadable = [this](const server_start& start) { recordUnreadableNotice(start); };
         hooks.serverEnded = [this](const server_end& end) {
             logServerEnd(end);
@@ -274,9 +295,10 @@
         pipeline_server_hooks hooks;
         hooks.limits = [this] {
             auto limits = m_calls.entry().limits();
-            limits.maxBodyBytes = std::min(limits.maxBodyBytes, m_settings.maxBodyBytes);
+            limits.maxBodyBytes = std::min(limits.maxBodyBytes, largestBody(m_settings, *m_budget));
             return limits;
         };
+        hooks.budget = m_budget;
         hooks.request = [this](http_request request, const std::shared_ptr<http_exchange>& exchange) { m_calls.requestArrived(std::move(request), exchange); };
         hooks.connectionFull = [this](std::size_t unanswered) { m_connectionLog.full(unanswered, std::chrono::steady_clock::now()); };
         hooks.connectionLost = [this](const connection_loss& loss) { m_connectionLog.lost(loss, std::chrono::steady_clock::now()); };
@@ -380,6 +402,7 @@
     void routed_process::tick()
     {
         auto now = std::chrono::steady_clock::now();
+        m_budget->tick(now);
         m_quotas->exchange().tick(now);
         m_calls.tick(now);
         logLoad(now);
@@ -390,7 +413,7 @@
             m_clientServer->enforceTimeouts(now);
         }
         m_stop.step(now);
-        m_busyTicks = m_calls.isBusy();
+        m_busyTicks = m_calls.isBusy() || m_budget->growing() > 0;
         scheduleTick();
     }
 
@@ -519,6 +542,7 @@
         versions->revision = m_routes.version();
         auto calls = dumpCalls(parts());
         calls["targets"] = dumpTargets(m_calls.entry().targets(std::chrono::steady_clock::now()));
+        calls["messages"] = dumpMessageBudget(*m_budget);
         auto state = toJson(operator_state { m_self, m_settings, uptime, m_members, versions }, calls);
         state["ready"] = isReady();
         state["routes"] = m_routes.dump();
@@ -533,7 +557,9 @@
 
     void routed_process::collectMetrics(const std::function<void(std::string)>& receiver)
     {
-        m_metrics.set(gaugesOf(parts()));
+        auto gauges = gaugesOf(parts());
+        setBudgetGauges(*m_budget, gauges);
+        m_metrics.set(gauges);
         receiver(m_metrics.text());
     }
 
@@ -573,6 +599,13 @@
         logEvent(events::serverNoticeUnreadable, { { "instance", start.instanceId } });
     }
 
+    void routed_process::logCutOffAnswer(const server_start& start)
+    {
+        if (auto leftOut = m_cutOffLimiter.take(events::answerCutOff, std::chrono::steady_clock::now())) {
+            logEvent(events::answerCutOff, { { "instance", start.instanceId }, { "left_out", std::to_string(*leftOut) } });
+        }
+    }
+
     void routed_process::serverNoticeChanged(const server_start& start, const server_notice& notice)
     {
         m_noticeLog.changed(start, notice, std::chrono::steady_clock::now());
--- a/Source/node/routed_target.cpp
+++ b/Source/node/routed_target.cpp
@@ -120,7 +120,7 @@
     if (request.notice) {
         relayedNoticeReceived(*request.notice, now);
     }
-    request.context.content = fingerprintOf(request.path, request.body);
+    request.context.content = fingerprintOf(request.path, request.body.text());
     auto refusal = refusalBeforeGate(request);
     if (!refusal && request.refuseIfFull && isBetterElsewhere(now)) {
         refusal = m_gate.refuseWithoutFreeSlot();
@@ -212,6 +212,11 @@
     call.started = now;
     m_runOfRequest[call.request.context.requestId] = arrivalId;
     m_hooks.run(arrivalId, *m_server, call.request, m_deadlines.begin(arrivalId, call.request.context.deadline));
+    // The run keeps the body until it is sent, and nothing else needs it.
+    auto running = m_arrivals.find(arrivalId);
+    if (running != m_arrivals.end()) {
+        running->second.request.body.clear();
+    }
 }
 
 void routed_target::refuse(std::uint64_t arrivalId, const verdict& refusalVerdict, time_point now)
--- a/Source/node/server_runs.cpp
+++ b/Source/node/server_runs.cpp
@@ -20,6 +20,9 @@
         settings.isAnswerTo = [](const http_response& response, const std::string& requestId) {
             return answersRequest(readAnswerMarks(response.fields), requestId);
         };
+        settings.isUsable = [](unsigned status, const http_fields& fields, const std::string& requestId) {
+            return isUsableAnswer(status, readAnswerMarks(fields), requestId);
+        };
         return settings;
     }
 
@@ -62,6 +65,10 @@
 {
     m_clientIds.erase(runId);
     answer_metadata marks;
+    const auto* failure = std::get_if<instance_failure>(&result);
+    if (failure && failure->cause == instance_failure_cause::AnswerTooLarge) {
+        m_hooks.answerCutOff(start);
+    }
     if (const auto* response = std::get_if<http_response>(&result)) {
         marks = readAnswerMarks(response->fields);
         if (response->status == statusMisdirected) {
--- a/Source/node/server_runs.h
+++ b/Source/node/server_runs.h
@@ -28,6 +28,8 @@
     std::function<void(const server_start&, const std::optional<server_load>&)> loadReported;
     // Called with what an answer of a start of the server announces, or does not announce.
     std::function<void(const server_start&, const received_notice&)> noticeReceived;
+    // Called if an answer of a start of the server was cut off because of its size.
+    std::function<void(const server_start&)> answerCutOff;
     // Called if a part of what it announces is unreadable.
     std::function<void(const server_start&)> noticeUnreadable;
 };
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -104,6 +104,26 @@
         return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
     }
 
+    std::array<gauge*, bytePlaceCount> messageBytesByPlace()
+    {
+        auto& family = prometheus::BuildGauge().Name("vanillashunt_message_bytes").Help("Bytes that messages hold, by where they come from.").Register(registry);
+        std::array<gauge*, bytePlaceCount> result {};
+        for (std::size_t i = 0; i < bytePlaceCount; ++i) {
+            result.at(i) = &family.Add({ { "place", toString(static_cast<byte_place>(i)) } });
+        }
+        return result;
+    }
+
+    std::array<counter*, byteRefusalCauseCount> messagesRefusedByCause()
+    {
+        auto& family = counters("vanillashunt_messages_refused_total", "Messages given up for want of room.");
+        std::array<counter*, byteRefusalCauseCount> result {};
+        for (std::size_t i = 0; i < byteRefusalCauseCount; ++i) {
+            result.at(i) = &family.Add({ { "cause", toString(static_cast<byte_refusal_cause>(i)) } });
+        }
+        return result;
+    }
+
     prometheus::Registry registry;
     request_counters requests { counters("vanillashunt_requests_total", "Final answers to whole requests, at the node where they entered.") };
     by_importance<counter> answered { counters("vanillashunt_requests_answered_total", "Whole requests that got a backend server's answer that is no server error: the goodput.") };
@@ -141,6 +161,12 @@
     counter& quotaAsks = oneCounter("vanillashunt_quota_asks_total", "Asks for requests of organisations, to the pool of the zone.");
     counter& quotaUnanswered = oneCounter("vanillashunt_quota_unanswered_total", "Messages on quotas that were not answered in time.");
     gauge& quotaWaiting = oneGauge("vanillashunt_quota_waiting_requests", "Requests that wait for their organisation's limit.");
+    gauge& messageBudgetBytes = oneGauge("vanillashunt_message_budget_bytes", "Bytes that all messages together may hold.");
+    std::array<gauge*, bytePlaceCount> messageBytes = messageBytesByPlace();
+    gauge& messagesWaiting = oneGauge("vanillashunt_messages_waiting", "Messages that are not received further until there is room for them.");
+    counter& messageWaits = oneCounter("vanillashunt_message_waits_total", "Times that a message waited for room.");
+    std::array<counter*, byteRefusalCauseCount> messagesRefused = messagesRefusedByCause();
+    counter& oversizedAnswers = oneCounter("vanillashunt_server_answers_cut_off_total", "Answers of the own backend server cut off because of their size.");
     counter& connectsFailed = oneCounter("vanillashunt_peer_connects_failed_total", "Connections to peers that could not be opened.");
 };
 
@@ -230,6 +256,16 @@
     raiseTo(all.quotaAsks, gauges.quotaAsks);
     raiseTo(all.quotaUnanswered, gauges.quotaUnanswered);
     all.quotaWaiting.Set(static_cast<double>(gauges.quotaWaiting));
+    all.messageBudgetBytes.Set(static_cast<double>(gauges.messageBudgetBytes));
+    for (std::size_t i = 0; i < bytePlaceCount; ++i) {
+        all.messageBytes.at(i)->Set(static_cast<double>(gauges.messageBytes.at(i)));
+    }
+    all.messagesWaiting.Set(static_cast<double>(gauges.messagesWaiting));
+    raiseTo(all.messageWaits, gauges.messageWaits);
+    for (std::size_t i = 0; i < byteRefusalCauseCount; ++i) {
+        raiseTo(*all.messagesRefused.at(i), gauges.messagesRefused.at(i));
+    }
+    raiseTo(all.oversizedAnswers, gauges.oversizedAnswers);
 }
 
 std::string node_metrics::text() const
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "budget/byte_budget.h"
 #include "call/call_observation.h"
 
 #include <json/value.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <limits>
@@ -35,7 +37,15 @@
     double serverSlowdown = 1;
     // Requests per second that the own backend server accepts; infinite if it names no limit.
     double serverRateLimit = std::numeric_limits<double>::infinity();
+    // Bytes that messages may hold, those that they hold by place, and messages that wait for room.
+    std::uint64_t messageBudgetBytes = 0;
+    std::array<std::uint64_t, bytePlaceCount> messageBytes {};
+    std::uint64_t messagesWaiting = 0;
     // Totals since the start of the process.
+    std::uint64_t messageWaits = 0;
+    std::array<std::uint64_t, byteRefusalCauseCount> messagesRefused {};
+    // Answers of the own backend server that were cut off because of their size.
+    std::uint64_t oversizedAnswers = 0;
     std::uint64_t crossedAnswers = 0;
     std::uint64_t damagedAnswers = 0;
     std::uint64_t damagedFrames = 0;
--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <initializer_list>
+#include <memory>
 
 namespace vanillashunt {
 
@@ -229,17 +231,34 @@
             recordError(m_sink.apply_raw(size, const_cast<char*>(value.data())));
         }
 
+        void writeBody(const message_body& body)
+        {
+            if (body.size() <= maxCopiedBytes) {
+                writeBytes(body.text());
+                return;
+            }
+            auto size = body.size();
+            recordError(m_sink.begin_sequence(size));
+            m_body = body;
+            m_bodyOffset = m_bytes.size();
+        }
+
         // Returns the complete frame; empty if the serializer failed.
-        byte_vector finish(frame_kind);
+        outgoing_frame finish(frame_kind);
 
     private:
         static constexpr std::size_t typicalFrameBytes = 512;
+        // A body up to this size is copied, to be sent as one buffer with the bytes before it.
+        static constexpr std::size_t maxCopiedBytes = 16384;
 
         void recordError(const caf::error& error) { m_failed = m_failed || error; }
 
         byte_vector m_bytes;
         caf::binary_serializer m_sink;
         frame_history& m_history;
+        // A body that is not copied, and its offset in the bytes.
+        message_body m_body;
+        std::size_t m_bodyOffset = 0;
         bool m_failed = false;
     };
 
@@ -327,17 +346,53 @@
         return XXH3_64bits(bytes, size);
     }
 
-    byte_vector frame_writer::finish(frame_kind kind)
+    // The checksum of consecutive pieces.
+    std::uint64_t checksum(std::initializer_list<std::string_view> pieces)
+    {
+        std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
+        XXH3_64bits_reset(state.get());
+        for (auto piece : pieces) {
+            XXH3_64bits_update(state.get(), piece.data(), piece.size());
+        }
+        return XXH3_64bits_digest(state.get());
+    }
+
+    outgoing_frame frame_writer::finish(frame_kind kind)
     {
         if (m_failed) {
             return {};
         }
-        auto length = m_bytes.size() - frameHeaderBytes;
+        auto length = m_bytes.size() + m_body.size() - frameHeaderBytes;
         auto* header = reinterpret_cast<unsigned char*>(m_bytes.data());
         boost::endian::store_little_u32(header, magic | static_cast<std::uint32_t>(kind) << kindShift);
         boost::endian::store_little_u32(header + lengthOffset, static_cast<std::uint32_t>(length));
-        boost::endian::store_little_u64(header + checksumOffset, checksum(m_bytes.data() + frameHeaderBytes, length));
-        return std::move(m_bytes);
+        if (m_body.empty()) {
+            boost::endian::store_little_u64(header + checksumOffset, checksum(m_bytes.data() + frameHeaderBytes, length));
+            return { std::move(m_bytes) };
+        }
+        auto bodyBegin = m_bytes.begin() + static_cast<std::ptrdiff_t>(m_bodyOffset);
+        byte_vector end(bodyBegin, m_bytes.end());
+        m_bytes.erase(bodyBegin, m_bytes.end());
+        std::string_view begin(m_bytes.data() + frameHeaderBytes, m_bytes.size() - frameHeaderBytes);
+        boost::endian::store_little_u64(header + checksumOffset, checksum({ begin, m_body.text(), { end.data(), end.size() } }));
+        return { std::move(m_bytes), std::move(m_body), std::move(end) };
+    }
+
+    byte_vector join(outgoing_frame frame)
+    {
+        const auto& body = frame.body.text();
+        frame.begin.insert(frame.begin.end(), body.begin(), body.end());
+        frame.begin.insert(frame.begin.end(), frame.end.begin(), frame.end.end());
+        return std::move(frame.begin);
+    }
+
+    // Reduces a payload to the body in it, without allocating memory.
+    std::string reduceToBody(std::string payload, std::string_view body)
+    {
+        auto offset = static_cast<std::size_t>(body.data() - payload.data());
+        payload.resize(offset + body.size());
+        payload.erase(0, offset);
+        return payload;
     }
 
 }
@@ -379,7 +434,7 @@
     return checksumMatches(found.header, found.payload) ? frame_search::Found : frame_search::Damaged;
 }
 
-byte_vector encodeFrame(const call_request& request, std::chrono::steady_clock::time_point now, frame_history& history)
+outgoing_frame encodeOutgoing(const call_request& request, std::chrono::steady_clock::time_point now, frame_history& history)
 {
     const auto& context = request.context;
     auto remaining = std::chrono::duration_cast<std::chrono::microseconds>(context.deadline - now);
@@ -410,7 +465,7 @@
     if (notice) {
         writer.writeField(*notice);
     }
-    writer.writeBytes(request.body);
+    writer.writeBody(request.body);
     if (request.permit) {
         const auto& permit = *request.permit;
         permit_payload payload { permit.home, permit.validUntil.count(), permit.nonce, permit.use, permit.claimed };
@@ -419,7 +474,7 @@
     return writer.finish(frame_kind::Request);
 }
 
-byte_vector encodeFrame(const call_answer& answer, const std::string& requestId, frame_history& history)
+outgoing_frame encodeOutgoing(const call_answer& answer, const std::string& requestId, frame_history& history)
 {
     answer_numbers numbers;
     numbers.callId = answer.callId;
@@ -448,83 +503,138 @@
     if (addedField) {
         writer.writeField(*addedField);
     }
-    writer.writeBytes(answer.body);
+    writer.writeBody(answer.body);
     return writer.finish(frame_kind::Answer);
 }
 
-std::optional<call_request> decodeRequest(std::string_view bytes, std::chrono::steady_clock::time_point now, frame_history& history)
+byte_vector encodeFrame(const call_request& request, std::chrono::steady_clock::time_point now, frame_history& history)
 {
-    frame_reader reader(bytes, history);
-    request_numbers numbers;
-    reader.readNumbers(numbers);
-    if (reader.isDamaged() || numbers.level >= importanceCount || numbers.position.value >= sheddingPositionCount) {
-        return std::nullopt;
+    return join(encodeOutgoing(request, now, history));
+}
+
+byte_vector encodeFrame(const call_answer& answer, const std::string& requestId, frame_history& history)
+{
+    return join(encodeOutgoing(answer, requestId, history));
+}
+
+namespace {
+
+    // Decodes all but the body, which is a part of the bytes.
+    std::optional<call_request> readRequest(std::string_view bytes, std::chrono::steady_clock::time_point now, frame_history& history, std::string_view& body)
+    {
+        frame_reader reader(bytes, history);
+        request_numbers numbers;
+        reader.readNumbers(numbers);
+        if (reader.isDamaged() || numbers.level >= importanceCount || numbers.position.value >= sheddingPositionCount) {
+            return std::nullopt;
+        }
+        call_request request;
+        auto& context = request.context;
+        request.callId = numbers.callId;
+        request.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
+        context.level = static_cast<importance>(numbers.level);
+        context.position = static_cast<shedding_position>(numbers.position.value);
+        request.refuseIfFull = numbers.refuseIfFull;
+        context.idempotent = numbers.idempotent;
+        context.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
+        context.depth = static_cast<std::uint32_t>(numbers.depth.value);
+        auto remaining = std::chrono::microseconds(numbers.remainingMicroseconds.value);
+        context.deadline = now + std::min(remaining, maxRemaining);
+        reader.beginStrings({});
+        context.requestId = reader.readString();
+        history.setRequestId(context.requestId);
+        context.organisation = reader.readString();
+        context.requestClass = reader.readString();
+        request.service = reader.readString();
+        request.callerService = reader.readString();
+        request.method = reader.readString();
+        request.path = reader.readString();
+        request.fields = reader.readFields();
+        request.notice = extractNotice(request.fields);
+        body = reader.readBytes();
+        if (numbers.hasPermit) {
+            permit_payload permit;
+            reader.readNumbers(permit);
+            request.permit = ticket { permit.home, std::chrono::milliseconds(permit.validUntilMilliseconds), permit.nonce, permit.use, permit.claimed };
+        }
+        if (!reader.isComplete()) {
+            return std::nullopt;
+        }
+        return request;
     }
-    call_request request;
-    auto& context = request.context;
-    request.callId = numbers.callId;
-    request.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
-    context.level = static_cast<importance>(numbers.level);
-    context.position = static_cast<shedding_position>(numbers.position.value);
-    request.refuseIfFull = numbers.refuseIfFull;
-    context.idempotent = numbers.idempotent;
-    context.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
-    context.depth = static_cast<std::uint32_t>(numbers.depth.value);
-    auto remaining = std::chrono::microseconds(numbers.remainingMicroseconds.value);
-    context.deadline = now + std::min(remaining, maxRemaining);
-    reader.beginStrings({});
-    context.requestId = reader.readString();
-    history.setRequestId(context.requestId);
-    context.organisation = reader.readString();
-    context.requestClass = reader.readString();
-    request.service = reader.readString();
-    request.callerService = reader.readString();
-    request.method = reader.readString();
-    request.path = reader.readString();
-    request.fields = reader.readFields();
-    request.notice = extractNotice(request.fields);
-    request.body = std::string(reader.readBytes());
-    if (numbers.hasPermit) {
-        permit_payload permit;
-        reader.readNumbers(permit);
-        request.permit = ticket { permit.home, std::chrono::milliseconds(permit.validUntilMilliseconds), permit.nonce, permit.use, permit.claimed };
+
+    std::optional<call_answer> readAnswer(std::string_view bytes, const std::string& requestId, frame_history& history, std::string_view& body)
+    {
+        frame_reader reader(bytes, history);
+        answer_numbers numbers;
+        reader.readNumbers(numbers);
+        if (reader.isDamaged() || numbers.run > static_cast<std::uint8_t>(execution::Ran) || numbers.reason >= verdictReasonCount) {
+            return std::nullopt;
+        }
+        call_answer answer;
+        answer.callId = numbers.callId;
+        answer.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
+        answer.outcome.run = static_cast<execution>(numbers.run);
+        answer.outcome.reason = static_cast<verdict_reason>(numbers.reason);
+        answer.outcome.retryAfter = std::chrono::milliseconds(numbers.retryAfterMilliseconds.value);
+        answer.status = static_cast<std::uint32_t>(numbers.status.value);
+        answer.nextUse = static_cast<std::uint32_t>(numbers.nextUse.value);
+        answer.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
+        answer.cut = static_cast<shedding_position>(numbers.cut.value);
+        answer.inFlight = static_cast<std::uint32_t>(numbers.inFlight.value);
+        answer.limit = static_cast<std::uint32_t>(numbers.limit.value);
+        answer.cost.slotTime = std::chrono::microseconds(numbers.costMicroseconds.value);
+        answer.zoneCrossings = static_cast<std::uint32_t>(numbers.zoneCrossings.value);
+        reader.beginStrings(requestId);
+        answer.cost.service = reader.readString();
+        answer.fields = reader.readFields();
+        extractNodeField(answer);
+        answer.notice = extractNotice(answer.fields);
+        body = reader.readBytes();
+        if (!reader.isComplete()) {
+            return std::nullopt;
+        }
+        return answer;
     }
-    if (!reader.isComplete()) {
-        return std::nullopt;
+
+}
+
+std::optional<call_request> decodeRequest(std::string_view payload, std::chrono::steady_clock::time_point now, frame_history& history, byte_reservation room)
+{
+    std::string_view body;
+    auto request = readRequest(payload, now, history, body);
+    if (request) {
+        request->body = message_body(std::string(body), std::move(room));
     }
     return request;
 }
 
-std::optional<call_answer> decodeAnswer(std::string_view bytes, const std::string& requestId, frame_history& history)
+std::optional<call_answer> decodeAnswer(std::string_view payload, const std::string& requestId, frame_history& history, byte_reservation room)
 {
-    frame_reader reader(bytes, history);
-    answer_numbers numbers;
-    reader.readNumbers(numbers);
-    if (reader.isDamaged() || numbers.run > static_cast<std::uint8_t>(execution::Ran) || numbers.reason >= verdictReasonCount) {
-        return std::nullopt;
+    std::string_view body;
+    auto answer = readAnswer(payload, requestId, history, body);
+    if (answer) {
+        answer->body = message_body(std::string(body), std::move(room));
     }
-    call_answer answer;
-    answer.callId = numbers.callId;
-    answer.attempt = static_cast<std::uint32_t>(numbers.attempt.value);
-    answer.outcome.run = static_cast<execution>(numbers.run);
-    answer.outcome.reason = static_cast<verdict_reason>(numbers.reason);
-    answer.outcome.retryAfter = std::chrono::milliseconds(numbers.retryAfterMilliseconds.value);
-    answer.status = static_cast<std::uint32_t>(numbers.status.value);
-    answer.nextUse = static_cast<std::uint32_t>(numbers.nextUse.value);
-    answer.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
-    answer.cut = static_cast<shedding_position>(numbers.cut.value);
-    answer.inFlight = static_cast<std::uint32_t>(numbers.inFlight.value);
-    answer.limit = static_cast<std::uint32_t>(numbers.limit.value);
-    answer.cost.slotTime = std::chrono::microseconds(numbers.costMicroseconds.value);
-    answer.zoneCrossings = static_cast<std::uint32_t>(numbers.zoneCrossings.value);
-    reader.beginStrings(requestId);
-    answer.cost.service = reader.readString();
-    answer.fields = reader.readFields();
-    extractNodeField(answer);
-    answer.notice = extractNotice(answer.fields);
-    answer.body = std::string(reader.readBytes());
-    if (!reader.isComplete()) {
-        return std::nullopt;
+    return answer;
+}
+
+std::optional<call_request> decodeLongRequest(std::string payload, std::chrono::steady_clock::time_point now, frame_history& history, byte_reservation room)
+{
+    std::string_view body;
+    auto request = readRequest(payload, now, history, body);
+    if (request) {
+        request->body = message_body(reduceToBody(std::move(payload), body), std::move(room));
+    }
+    return request;
+}
+
+std::optional<call_answer> decodeLongAnswer(std::string payload, const std::string& requestId, frame_history& history, byte_reservation room)
+{
+    std::string_view body;
+    auto answer = readAnswer(payload, requestId, history, body);
+    if (answer) {
+        answer->body = message_body(reduceToBody(std::move(payload), body), std::move(room));
     }
     return answer;
 }
--- a/Source/peer/call_codec.h
+++ b/Source/peer/call_codec.h
@@ -40,17 +40,36 @@
 
 bool checksumMatches(const frame_header&, std::string_view payload);
 
-// Encode a frame; the result is empty if the encoder fails. The history belongs to one
+// A frame that is sent: the bytes before the body, the body, and the bytes after it. The bytes of a short
+// body are part of those before it.
+struct outgoing_frame {
+    byte_vector begin;
+    message_body body {};
+    byte_vector end {};
+
+    std::size_t size() const { return begin.size() + body.size() + end.size(); }
+};
+
+// Encode a frame without copying a long body; the result is empty if the encoder fails. The history belongs to one
 // connection and one direction, and every encoded frame must be sent. The request id of an
 // answer is that of the request that precedes it on the connection. The deadline of a
 // request is encoded as the time that remains after now.
+outgoing_frame encodeOutgoing(const call_request&, std::chrono::steady_clock::time_point now, frame_history&);
+outgoing_frame encodeOutgoing(const call_answer&, const std::string& requestId, frame_history&);
+
+// The same as one sequence of bytes.
 byte_vector encodeFrame(const call_request&, std::chrono::steady_clock::time_point now, frame_history&);
 byte_vector encodeFrame(const call_answer&, const std::string& requestId, frame_history&);
 
 // Decode a payload; return nothing if encodeFrame() cannot have produced it. No later frame
-// of the connection can be decoded then, because the history is incomplete.
-std::optional<call_request> decodeRequest(std::string_view payload, std::chrono::steady_clock::time_point now, frame_history&);
-std::optional<call_answer> decodeAnswer(std::string_view payload, const std::string& requestId, frame_history&);
+// of the connection can be decoded then, because the history is incomplete. The room belongs to the
+// message.
+std::optional<call_request> decodeRequest(std::string_view payload, std::chrono::steady_clock::time_point now, frame_history&, byte_reservation room = {});
+std::optional<call_answer> decodeAnswer(std::string_view payload, const std::string& requestId, frame_history&, byte_reservation room = {});
+
+// The same for long payloads, whose memory becomes that of the body.
+std::optional<call_request> decodeLongRequest(std::string payload, std::chrono::steady_clock::time_point now, frame_history&, byte_reservation room);
+std::optional<call_answer> decodeLongAnswer(std::string payload, const std::string& requestId, frame_history&, byte_reservation room);
 
 // The first complete frame of a byte sequence. The payload is a view of these bytes.
 struct found_frame {
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -3,6 +3,8 @@
 #include "http/connection_pool.h"
 #include "http/pooled_connection.h"
 #include "peer/call_codec.h"
+#include "peer/frame_buffers.h"
+#include "peer/incoming_frame.h"
 
 #include <boost/asio.hpp>
 
@@ -46,6 +48,7 @@
             : pooled_connection(client->context, address)
             , m_client(client)
             , m_idleTimeout(client->settings.idleTimeout)
+            , m_incoming(frame_kind::Answer, client->settings.maxBodyBytes, client->settings.budget, byte_place::PeerAnswer)
         {
         }
 
@@ -54,7 +57,7 @@
             m_callId = request.callId;
             m_attempt = request.attempt;
             m_requestId = request.context.requestId;
-            m_outgoing = encodeFrame(request, now, m_sentFrames);
+            m_outgoing = encodeOutgoing(request, now, m_sentFrames);
             m_written = false;
             m_connection.use();
             if (m_connection.isOpen()) {
@@ -95,12 +98,12 @@
 
         void write()
         {
-            bool sentCompletely = m_connection.stream().send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
+            bool sentCompletely = m_connection.stream().send(buffersOf(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
                 self->writeFinished(!error);
                 // A peer that refuses a call early may have answered before it closed the
                 // connection, so the answer is still read.
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
-                    self->fail(verdict::mayHaveRun(verdict_reason::AnswerLost));
+                    self->fail(self->verdictWithoutAnswer());
                 }
             });
             if (sentCompletely) {
@@ -115,7 +118,38 @@
             m_outgoing = {};
         }
 
-        void connectionEnded(const error_code&) { fail(verdict::mayHaveRun(verdict_reason::AnswerLost)); }
+        void connectionEnded(const error_code&) { fail(verdictWithoutAnswer()); }
+
+        // A peer runs a call only if it has received the whole frame.
+        verdict verdictWithoutAnswer() const
+        {
+            return m_written ? verdict::mayHaveRun(verdict_reason::AnswerLost) : verdict::notRun(verdict_reason::PeerUnreachable);
+        }
+
+        bool canRead()
+        {
+            auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
+                if (auto self = weak.lock()) {
+                    self->roomDecided(later);
+                }
+            });
+            if (grant == byte_grant::Refused) {
+                fail(verdict::mayHaveRun(verdict_reason::NoMemory));
+            }
+            return grant == byte_grant::Granted;
+        }
+
+        void roomDecided(byte_grant grant)
+        {
+            if (m_connection.isClosed()) {
+                return;
+            }
+            if (grant == byte_grant::Refused) {
+                fail(verdict::mayHaveRun(verdict_reason::NoMemory));
+                return;
+            }
+            read();
+        }
 
         void idleConnectionEnded()
         {
@@ -132,20 +166,18 @@
                 return;
             }
             auto& received = m_connection.stream().received();
-            found_frame found;
-            auto search = findFrame(m_connection.stream().bytes(), frame_kind::Answer, client->settings.maxBodyBytes, found);
+            auto search = m_incoming.take(received);
             if (search == frame_search::Incomplete) {
                 return;
             }
             std::optional<call_answer> answer;
             if (search == frame_search::Found) {
-                answer = decodeAnswer(found.payload, m_requestId, m_receivedFrames);
+                answer = m_incoming.decodeAnswer(received, m_requestId, m_receivedFrames);
             }
             if (!answer) {
                 failWithDamagedAnswer();
                 return;
             }
-            received.consume(frameHeaderBytes + found.payload.size());
             answerReceived(*client, std::move(*answer));
         }
 
@@ -162,6 +194,7 @@
 
         void end(peer_client::state& client, call_answer answer, bool reusable)
         {
+            m_incoming.reset();
             client.pool.end(shared_from_this(), std::move(answer), reusable, client.settings.maxIdle);
         }
 
@@ -189,7 +222,8 @@
         std::string m_requestId;
         frame_history m_sentFrames;
         frame_history m_receivedFrames;
-        byte_vector m_outgoing;
+        outgoing_frame m_outgoing;
+        incoming_frame m_incoming;
         bool m_written = false;
     };
 
--- a/Source/peer/peer_client.h
+++ b/Source/peer/peer_client.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds idleTimeout { 30000 };
     // A peer that has not accepted the connection by then is considered unreachable.
     std::chrono::milliseconds connectTimeout { 250 };
+    // Limits the bytes of all messages of the node. Optional.
+    std::shared_ptr<byte_budget> budget {};
 };
 
 // Failures since the start of the process.
@@ -45,7 +47,7 @@
     ~peer_client();
 
     // Sends a call to the peer at "IP:port" and returns its id for cancel(). The handler is
-    // called exactly once, unless the call is cancelled. If the call may have been sent but no
+    // called exactly once, unless the call is cancelled. If the call may have been sent completely but no
     // complete answer was received, the answer has the verdict may_have_run.
     std::uint64_t start(const std::string& address, const call_request&, answer_handler);
 
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -4,6 +4,8 @@
 #include "http/socket_address.h"
 #include "http/socket_stream.h"
 #include "peer/call_codec.h"
+#include "peer/frame_buffers.h"
+#include "peer/incoming_frame.h"
 
 #include <boost/asio.hpp>
 
@@ -14,27 +16,32 @@
 using boost::system::error_code;
 
 struct peer_server::state {
-    state(std::uint64_t bodyBytes, peer_call_handler callHandler)
+    state(std::uint64_t bodyBytes, peer_call_handler callHandler, std::shared_ptr<byte_budget> byteBudget)
         : maxBodyBytes(bodyBytes)
         , handler(std::move(callHandler))
+        , budget(std::move(byteBudget))
     {
     }
 
     std::unique_ptr<connection_acceptor> acceptor;
     std::uint64_t maxBodyBytes;
     peer_call_handler handler;
+    std::shared_ptr<byte_budget> budget;
     std::uint64_t damagedFrames = 0;
     std::size_t inProgress = 0;
 };
 
 namespace {
 
+    constexpr std::chrono::milliseconds memoryRetryAfter { 500 };
+
     // One connection from a peer, with at most one call in progress.
     class peer_session : public std::enable_shared_from_this<peer_session> {
     public:
         peer_session(tcp::socket socket, std::shared_ptr<peer_server::state> server)
             : m_stream(std::move(socket))
             , m_server(std::move(server))
+            , m_incoming(frame_kind::Request, m_server->maxBodyBytes, m_server->budget, byte_place::PeerRequest)
         {
         }
 
@@ -50,7 +57,10 @@
 
         void bytesReceived(const error_code&);
         void findRequest();
-        void requestReceived(std::string_view payload);
+        bool canRead();
+        void roomDecided(byte_grant);
+        void requestReceived();
+        void refuseWithoutRoom(const call_request&);
         void send(const call_answer&);
         void answerSent();
         void closeDamaged();
@@ -62,7 +72,8 @@
         frame_history m_sentFrames;
         // Request id of the call in progress.
         std::string m_requestId;
-        byte_vector m_outgoing;
+        outgoing_frame m_outgoing;
+        incoming_frame m_incoming;
         std::shared_ptr<exchange> m_exchange;
         bool m_sendingAnswer = false;
         bool m_closed = false;
@@ -119,51 +130,84 @@
             return;
         }
         findRequest();
-        if (!m_closed) {
+        if (!m_closed && canRead()) {
             read();
         }
     }
 
+    // A call that finds no room ends with its connection. Its sender knows that it has not run, since the
+    // frame was not received completely.
+    bool peer_session::canRead()
+    {
+        auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
+            if (auto self = weak.lock()) {
+                self->roomDecided(later);
+            }
+        });
+        if (grant == byte_grant::Refused) {
+            close();
+        }
+        return grant == byte_grant::Granted;
+    }
+
+    void peer_session::roomDecided(byte_grant grant)
+    {
+        if (m_closed) {
+            return;
+        }
+        if (grant == byte_grant::Refused) {
+            close();
+            return;
+        }
+        read();
+    }
+
     void peer_session::findRequest()
     {
-        found_frame found;
-        auto search = findFrame(m_stream.bytes(), frame_kind::Request, m_server->maxBodyBytes, found);
+        auto search = m_incoming.take(m_stream.received());
         if (search == frame_search::Incomplete) {
             return;
         }
-        bool isOnlyFrame = frameHeaderBytes + found.payload.size() == m_stream.bytes().size();
-        if (search == frame_search::Damaged || !isOnlyFrame) {
+        if (search == frame_search::Damaged || m_incoming.isFollowed(m_stream.received())) {
             closeDamaged();
             return;
         }
         // The next request may arrive before the write of the previous answer is reported as
         // complete; it is then decoded after that.
         if (!m_sendingAnswer) {
-            requestReceived(found.payload);
+            requestReceived();
         }
     }
 
-    void peer_session::requestReceived(std::string_view payload)
+    void peer_session::requestReceived()
     {
-        auto request = decodeRequest(payload, std::chrono::steady_clock::now(), m_receivedFrames);
+        auto request = m_incoming.decodeRequest(m_stream.received(), std::chrono::steady_clock::now(), m_receivedFrames);
         if (!request) {
             closeDamaged();
             return;
         }
-        auto& received = m_stream.received();
-        received.consume(received.size());
         m_requestId = request->context.requestId;
+        if (!m_incoming.hasRoom()) {
+            refuseWithoutRoom(*request);
+            return;
+        }
         m_exchange = std::make_shared<exchange>(shared_from_this());
         ++m_server->inProgress;
         m_server->handler(std::move(*request), m_exchange);
     }
 
+    void peer_session::refuseWithoutRoom(const call_request& request)
+    {
+        ++m_server->inProgress;
+        send(makeCallAnswer(request.callId, request.attempt, verdict::notRun(verdict_reason::NoMemory, memoryRetryAfter)));
+    }
+
     void peer_session::send(const call_answer& answer)
     {
         m_exchange.reset();
         m_sendingAnswer = true;
-        m_outgoing = encodeFrame(answer, m_requestId, m_sentFrames);
-        bool sentCompletely = m_stream.send(asio::buffer(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
+        m_outgoing = encodeOutgoing(answer, m_requestId, m_sentFrames);
+        bool sentCompletely = m_stream.send(buffersOf(m_outgoing), [self = shared_from_this()](const error_code& error, std::size_t) {
             self->answerSent();
             if (error) {
                 self->close();
@@ -192,6 +236,7 @@
     void peer_session::close()
     {
         m_closed = true;
+        m_incoming.reset();
         error_code ignored;
         m_stream.socket().close(ignored);
         if (auto cancelledExchange = std::exchange(m_exchange, nullptr)) {
@@ -202,8 +247,8 @@
 
 }
 
-peer_server::peer_server(asio::io_context& context, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler handler)
-    : m_state(std::make_shared<state>(maxBodyBytes, std::move(handler)))
+peer_server::peer_server(asio::io_context& context, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler handler, std::shared_ptr<byte_budget> budget)
+    : m_state(std::make_shared<state>(maxBodyBytes, std::move(handler), std::move(budget)))
 {
     std::weak_ptr<state> server = m_state;
     m_state->acceptor = std::make_unique<connection_acceptor>(context, listenAddress, [server](tcp::socket socket) {
--- a/Source/peer/peer_server.h
+++ b/Source/peer/peer_server.h
@@ -32,7 +32,8 @@
 class peer_server {
 public:
     // Throws boost::system::system_error if the address cannot be bound.
-    peer_server(boost::asio::io_context&, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler);
+    // The budget limits the bytes of all messages of the node; it may be null.
+    peer_server(boost::asio::io_context&, const std::string& listenAddress, std::uint64_t maxBodyBytes, peer_call_handler, std::shared_ptr<byte_budget> = nullptr);
     ~peer_server();
 
     // The listening address, "IP:port".
--- a/Source/routing/target_view.cpp
+++ b/Source/routing/target_view.cpp
@@ -51,7 +51,7 @@
     // Whether the member's server received the call and returned no result.
     bool isLost(verdict_reason reason)
     {
-        return reason == verdict_reason::AnswerLost || reason == verdict_reason::BackendRefused;
+        return reason == verdict_reason::AnswerLost || reason == verdict_reason::AnswerTooLarge || reason == verdict_reason::BackendRefused;
     }
 
     // Whether an outcome shows that the member cannot serve calls, whatever its load.
@@ -61,6 +61,8 @@
         case verdict_reason::PeerUnreachable:
         case verdict_reason::BackendUnreachable:
         case verdict_reason::AnswerLost:
+        case verdict_reason::AnswerTooLarge:
+        case verdict_reason::NoMemory:
         case verdict_reason::NoBackendServer:
         case verdict_reason::Draining:
             return true;
--- a/Source/settings/format_settings.cpp
+++ b/Source/settings/format_settings.cpp
@@ -84,7 +84,7 @@
         + formatStrings("join", settings.joinAddresses)
         + formatPort("operators", settings.operators)
         + "\n[platform]\n" + formatStrings("endpoints", settings.platformEndpoints)
-        + "\n[limits]\n" + formatString("max_body", formatSize(settings.maxBodyBytes))
+        + "\n[limits]\n" + formatString("max_body", formatSize(settings.maxBodyBytes)) + formatString("memory", formatSize(settings.memoryBytes))
         + formatString("drain_timeout", formatDuration(settings.drainTimeout))
         + (settings.routes ? formatRoutes(*settings.routes) : "");
 }
--- a/Source/settings/node_settings.h
+++ b/Source/settings/node_settings.h
@@ -43,6 +43,9 @@
     std::chrono::milliseconds grace { 6000 };
 };
 
+// The least memory that a node can work with.
+constexpr std::uint64_t minMemoryBytes = 64ULL * 1024 * 1024;
+
 // The settings that a node reads when it starts.
 struct node_settings {
     std::string name;
@@ -80,6 +83,8 @@
     std::string mesh {};
     // Only used by the command routed-node.
     std::optional<route_settings> routes {};
+    // Memory that the process may use, in bytes. It limits the messages that the node holds at a time.
+    std::uint64_t memoryBytes = 256ULL * 1024 * 1024;
 };
 
 }
--- a/Source/settings/parse_settings.cpp
+++ b/Source/settings/parse_settings.cpp
@@ -16,6 +16,7 @@
 
     constexpr std::uint64_t minBodyLimit = 1024;
     constexpr std::uint64_t maxBodyLimit = 64UL * 1024 * 1024;
+    constexpr std::uint64_t maxMemory = 1024UL * 1024 * 1024 * 1024;
     constexpr std::chrono::milliseconds maxDrainTimeout { 600000 };
     constexpr std::size_t maxLabelLength = 63;
     const std::string defaultListen = "127.0.0.1:0";
@@ -41,6 +42,7 @@
     const toml_key joinKey { "join", "[\"192.0.2.11:7002\"]", presence::Optional };
     const toml_key endpointsKey { "endpoints", "[\"192.0.2.5:2379\"]", presence::Optional };
     const toml_key maxBodyKey { "max_body", "\"1MiB\"", presence::Optional };
+    const toml_key memoryKey { "memory", "\"256MiB\"", presence::Optional };
     const toml_key drainTimeoutKey { "drain_timeout", "\"30s\"", presence::Optional };
 
     const toml_key serviceKey { "service", "\"threads\"" };
@@ -116,6 +118,7 @@
     const toml_rule<std::string> logLevelRule = choiceRule({ "debug", "info", "warning", "error" });
     const toml_rule<std::string> policyRule = choiceRule({ "full", "hop", "none" });
     const toml_rule<std::uint64_t> maxBodyRule = sizeRule(minBodyLimit, maxBodyLimit);
+    const toml_rule<std::uint64_t> memoryRule = sizeRule(minMemoryBytes, maxMemory);
     const toml_rule<std::chrono::milliseconds> drainTimeoutRule = durationRule(std::chrono::milliseconds(0), maxDrainTimeout);
 
     constexpr double maxSeconds = 3600;
@@ -240,6 +243,7 @@
         {
             auto reader = section(limitsKey);
             m_settings.maxBodyBytes = reader.readSize(maxBodyKey, maxBodyRule).value_or(m_settings.maxBodyBytes);
+            m_settings.memoryBytes = reader.readSize(memoryKey, memoryRule).value_or(m_settings.memoryBytes);
             m_settings.drainTimeout = reader.readDuration(drainTimeoutKey, drainTimeoutRule).value_or(m_settings.drainTimeout);
             reader.reportUnknownKeys();
         }
--- /dev/null
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -0,0 +1,197 @@
+#include "RoutedWorld/bulk_server.h"
+#include "RoutedWorld/platform_world.h"
+#include "RoutedWorld/routed_node.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <thread>
+
+namespace vanillashunt {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::uint32_t slots = 139;
+    constexpr milliseconds deadline { 30000 };
+    constexpr std::size_t mebibyte = 1048576;
+
+    // The settings of a machine whose processes may have 260 MB, and the bound on what a node uses of it.
+    constexpr const char* memorySettings = "[limits]\nmax_body = \"64MiB\"\nmemory = \"260MiB\"\n";
+    constexpr std::size_t maxMegabytes = 200;
+
+    // The limits of the users' deployments; the server's service is "desk".
+    std::string configuration()
+    {
+        return R"({"version":"r1","resources":[
+            {"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","service":"desk","timeout_s":30,"target_latency_s":1,"priority":0,"max_attempts":2}},
+            {"type":"routes","metadata":{"name":"two"},"spec":{"host":"a.example","prefix":"/y/","kind":"non_idempotent","service":"desk","timeout_s":30,"target_latency_s":1,"priority":0,"max_attempts":2}},
+            {"type":"services","metadata":{"name":"desk"},"spec":{}},
+            {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":5,"idle_timeout_s":30}}]})";
+    }
+
+    // A node where requests enter, and the node beside the server.
+    struct large_world {
+        large_world()
+        {
+            world.putConfiguration(configuration());
+            target = std::make_unique<routed_node>(plan("desk-1", "desk", {}));
+            target->report("ready", 1, "desk", "i-1", slots);
+            entry = std::make_unique<routed_node>(plan("front-1", "front", { target->port("peer") }));
+            entry->getUntil("200");
+        }
+
+        routed_node_plan plan(const std::string& name, const std::string& service, const std::vector<std::string>& join) const
+        {
+            routed_node_plan result { name, service, world.storeAddress(), server.address(), join };
+            result.furtherSettings = memorySettings;
+            return result;
+        }
+
+        platform_world world;
+        bulk_server server;
+        std::unique_ptr<routed_node> target;
+        std::unique_ptr<routed_node> entry;
+    };
+
+    // A figure of the process in megabytes: VmRSS or VmHWM.
+    std::size_t megabytes(const routed_node& node, const std::string& figure)
+    {
+        std::ifstream status("/proc/" + std::to_string(node.process->id()) + "/status");
+        for (std::string word; status >> word;) {
+            if (word == figure + ":") {
+                std::size_t kilobytes = 0;
+                status >> kilobytes;
+                return kilobytes / 1024;
+            }
+        }
+        return 0;
+    }
+
+    // The status and the size of the body that a client gets; 0 for no answer.
+    struct client_result {
+        int status = 0;
+        std::size_t bytes = 0;
+    };
+
+    client_result readAnswer(raw_socket& client)
+    {
+        auto head = client.readUntil("\r\n\r\n");
+        if (head.size() < 12) {
+            return {};
+        }
+        client_result result { std::stoi(head.substr(9, 3)) };
+        auto field = head.find("Content-Length: ");
+        auto left = field == std::string::npos ? 0 : std::stoul(head.substr(field + 16));
+        while (left > 0) {
+            auto count = client.readBytes(std::min<std::size_t>(left, 65536)).size();
+            if (count == 0) {
+                return result;
+            }
+            left -= count;
+            result.bytes += count;
+        }
+        return result;
+    }
+
+    client_result upload(const routed_node& node, int number, std::size_t bytes)
+    {
+        auto client = raw_socket::connectTo(node.port("caller"));
+        client.trySend("POST /y/1 HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: u" + std::to_string(number) + "\r\nVanillashunt-Deadline-Ms: "
+            + std::to_string(deadline.count()) + "\r\nContent-Length: " + std::to_string(bytes) + "\r\nConnection: close\r\n\r\n");
+        for (std::size_t sent = 0; sent < bytes; sent += bulkPiece().size()) {
+            client.trySend(bulkPiece());
+        }
+        return readAnswer(client);
+    }
+
+    client_result download(routed_node& node, const std::string& path)
+    {
+        auto client = node.begin(path, deadline);
+        return readAnswer(client);
+    }
+
+    // Calls the function with each number on a thread of its own.
+    std::vector<client_result> inParallel(int count, const std::function<client_result(int)>& function)
+    {
+        std::vector<client_result> results(static_cast<std::size_t>(count));
+        std::vector<std::thread> threads;
+        threads.reserve(results.size());
+        for (int number = 0; number < count; ++number) {
+            threads.emplace_back([&, number] { results[static_cast<std::size_t>(number)] = function(number); });
+        }
+        for (auto& thread : threads) {
+            thread.join();
+        }
+        return results;
+    }
+
+}
+
+// Guards against a body that is held several times on its way through a node.
+TEST(LargeBodies, AreHeldOnceByEachNode)
+{
+    constexpr std::size_t bodyMegabytes = 64;
+    large_world world;
+    const std::vector<std::string> paths { "/y/1", "/x/sized-64", "/x/chunked-63" };
+    for (const auto& path : paths) {
+        auto entryBefore = megabytes(*world.entry, "VmRSS");
+        auto targetBefore = megabytes(*world.target, "VmRSS");
+        bool isUpload = path == "/y/1";
+        auto result = isUpload ? upload(*world.entry, 1, bodyMegabytes * mebibyte) : download(*world.entry, path);
+        EXPECT_EQ(result.status, 200) << path;
+        EXPECT_LE(megabytes(*world.entry, "VmHWM"), entryBefore + bodyMegabytes * 5 / 4) << path;
+        EXPECT_LE(megabytes(*world.target, "VmHWM"), targetBefore + bodyMegabytes * 5 / 4) << path;
+    }
+}
+
+// Guards against sound large answers that take a node over its memory, or are cut off because there are
+// several at once.
+TEST(LargeBodies, TwelveAnswersAtOnceAreDelivered)
+{
+    constexpr int callers = 12;
+    constexpr std::size_t answerMegabytes = 24;
+    for (const std::string kind : { "chunked", "sized" }) {
+        large_world world;
+        auto results = inParallel(callers, [&](int) { return download(*world.entry, "/x/" + kind + "-" + std::to_string(answerMegabytes)); });
+        for (const auto& result : results) {
+            EXPECT_EQ(result.status, 200) << kind;
+            EXPECT_EQ(result.bytes, answerMegabytes * mebibyte) << kind;
+        }
+        EXPECT_LE(megabytes(*world.entry, "VmHWM"), maxMegabytes) << kind;
+        EXPECT_LE(megabytes(*world.target, "VmHWM"), maxMegabytes) << kind;
+    }
+}
+
+// Guards against uploads of the largest size that end a node, and with it every request in progress there,
+// or that keep small requests from their way.
+TEST(LargeBodies, SixteenUploadsAtOnceLeaveTheNodesAliveAndSmallRequestsServed)
+{
+    constexpr int callers = 16;
+    large_world world;
+    std::atomic<bool> ended { false };
+    std::atomic<int> served { 0 };
+    std::atomic<int> unserved { 0 };
+    std::thread small([&] {
+        while (!ended) {
+            auto result = download(*world.entry, "/x/small");
+            (result.status == 200 ? served : unserved) += 1;
+        }
+    });
+    auto results = inParallel(callers, [&](int number) { return upload(*world.entry, number, 64 * mebibyte); });
+    ended = true;
+    small.join();
+    int delivered = 0;
+    for (const auto& result : results) {
+        EXPECT_TRUE(result.status == 200 || result.status == 503) << result.status;
+        delivered += result.status == 200 ? 1 : 0;
+    }
+    EXPECT_GT(delivered, 0);
+    EXPECT_GT(served, 0);
+    EXPECT_EQ(unserved, 0);
+    EXPECT_LE(megabytes(*world.entry, "VmHWM"), maxMegabytes);
+    EXPECT_LE(megabytes(*world.target, "VmHWM"), maxMegabytes);
+}
+
+}
--- a/Tests/ParserGarbage/parser_garbage_test.cpp
+++ b/Tests/ParserGarbage/parser_garbage_test.cpp
@@ -87,7 +87,8 @@
             static const std::vector<std::string> levels { "debug", "info", "warning", "error" };
             static const std::vector<std::string> policies { "full", "hop", "none" };
             return { word(), word(), randomBelow(2) == 0 ? "" : word(), randomBelow(2) == 0 ? "" : "192.0.2.7", port(), port(), port(), port(), endpoints(), endpoints(),
-                static_cast<std::uint64_t>(1024) + randomBelow(64 * 1024 * 1023), std::chrono::milliseconds(randomBelow(600001)), levels[randomBelow(4)], policies[randomBelow(3)], randomBelow(2) == 0 ? "" : word() };
+                static_cast<std::uint64_t>(1024) + randomBelow(64 * 1024 * 1023), std::chrono::milliseconds(randomBelow(600001)), levels[randomBelow(4)], policies[randomBelow(3)], randomBelow(2) == 0 ? "" : word(), std::nullopt,
+                minMemoryBytes + randomBelow(1024 * 1024 * 1024) };
         }
 
     private:
--- a/Tests/RoutedSoak/routed_soak_test.cpp
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -1,9 +1,8 @@
 #include "RoutedSoak/soak_run.h"
+#include "RoutedSoak/soak_seeds.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 namespace vanillashunt {
 
 namespace {
@@ -15,23 +14,6 @@
 
     constexpr int faultsOfARun = 12;
 
-    // Seeds of one's own: SOAK_SEEDS=FIRST:COUNT.
-    std::vector<std::uint64_t> seeds()
-    {
-        const char* wanted = std::getenv("SOAK_SEEDS");
-        if (!wanted) {
-            return keptSeeds;
-        }
-        char* rest = nullptr;
-        auto first = std::strtoull(wanted, &rest, 10);
-        auto count = *rest == ':' ? std::strtoull(rest + 1, nullptr, 10) : 1;
-        std::vector<std::uint64_t> result;
-        for (std::uint64_t seed = first; seed < first + count; ++seed) {
-            result.push_back(seed);
-        }
-        return result;
-    }
-
     // The promises, from what clients and servers saw.
     void checkPromises(soak_run& run, std::uint64_t seed)
     {
@@ -68,7 +50,7 @@
 
     void playSeeds(server_restarts restarts)
     {
-        for (auto seed : seeds()) {
+        for (auto seed : soakSeeds(keptSeeds)) {
             soak_run run(seed, restarts);
             run.breakThings(faultsOfARun);
             EXPECT_TRUE(run.allServe()) << "seed " << seed;
--- a/Tests/SettingsRefusals/settings_refusals_test.cpp
+++ b/Tests/SettingsRefusals/settings_refusals_test.cpp
@@ -43,7 +43,7 @@
         "\n[peer]\nlisten = \"127.0.0.1:0\"\nadvertise = \"\"\njoin = []\n"
         "\n[operators]\nlisten = \"127.0.0.1:0\"\nadvertise = \"\"\n"
         "\n[platform]\nendpoints = []\n"
-        "\n[limits]\nmax_body = \"1MiB\"\ndrain_timeout = \"30s\"\n");
+        "\n[limits]\nmax_body = \"1MiB\"\nmemory = \"256MiB\"\ndrain_timeout = \"30s\"\n");
 }
 
 TEST(SettingsRefusals, ReportsEveryProblemAtOnce)
@@ -53,7 +53,7 @@
             "s.toml: [node]: availability_zone is missing; add it, for example availability_zone = \"cyberjaya\"",
             "s.toml:1: node is 3, but has to be a table; begin it with a line [node]"));
     EXPECT_THAT(reportedProblems("[node]\nname = \"a b\"\navailabilty_zone = \"x\"\nlog_level = \"loud\"\npolicy = \"half\"\noutgoing_address = \"192.0.2.1:80\"\n"
-                                 "[limits]\nmax_body = 3\ndrain_timeout = \"11min\"\nqueue = 1\n[nodes]\n"),
+                                 "[limits]\nmax_body = 3\nmemory = \"1MiB\"\ndrain_timeout = \"11min\"\nqueue = 1\n[nodes]\n"),
         ElementsAre("s.toml:1: [node]: availability_zone is missing; add it, for example availability_zone = \"cyberjaya\"",
             "s.toml:2: [node]: name is \"a b\", but has to be 1 to 63 characters from a-z, A-Z, 0-9, \"-\", \"_\" and \".\"; write for example name = \"threads-1\"",
             "s.toml:3: [node]: unknown key \"availabilty_zone\"; did you mean \"availability_zone\"?",
@@ -61,9 +61,10 @@
             "s.toml:5: [node]: policy is \"half\", but has to be one of \"full\", \"hop\", \"none\"; write for example policy = \"full\"",
             "s.toml:6: [node]: outgoing_address is \"192.0.2.1:80\", but has to be empty or a numeric IP address without a port; write for example outgoing_address = \"192.0.2.10\"",
             "s.toml:8: [limits]: max_body is 3, but has to be a size from 1KiB to 64MiB, in whole B, KiB or MiB; write for example max_body = \"1MiB\"",
-            "s.toml:9: [limits]: drain_timeout is \"11min\", but has to be a duration from 0ms to 10min, in whole ms, s or min; write for example drain_timeout = \"30s\"",
-            "s.toml:10: [limits]: unknown key \"queue\"; known keys are \"max_body\", \"drain_timeout\"",
-            "s.toml:11: unknown key \"nodes\"; did you mean \"node\"?"));
+            "s.toml:9: [limits]: memory is \"1MiB\", but has to be a size from 64MiB to 1048576MiB, in whole B, KiB or MiB; write for example memory = \"256MiB\"",
+            "s.toml:10: [limits]: drain_timeout is \"11min\", but has to be a duration from 0ms to 10min, in whole ms, s or min; write for example drain_timeout = \"30s\"",
+            "s.toml:11: [limits]: unknown key \"queue\"; known keys are \"max_body\", \"memory\", \"drain_timeout\"",
+            "s.toml:12: unknown key \"nodes\"; did you mean \"node\"?"));
 }
 
 TEST(SettingsRefusals, ReportsUnusableAddresses)
