Let a node that is told nothing recent read the store itself

Cause: three nodes of a zone wait for changes at the store, and the others rely on being told, without evidence that anybody still hears from it. A watcher counted for being listed as alive; membership says nothing of the store. A node whose probes all fail declares nobody dead, so nobody took over.

Why this works: each node knows how long ago the store confirmed its version, to it or to one that told it; the age travels with the version in each datagram as a duration, and counts only for a node that has that version. At 1.6 s a node reads the store itself, jittered, whatever keeps the others from telling it. Failed reads back off; delay and back-off grow with the number of nodes, so that 6,700 at once stay below 2,000 reads a second (DocumentFreshness). The age counts the time of a suspension, and messages that waited during a pause count for nothing. A node that hears nobody between two such reads reads the poison ledger, too.

The same on the command node, at 6 s (contract_at_nodes_test, ANodeThatIsLeftAloneLearnsOfAnAcceptedContract); its watchers ask every 2 to 4 s for what changed, no longer for all contracts every 15 s.

Ruled out: alone() of the gossip protocol as the trigger, since it takes 5 s and misses two nodes that are left; more watchers, since the store may turn any of them away.

Gossip has another format (VSG3): nodes of earlier versions drop it.

--- a/Source/events/event_catalogue.h
+++ b/Source/events/event_catalogue.h
@@ -38,6 +38,8 @@
 inline constexpr event poisonUnreadable { 136, severity::Error, "the document on requests that end servers cannot be read" };
 inline constexpr event storeReturned { 137, severity::Warning, "the platform's store came back from an earlier copy" };
 inline constexpr event storeEraUnreadable { 138, severity::Warning, "the era of the platform's store cannot be read" };
+inline constexpr event routesOutdated { 139, severity::Warning, "the routes may be out of date" };
+inline constexpr event routesUpToDate { 140, severity::Info, "the routes are known to be up to date again" };
 inline constexpr event settingsReread { 105, severity::Info, "settings file read again" };
 inline constexpr event callShed { 200, severity::Warning, "call shed at the own backend server" };
 inline constexpr event attemptFailed { 203, severity::Info, "attempt brought no answer of a backend server" };
@@ -52,6 +54,6 @@
 inline constexpr event requestRefused { 201, severity::Warning, "request refused at its entry" };
 inline constexpr event requestUnknown { 202, severity::Warning, "request may have run without an answer" };
 
-inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, clientConnectionFull, clientConnectionLost, messageRefused, answerCutOff, logLinesLeftOut };
+inline constexpr std::array all { nodeStarted, drainStarted, nodeStopped, stopWithdrawn, stopWaits, stopTimedOut, runCutByStop, portNotBound, backendServerAnnounced, backendServerLeaves, serverReportRefused, backendServerEnded, serverLoadUnreadable, serverReportTaken, backendServerNotServing, serverRateLimitChanged, serverAnnouncesLeaving, serverNoticeUnreadable, nameTakenOver, gossipDropped, contractsChanged, routesChanged, routesUnreadable, storeLost, storeBack, poisonChanged, poisonUnreadable, storeReturned, storeEraUnreadable, routesOutdated, routesUpToDate, settingsReread, callShed, requestRefused, requestUnknown, attemptFailed, callRejected, serverLoad, attemptRepeated, ticketHandedOver, clientConnectionFull, clientConnectionLost, messageRefused, answerCutOff, logLinesLeftOut };
 
 }
--- a/Source/membership/gossip_message.h
+++ b/Source/membership/gossip_message.h
@@ -2,7 +2,9 @@
 
 #include "decision/member.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,9 @@
 struct document_versions {
     // Highest revision of the contracts, or version of the routes.
     std::int64_t contracts = 0;
+    // Time since the platform's store last confirmed that this version of the contracts or routes was its
+    // latest one, to this node or to one that told it; nothing if it never did.
+    std::optional<std::chrono::milliseconds> contractsAge {};
     // Version of the document that lists requests which crash backend servers.
     std::int64_t poison = 0;
 };
--- a/Source/node/configuration_service.cpp
+++ b/Source/node/configuration_service.cpp
@@ -1,6 +1,7 @@
 #include "node/configuration_service.h"
 
 #include "decision/rendezvous.h"
+#include "node/boot_clock.h"
 #include "store/seed_directory.h"
 
 #include <algorithm>
@@ -18,8 +19,17 @@
     constexpr milliseconds storeTimeout { 2000 };
     constexpr milliseconds peerTimeout { 2000 };
 
-    // How often a watcher reads all contracts again, since a watch may hang unnoticed.
-    constexpr milliseconds rereadPeriod { 15000 };
+    // How often a watcher asks for changes besides, since a watch may hang unnoticed, and since the other nodes
+    // have to be told that the contracts are the latest ones.
+    constexpr milliseconds rereadPeriod { 4000 };
+
+    // A change has to be in force everywhere within 10 s.
+    constexpr freshness_settings contractFreshness { milliseconds(6000), milliseconds(1000), milliseconds(1), milliseconds(500), milliseconds(8000) };
+
+    // A longer time between two polls means that this process was paused. Messages that arrived meanwhile are
+    // handled within the drain time.
+    constexpr milliseconds pauseGap { 1500 };
+    constexpr milliseconds pauseDrainTime { 200 };
 
     // Delay after a failed call to the store; doubles with each consecutive failure.
     constexpr milliseconds initialBackoff { 500 };
@@ -83,6 +93,8 @@
     , m_hooks(std::move(hooks))
     , m_timer(context)
     , m_members(std::make_shared<std::vector<member>>())
+    , m_freshness(contractFreshness, m_hooks.randomBelow, bootTime())
+    , m_lastPoll(bootTime())
 {
 }
 
@@ -135,6 +147,7 @@
         m_watch.reset();
     }
     schedulePoll(withJitter(pollPeriod));
+    readIfStale();
     if (now < m_nextRead || m_settings.endpoints.empty()) {
         catchUpFromPeer();
         return;
@@ -151,7 +164,8 @@
 {
     m_nextRead = std::chrono::steady_clock::now() + withJitter(rereadPeriod);
     ++m_counts.ranges;
-    m_store.rangePrefix(contractPrefix, storeTimeout, [this](store_result<store_range> result) {
+    auto since = m_book.revision();
+    m_store.rangeChangedAfter(contractPrefix, since, storeTimeout, [this, since, sent = bootTime()](store_result<store_range> result) {
         if (const auto* failure = std::get_if<store_failure>(&result)) {
             storeFailed(failure->message);
             return;
@@ -160,15 +174,39 @@
         m_hasReadStore = true;
         const auto& range = std::get<store_range>(result);
         // The watch should have reported these changes before; it may hang.
-        if (take(updateFrom(range, 0))) {
+        if (take(updateFrom(range, since))) {
             m_watch.reset();
         }
+        m_freshness.confirmed(sent);
         if (!m_watch && isStoreWatcher()) {
             startWatch(range.revision + 1);
         }
     });
 }
 
+void configuration_service::readIfStale()
+{
+    auto now = bootTime();
+    if (now - m_lastPoll > pauseGap) {
+        m_heedsAgesFrom = now + pauseDrainTime;
+    }
+    m_lastPoll = now;
+    if (m_settings.endpoints.empty() || !m_freshness.takeRead(m_members->size(), now)) {
+        return;
+    }
+    ++m_counts.ranges;
+    ++m_counts.staleReads;
+    auto since = m_book.revision();
+    m_store.rangeChangedAfter(contractPrefix, since, storeTimeout, [this, since, now](const store_result<store_range>& result) {
+        const auto* range = std::get_if<store_range>(&result);
+        m_freshness.readEnded(range != nullptr, m_members->size(), bootTime());
+        if (range) {
+            take(updateFrom(*range, since));
+            m_freshness.confirmed(now);
+        }
+    });
+}
+
 // Starts at the store revision that has just been read. The newest contract's
 // revision may be so old that the store has already compacted the revisions after it.
 void configuration_service::startWatch(std::int64_t fromRevision)
@@ -204,11 +242,24 @@
     return true;
 }
 
-void configuration_service::handlePeerRevision(const member& peer, std::int64_t revision)
+void configuration_service::handlePeerRevision(const member& peer, std::int64_t revision, const std::optional<milliseconds>& peerAge)
 {
-    if (revision > m_book.revision() && !m_fetching) {
-        fetchFrom(peer.operatorAddress);
+    if (revision > m_book.revision()) {
+        if (!m_fetching) {
+            fetchFrom(peer.operatorAddress);
+        }
+        return;
     }
+    auto now = bootTime();
+    bool heedsAges = now >= m_heedsAgesFrom && now - m_lastPoll <= pauseGap;
+    if (peerAge && heedsAges) {
+        m_freshness.confirmed(now - *peerAge);
+    }
+}
+
+std::optional<milliseconds> configuration_service::age() const
+{
+    return m_freshness.age(bootTime());
 }
 
 // Asks a random member for the contracts as long as this node has none.
@@ -254,6 +305,9 @@
     state["store_ranges"] = Json::UInt64(m_counts.ranges);
     state["store_watches"] = Json::UInt64(m_counts.watches);
     state["peer_fetches"] = Json::UInt64(m_counts.peerFetches);
+    state["stale_reads"] = Json::UInt64(m_counts.staleReads);
+    auto currentAge = age();
+    state["age_ms"] = currentAge ? Json::Value(Json::Int64(currentAge->count())) : Json::Value();
     for (const auto& [organisation, stored] : m_book.contracts()->byOrganisation) {
         state["customers"][organisation] = Json::Int64(stored.revision);
     }
--- a/Source/node/configuration_service.h
+++ b/Source/node/configuration_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contract/contract_replica.h"
+#include "decision/document_freshness.h"
 #include "decision/member.h"
 #include "operator/peer_rpc.h"
 #include "store/store_client.h"
@@ -12,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,13 +39,16 @@
     std::uint64_t ranges = 0;
     std::uint64_t watches = 0;
     std::uint64_t peerFetches = 0;
+    // Reads by a node that was told nothing recent; counted in ranges, too.
+    std::uint64_t staleReads = 0;
 };
 
 // Keeps the newest contracts that this node has seen. A few nodes of each
 // availability zone watch the store. The others learn of a new revision by
 // gossip and fetch the missing contracts from the member that announced it. The
 // load on the store therefore does not grow with the number of nodes, and
-// contracts still spread while the store is down.
+// contracts still spread while the store is down. A node that is told nothing
+// recent reads the store itself, whatever keeps the watchers from it.
 class configuration_service {
 public:
     // The io_context, the store and the RPC client outlive the service.
@@ -54,8 +59,12 @@
     // The members determine whether this node watches the store.
     void setMembers(const member_list&);
 
-    // Handles the contract revision that a member has announced by gossip.
-    void handlePeerRevision(const member&, std::int64_t revision);
+    // Handles the contract revision that a member has announced by gossip, and how long ago the store
+    // confirmed it.
+    void handlePeerRevision(const member&, std::int64_t revision, const std::optional<std::chrono::milliseconds>& age);
+
+    // Time since the store confirmed the contracts here, to this node or to one that told it.
+    std::optional<std::chrono::milliseconds> age() const;
 
     contract_snapshot contracts() const { return m_book.contracts(); }
     std::int64_t revision() const { return m_book.revision(); }
@@ -72,6 +81,7 @@
     void poll();
     bool isStoreWatcher() const;
     void readStore();
+    void readIfStale();
     void startWatch(std::int64_t fromRevision);
     void storeFailed(const std::string& reason);
     void fetchFrom(const std::string& operatorAddress);
@@ -95,6 +105,11 @@
     bool m_fetching = false;
     bool m_hasReadStore = false;
     std::chrono::steady_clock::time_point m_nextRead;
+    // By the boot clock, as the two members below.
+    document_freshness m_freshness;
+    std::chrono::steady_clock::time_point m_lastPoll;
+    // Messages that are handled before may have arrived long ago, while this process was paused.
+    std::chrono::steady_clock::time_point m_heedsAgesFrom;
     configuration_counts m_counts;
 };
 
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -203,8 +203,8 @@
             m_configuration->setMembers(members);
             m_host->send(m_calls, members_changed { members });
         };
-        hooks.ownVersions = [this] { return document_versions { m_configuration->revision() }; };
-        hooks.peerVersions = [this](const member& peer, const document_versions& versions) { m_configuration->handlePeerRevision(peer, versions.contracts); };
+        hooks.ownVersions = [this] { return document_versions { m_configuration->revision(), m_configuration->age() }; };
+        hooks.peerVersions = [this](const member& peer, const document_versions& versions) { m_configuration->handlePeerRevision(peer, versions.contracts, versions.contractsAge); };
         return hooks;
     }
 
@@ -432,6 +432,9 @@
         auto gauges = readGauges(calls);
         gauges.contractRevision = m_configuration->contracts()->revision;
         gauges.members = m_members ? m_members->size() : 0;
+        if (auto age = m_configuration->age()) {
+            gauges.configurationAge = std::chrono::duration<double>(*age).count();
+        }
         gauges.crossedAnswers = m_peers->counts().crossedAnswers;
         gauges.damagedAnswers = m_peers->counts().damagedAnswers;
         gauges.connectsFailed = m_peers->counts().connectsFailed;
--- a/Source/node/replicated_poison_ledger.h
+++ b/Source/node/replicated_poison_ledger.h
@@ -37,7 +37,10 @@
     void start() { m_watched.start(); }
     void setMembers(const member_list&);
     // Called when a member announces the version that it has.
-    void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version); }
+    void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version, std::nullopt); }
+
+    // Reads the document from the store. For a node that other nodes may not reach.
+    void readStored() { m_watched.readNow(); }
 
     // Called when the store may have been unavailable: reads missed changes and writes unshared
     // records.
--- a/Source/node/route_watch.cpp
+++ b/Source/node/route_watch.cpp
@@ -14,6 +14,7 @@
         watched_document_options options;
         options.key = wire::configurationKey;
         options.peerMethod = contractsSinceMethod;
+        options.freshness = freshness_settings {};
         return options;
     }
 
@@ -41,6 +42,9 @@
         logEvent(events::storeBack, { { "after_ms", std::to_string(outage.count()) } });
         m_hooks.storeRecovered();
     };
+    hooks.readWhileCutOff = m_hooks.readWhileCutOff;
+    hooks.outdated = [this](std::chrono::milliseconds age) { logEvent(events::routesOutdated, { { "version", std::to_string(m_version) }, { "age_ms", std::to_string(age.count()) } }); };
+    hooks.upToDate = [this](std::chrono::milliseconds duration) { logEvent(events::routesUpToDate, { { "version", std::to_string(m_version) }, { "after_ms", std::to_string(duration.count()) } }); };
     return hooks;
 }
 
--- a/Source/node/route_watch.h
+++ b/Source/node/route_watch.h
@@ -16,6 +16,8 @@
     std::function<std::uint64_t(std::uint64_t bound)> randomBelow;
     // Called when the store answers again after failed calls.
     std::function<void()> storeRecovered;
+    // Called when this node reads the routes itself again and no other node tells it anything.
+    std::function<void()> readWhileCutOff;
 };
 
 // Keeps the newest version of the operator's routes that this node has seen.
@@ -30,8 +32,11 @@
     // Called when the store was restored from an earlier copy.
     void storeReturned() { m_watched.storeReturned(); }
 
-    // Called when a member announces the version that it has.
-    void peerVersion(const member& peer, std::int64_t version) { m_watched.peerVersion(peer, version); }
+    // Called when a member announces the version that it has, and how long ago the store confirmed it.
+    void peerVersion(const member& peer, std::int64_t version, const std::optional<std::chrono::milliseconds>& age) { m_watched.peerVersion(peer, version, age); }
+
+    // Time since the store confirmed the version here, to this node or to one that told it.
+    std::optional<std::chrono::milliseconds> age() const { return m_watched.age(); }
 
     // 0 while no version is known.
     std::int64_t version() const { return m_version; }
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -68,6 +68,9 @@
     auto gauges = readGauges(dumpCalls(parts));
     gauges.contractRevision = parts.routes.version();
     gauges.members = parts.members;
+    if (auto age = parts.routes.age()) {
+        gauges.configurationAge = std::chrono::duration<double>(*age).count();
+    }
     gauges.crossedAnswers = parts.calls.peerCounts().crossedAnswers;
     gauges.damagedAnswers = parts.calls.peerCounts().damagedAnswers;
     gauges.connectsFailed = parts.calls.peerCounts().connectsFailed;
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -278,6 +278,7 @@
         };
         hooks.randomBelow = [this](std::uint64_t bound) { return m_random() % bound; };
         hooks.storeRecovered = [this] { m_poison.storeRecovered(); };
+        hooks.readWhileCutOff = [this] { m_poison.readStored(); };
         return hooks;
     }
 
@@ -315,9 +316,9 @@
             m_quotas->exchange().setMembers(members, std::chrono::steady_clock::now());
             m_calls.entry().setMembers(members, std::chrono::steady_clock::now());
         };
-        hooks.ownVersions = [this] { return document_versions { m_routes.version(), m_poison.version() }; };
+        hooks.ownVersions = [this] { return document_versions { m_routes.version(), m_routes.age(), m_poison.version() }; };
         hooks.peerVersions = [this](const member& peer, const document_versions& versions) {
-            m_routes.peerVersion(peer, versions.contracts);
+            m_routes.peerVersion(peer, versions.contracts, versions.contractsAge);
             m_poison.peerVersion(peer, versions.poison);
         };
         return hooks;
--- a/Source/node/watched_document.cpp
+++ b/Source/node/watched_document.cpp
@@ -1,6 +1,7 @@
 #include "node/watched_document.h"
 
 #include "decision/rendezvous.h"
+#include "node/boot_clock.h"
 
 #include <algorithm>
 
@@ -15,6 +16,15 @@
     constexpr std::size_t watchersPerZone = 3;
 
     constexpr milliseconds stepPeriod { 200 };
+
+    // A longer time between two steps means that this process was paused. Messages that arrived meanwhile are
+    // handled within the drain time.
+    constexpr milliseconds pauseGap { 600 };
+    constexpr milliseconds pauseDrainTime { 200 };
+
+    // Knowledge of this age is reported: reads of this node have failed for some time, too.
+    constexpr milliseconds outdatedAge { 4000 };
+
     constexpr milliseconds readTimeout { 1000 };
     constexpr milliseconds peerTimeout { 1000 };
 
@@ -41,6 +51,8 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_members(std::make_shared<std::vector<member>>())
+    , m_freshness(m_options.freshness.value_or(freshness_settings {}), m_hooks.randomBelow, bootTime())
+    , m_lastStep(bootTime())
 {
 }
 
@@ -80,7 +92,8 @@
 // Starts the next call to the store unless one is in progress.
 void watched_document::step()
 {
-    m_timer.expires_after(stepPeriod);
+    readIfStale();
+    m_timer.expires_after(untilNextStep());
     m_timer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             step();
@@ -98,11 +111,73 @@
     }
 }
 
+milliseconds watched_document::untilNextStep() const
+{
+    return m_options.freshness ? std::min(stepPeriod, m_freshness.untilNextCheck(bootTime())) : stepPeriod;
+}
+
+// In addition to a call in progress, which may never be answered.
+void watched_document::readIfStale()
+{
+    auto now = bootTime();
+    noticePause(now);
+    if (!m_options.freshness) {
+        return;
+    }
+    reportFreshness(now);
+    if (!m_freshness.takeRead(m_members->size(), now)) {
+        return;
+    }
+    ++m_counts.reads;
+    ++m_counts.staleReads;
+    bool isCutOff = !std::exchange(m_toldSinceRead, false);
+    if (isCutOff && m_hooks.readWhileCutOff) {
+        m_hooks.readWhileCutOff();
+    }
+    m_store.get(m_options.key, readTimeout, [this, now](const store_result<store_range>& result) {
+        const auto* range = std::get_if<store_range>(&result);
+        m_freshness.readEnded(range != nullptr, m_members->size(), bootTime());
+        if (!range) {
+            return;
+        }
+        if (!range->entries.empty()) {
+            m_hooks.readFromStore(range->entries.front());
+        }
+        m_freshness.confirmed(now);
+    });
+}
+
+void watched_document::noticePause(std::chrono::steady_clock::time_point now)
+{
+    if (now - m_lastStep > pauseGap) {
+        m_heedsAgesFrom = now + pauseDrainTime;
+    }
+    m_lastStep = now;
+}
+
+void watched_document::reportFreshness(std::chrono::steady_clock::time_point now)
+{
+    auto currentAge = m_freshness.age(now);
+    bool isOutdated = currentAge && *currentAge >= outdatedAge;
+    if (isOutdated && !m_outdatedSince) {
+        m_outdatedSince = now;
+        if (m_hooks.outdated) {
+            m_hooks.outdated(*currentAge);
+        }
+    } else if (!isOutdated && m_outdatedSince) {
+        auto duration = std::chrono::duration_cast<milliseconds>(now - *m_outdatedSince);
+        m_outdatedSince.reset();
+        if (m_hooks.upToDate) {
+            m_hooks.upToDate(duration);
+        }
+    }
+}
+
 void watched_document::readStore()
 {
     m_calling = true;
     ++m_counts.reads;
-    m_store.get(m_options.key, readTimeout, [this, generation = m_generation](const store_result<store_range>& result) {
+    m_store.get(m_options.key, readTimeout, [this, generation = m_generation, sent = bootTime()](const store_result<store_range>& result) {
         if (generation != m_generation) {
             return;
         }
@@ -118,6 +193,7 @@
         if (!range.entries.empty()) {
             m_hooks.readFromStore(range.entries.front());
         }
+        m_freshness.confirmed(sent);
         if (isWatcher() && m_storeRevision != 0) {
             waitAtStore();
         }
@@ -147,15 +223,22 @@
                 m_hooks.readFromStore(entry);
             }
         }
+        if (!changes.historyIsGone) {
+            m_freshness.confirmed(bootTime());
+        }
         step();
     });
 }
 
 void watched_document::readAgain()
 {
-    if (!isWatcher()) {
-        return;
+    if (isWatcher()) {
+        readNow();
     }
+}
+
+void watched_document::readNow()
+{
     ++m_counts.reads;
     m_store.get(m_options.key, readTimeout, [this](const store_result<store_range>& result) {
         const auto* range = std::get_if<store_range>(&result);
@@ -195,11 +278,27 @@
     m_hooks.storeRecovered(std::chrono::duration_cast<milliseconds>(currentTime() - m_failingSince));
 }
 
-void watched_document::peerVersion(const member& peer, std::int64_t version)
+void watched_document::peerVersion(const member& peer, std::int64_t version, const std::optional<milliseconds>& age)
 {
-    if (version > m_hooks.version() && !m_fetching) {
-        fetchFrom(peer.operatorAddress);
+    if (version > m_hooks.version()) {
+        if (!m_fetching) {
+            fetchFrom(peer.operatorAddress);
+        }
+        return;
     }
+    auto now = bootTime();
+    bool heedsAges = now >= m_heedsAgesFrom && now - m_lastStep <= pauseGap;
+    if (!age || !heedsAges) {
+        return;
+    }
+    auto ownAge = m_freshness.age(now);
+    m_toldSinceRead = m_toldSinceRead || !ownAge || *age < *ownAge;
+    m_freshness.confirmed(now - *age);
+}
+
+std::optional<milliseconds> watched_document::age() const
+{
+    return m_freshness.age(bootTime());
 }
 
 void watched_document::fetchFrom(const std::string& operatorAddress)
@@ -224,6 +323,9 @@
     state["waits"] = Json::UInt64(m_counts.waits);
     state["failures"] = Json::UInt64(m_counts.failures);
     state["peer_fetches"] = Json::UInt64(m_counts.peerFetches);
+    state["stale_reads"] = Json::UInt64(m_counts.staleReads);
+    auto currentAge = age();
+    state["age_ms"] = currentAge ? Json::Value(Json::Int64(currentAge->count())) : Json::Value();
     return state;
 }
 
--- a/Source/node/watched_document.h
+++ b/Source/node/watched_document.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/document_freshness.h"
 #include "decision/member.h"
 #include "operator/peer_rpc.h"
 #include "platform/key_value_store.h"
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,8 @@
     // calls.
     std::chrono::milliseconds minWait { 2500 };
     std::chrono::milliseconds waitJitter { 1500 };
+    // When a node that was told nothing recent reads the document itself. Without it, only the watchers read.
+    std::optional<freshness_settings> freshness {};
 };
 
 struct watched_document_hooks {
@@ -46,6 +50,13 @@
     std::function<void(const std::string& reason)> storeFailed;
     // Called when the store answers again.
     std::function<void(std::chrono::milliseconds outage)> storeRecovered;
+    // Called when this node reads the store again since no other node has told it anything recent after its last
+    // such read: it is cut off from them. Optional.
+    std::function<void()> readWhileCutOff {};
+    // Called when nothing recent has been known for too long, with the age of what is known, and when something
+    // is again, with the time for which nothing was. Optional.
+    std::function<void(std::chrono::milliseconds age)> outdated {};
+    std::function<void(std::chrono::milliseconds duration)> upToDate {};
 };
 
 // Calls since the process started, by kind.
@@ -54,12 +65,16 @@
     std::uint64_t waits = 0;
     std::uint64_t failures = 0;
     std::uint64_t peerFetches = 0;
+    // Reads by a node that was told nothing recent; counted in reads, too.
+    std::uint64_t staleReads = 0;
 };
 
 // Watches one versioned document in the platform's store. To keep the number of store calls
 // independent of the number of nodes, only a few watchers in each availability zone wait for
 // changes at the store. The other nodes learn of a new version by gossip and fetch it from the
-// node that announced it.
+// node that announced it. Members announce besides how long ago the store confirmed their version.
+// A node that is told nothing recent reads the store itself, whatever the cause: watchers that
+// are gone, frozen, cut off or turned away by the store, or this node cut off from the others.
 class watched_document {
 public:
     // The store and the RPC client have to outlive this object.
@@ -68,13 +83,19 @@
     void start();
     void setMembers(const member_list&);
 
-    // Called when a member announces the version that it has.
-    void peerVersion(const member&, std::int64_t version);
+    // Called when a member announces the version that it has, and how long ago the store confirmed it.
+    void peerVersion(const member&, std::int64_t version, const std::optional<std::chrono::milliseconds>& age);
+
+    // Time since the store confirmed the version here, to this node or to one that told it.
+    std::optional<std::chrono::milliseconds> age() const;
 
     // Reads the document from the store, in addition to any call in progress, if this node is a
     // watcher.
     void readAgain();
 
+    // The same whether or not this node is a watcher.
+    void readNow();
+
     // Called when the store was restored from an earlier copy, which invalidates all its
     // revisions. Abandons the call in progress and reads the document again after a random delay,
     // so that the watchers do not read at the same time.
@@ -89,8 +110,12 @@
     std::vector<std::uint64_t> watcherCandidates() const;
     bool isWatcher() const;
     void step();
+    std::chrono::milliseconds untilNextStep() const;
     void readStore();
     void waitAtStore();
+    void readIfStale();
+    void noticePause(std::chrono::steady_clock::time_point now);
+    void reportFreshness(std::chrono::steady_clock::time_point now);
     void callFailed(const std::string& reason);
     void callSucceeded();
     void fetchFrom(const std::string& operatorAddress);
@@ -113,6 +138,14 @@
     std::uint32_t m_failuresInARow = 0;
     std::chrono::steady_clock::time_point m_failingSince;
     std::chrono::steady_clock::time_point m_nextCall;
+    // By the boot clock, as the members below.
+    document_freshness m_freshness;
+    std::chrono::steady_clock::time_point m_lastStep;
+    // Messages that are handled before may have arrived long ago, while this process was paused.
+    std::chrono::steady_clock::time_point m_heedsAgesFrom;
+    std::optional<std::chrono::steady_clock::time_point> m_outdatedSince;
+    // Whether a member has told anything more recent since the last read for want of it.
+    bool m_toldSinceRead = true;
     watched_document_counts m_counts;
 };
 
--- a/Source/operator/node_metrics.cpp
+++ b/Source/operator/node_metrics.cpp
@@ -144,6 +144,7 @@
     counter& abandonedRequests = oneCounter("vanillashunt_client_requests_abandoned_total", "Requests that were unanswered when the connection of their client ended.");
     gauge& draining = oneGauge("vanillashunt_draining", "1 while the node takes no new work, else 0.");
     gauge& contractRevision = oneGauge("vanillashunt_contract_revision", "Store revision of the newest contract in force here.");
+    gauge& configurationAge = oneGauge("vanillashunt_configuration_age_seconds", "Time since the platform's store confirmed the contracts or routes, to this node or to one that told it.");
     gauge& members = oneGauge("vanillashunt_members", "Members that this node knows.");
     gauge& poisonContents = oneGauge("vanillashunt_poison_contents", "Contents of requests that reach no server, since servers have ended under them.");
     gauge& started = oneGauge("process_start_time_seconds", "Start time of the process, in seconds since 1970-01-01 UTC.");
@@ -239,6 +240,7 @@
     raiseTo(all.abandonedRequests, gauges.abandonedRequests);
     all.draining.Set(gauges.draining ? 1 : 0);
     all.contractRevision.Set(static_cast<double>(gauges.contractRevision));
+    all.configurationAge.Set(gauges.configurationAge);
     all.members.Set(static_cast<double>(gauges.members));
     all.poisonContents.Set(static_cast<double>(gauges.poisonContents));
     raiseTo(all.crossedAnswers, gauges.crossedAnswers);
--- a/Source/operator/node_metrics.h
+++ b/Source/operator/node_metrics.h
@@ -29,6 +29,8 @@
     bool draining = false;
     std::int64_t contractRevision = 0;
     std::uint64_t members = 0;
+    // Age of what is known of the contracts or routes, in seconds; infinite if the store never confirmed it.
+    double configurationAge = std::numeric_limits<double>::infinity();
     // Contents of requests that reach no server, since servers have ended under them.
     std::uint64_t poisonContents = 0;
     // Requests that wait for their organisation's limit.
--- a/Source/peer/gossip_codec.cpp
+++ b/Source/peer/gossip_codec.cpp
@@ -6,20 +6,37 @@
 #include <caf/binary_serializer.hpp>
 #include <caf/meta/type_name.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace vanillashunt {
 
 namespace {
 
-    // "VSG2", little-endian; the digit is the version of the format.
-    constexpr std::uint32_t magic = 0x32475356;
+    // "VSG3", little-endian; the digit is the version of the format.
+    constexpr std::uint32_t magic = 0x33475356;
     // Limits the memory that this node allocates for one datagram.
     constexpr std::size_t maxElements = 1000;
     constexpr std::int64_t maxUptimeMilliseconds = 1000LL * 60 * 60 * 24 * 3650;
 
+    // An age that is not known; also the highest that is told.
+    constexpr std::uint32_t unknownAge = std::numeric_limits<std::uint32_t>::max();
+
+    // Ages in milliseconds.
+    std::uint32_t encodeAge(const std::optional<std::chrono::milliseconds>& age)
+    {
+        return age ? static_cast<std::uint32_t>(std::clamp<std::int64_t>(age->count(), 0, unknownAge)) : unknownAge;
+    }
+
+    std::optional<std::chrono::milliseconds> decodeAge(std::uint32_t age)
+    {
+        return age == unknownAge ? std::nullopt : std::optional(std::chrono::milliseconds(age));
+    }
+
     template <class Inspector>
-    bool inspectHeader(Inspector& f, gossip_message& x, std::uint8_t& kind)
+    bool inspectHeader(Inspector& f, gossip_message& x, std::uint8_t& kind, std::uint32_t& contractsAge)
     {
-        return !f(kind, x.senderId, x.senderAddress, x.versions.contracts, x.versions.poison, x.digest, x.settled);
+        return !f(kind, x.senderId, x.senderAddress, x.versions.contracts, contractsAge, x.versions.poison, x.digest, x.settled);
     }
 
     bool isProbe(gossip_kind kind)
@@ -131,7 +148,8 @@
     sink.seek(checksumHeaderBytes);
     auto copy = message;
     auto kind = static_cast<std::uint8_t>(message.kind);
-    if (!inspectHeader(sink, copy, kind) || !inspectBody(sink, copy) || !writeLists(sink, message)) {
+    auto contractsAge = encodeAge(message.versions.contractsAge);
+    if (!inspectHeader(sink, copy, kind, contractsAge) || !inspectBody(sink, copy) || !writeLists(sink, message)) {
         return {};
     }
     writeChecksumHeader(bytes, magic, checksumSeed);
@@ -147,10 +165,12 @@
     caf::binary_deserializer source(nullptr, payload->data(), payload->size());
     gossip_message message;
     std::uint8_t kind = 0;
-    if (!inspectHeader(source, message, kind) || kind == 0 || kind >= gossipKindCount) {
+    std::uint32_t contractsAge = 0;
+    if (!inspectHeader(source, message, kind, contractsAge) || kind == 0 || kind >= gossipKindCount) {
         return std::nullopt;
     }
     message.kind = static_cast<gossip_kind>(kind);
+    message.versions.contractsAge = decodeAge(contractsAge);
     if (!inspectBody(source, message) || !readLists(source, message) || source.remaining() != 0) {
         return std::nullopt;
     }
--- a/Source/store/store_client.cpp
+++ b/Source/store/store_client.cpp
@@ -99,11 +99,32 @@
     });
 }
 
+namespace {
+
+    Json::Value rangeBody(const std::string& prefix)
+    {
+        Json::Value body;
+        body["key"] = encodeBase64(prefix);
+        body["range_end"] = encodeBase64(prefixEnd(prefix));
+        return body;
+    }
+
+}
+
 void store_client::rangePrefix(const std::string& prefix, std::chrono::milliseconds timeout, const range_handler& handler)
 {
-    Json::Value body;
-    body["key"] = encodeBase64(prefix);
-    body["range_end"] = encodeBase64(prefixEnd(prefix));
+    range(rangeBody(prefix), timeout, handler);
+}
+
+void store_client::rangeChangedAfter(const std::string& prefix, std::int64_t revision, std::chrono::milliseconds timeout, const range_handler& handler)
+{
+    auto body = rangeBody(prefix);
+    body["min_mod_revision"] = std::to_string(revision + 1);
+    range(body, timeout, handler);
+}
+
+void store_client::range(const Json::Value& body, std::chrono::milliseconds timeout, const range_handler& handler)
+{
     gateway_call request { "/v3/kv/range", writeJson(body), false, timeout, m_endpoints.size(), nullptr, nullptr };
     request.answered = [handler](const Json::Value& value) { handler(readRange(value)); };
     request.failed = [handler](store_failure failure) { handler(std::move(failure)); };
--- a/Tests/ContractsInForce/contract_at_nodes_test.cpp
+++ b/Tests/ContractsInForce/contract_at_nodes_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gmock/gmock.h>
 
+#include <csignal>
+
 namespace vanillashunt {
 
 namespace {
@@ -83,6 +85,35 @@
     EXPECT_THAT(missing.text, testing::HasSubstr("threads-bangsar in bangsar has revision " + next + "\n"));
 }
 
+// Guards against a node that is told of contracts by others alone, and keeps the old ones once none of them answers.
+TEST_F(contract_at_nodes_test, ANodeThatIsLeftAloneLearnsOfAnAcceptedContract)
+{
+    constexpr int count = 4;
+    m_revision = apply("0.5");
+    for (int number = 1; number <= count; ++number) {
+        addNode("threads-" + std::to_string(number), "bangsar", "");
+    }
+    auto revisionAt = [this](const std::string& name) {
+        const std::string metric = "\nvanillashunt_contract_revision ";
+        auto text = std::get<http_answer>(request("GET", m_mesh.server(name).operators(), "/metrics")).body;
+        return std::to_string(std::stol(text.substr(text.find(metric) + metric.size())));
+    };
+    auto signalOthers = [this](const std::string& spared, int signal) {
+        for (auto& [name, server] : m_mesh.servers()) {
+            if (name != spared) {
+                server->node->signal(signal);
+            }
+        }
+    };
+    for (const auto& last : m_mesh.names()) {
+        EXPECT_TRUE(waitUntil([&] { return revisionAt(last) == m_revision; }));
+        signalOthers(last, SIGSTOP);
+        m_revision = apply(last == m_mesh.names().front() ? "0.6" : "0." + std::to_string(60 + last.back() - '0'));
+        EXPECT_TRUE(waitUntil([&] { return revisionAt(last) == m_revision; })) << last;
+        signalOthers(last, SIGCONT);
+    }
+}
+
 TEST_F(contract_at_nodes_test, AStoreThatForgetsItsHistoryIsWatchedAllTheSame)
 {
     start();
--- a/Tests/FuzzEdges/edge_inputs.cpp
+++ b/Tests/FuzzEdges/edge_inputs.cpp
@@ -238,7 +238,7 @@
         gossip_message message;
         message.senderId = 7;
         message.senderAddress = "192.0.2.1:7620";
-        message.versions = { 3, 4 };
+        message.versions = { 3, std::chrono::milliseconds(70), 4 };
         member_update update;
         update.whole = true;
         update.entry.id = 9;
--- a/Tests/RoutedWorld/platform_world.cpp
+++ b/Tests/RoutedWorld/platform_world.cpp
@@ -44,6 +44,8 @@
 {
     m_loop.runAndWait([&] {
         m_held.clear();
+        m_silent.clear();
+        m_furtherStores.clear();
         m_store.reset();
         m_server.reset();
     });
@@ -147,6 +149,53 @@
     return m_runs.size();
 }
 
+std::string platform_world::addStoreAddress()
+{
+    std::string address;
+    m_loop.runAndWait([&] {
+        auto number = m_furtherStores.size();
+        m_furtherStores.push_back(std::make_unique<http_server>(m_loop.context, "127.0.0.1:0", http_server_limits {},
+            [this, number](const http_request& request, const std::shared_ptr<http_exchange>& exchange) { storeCalledAt(m_furtherStores[number]->address(), request, exchange); }));
+        address = m_furtherStores.back()->address();
+    });
+    return address;
+}
+
+void platform_world::refuseAt(const std::string& storeAddress, store_refusal refusal)
+{
+    m_loop.runAndWait([&] { m_refusals[storeAddress] = refusal; });
+}
+
+std::set<std::string> platform_world::takeWatchedAddresses()
+{
+    std::set<std::string> result;
+    m_loop.runAndWait([&] { result = std::exchange(m_watchedAddresses, {}); });
+    return result;
+}
+
+void platform_world::storeCalledAt(const std::string& storeAddress, const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    if (beginsWith(request.target, "/kv-watch") && queryValue(request.target, "prefix") == configurationKey) {
+        m_watchedAddresses.insert(storeAddress);
+    }
+    switch (m_refusals[storeAddress]) {
+    case store_refusal::None:
+        storeCalled(request, exchange);
+        return;
+    case store_refusal::Unavailable:
+        exchange->respond({ 503, {}, "" });
+        return;
+    case store_refusal::TooMany:
+        exchange->respond({ 429, {}, "" });
+        return;
+    case store_refusal::Closed:
+        // The session ends with its exchange.
+        return;
+    case store_refusal::Silent:
+        m_silent.push_back(exchange);
+    }
+}
+
 // A wait for changes of the configuration is answered at once, with whatever there is: the
 // node asks again. One for another key is answered by a change or, without, a moment later.
 void platform_world::storeCalled(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
--- a/Tests/RoutedWorld/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -9,11 +9,21 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace vanillashunt {
 
+// What a store does with the calls of a machine that it turns away.
+enum class store_refusal {
+    None,
+    Unavailable, // 503
+    TooMany, // 429
+    Closed, // The connection ends without an answer.
+    Silent, // No answer.
+};
+
 // A store as the platform has it, with as much of its interface as nodes use, and
 // one server. Both run on a thread of their own until the object ends.
 class platform_world {
@@ -52,6 +62,12 @@
     // Lets the store turn every call away, or serve again.
     void setStoreDown(bool);
 
+    // Another address of the store. Calls there are turned away as refuseAt() says.
+    std::string addStoreAddress();
+    void refuseAt(const std::string& storeAddress, store_refusal);
+    // The further addresses at which nodes have waited for changes of the configuration since the last call.
+    std::set<std::string> takeWatchedAddresses();
+
     // Whether the server holds its answers back.
     void hold(bool);
 
@@ -66,6 +82,7 @@
     };
 
     void storeCalled(const http_request&, const std::shared_ptr<http_exchange>&);
+    void storeCalledAt(const std::string& storeAddress, const http_request&, const std::shared_ptr<http_exchange>&);
     Json::Value itemOf(const std::string& key) const;
     http_response readKey(const std::string& key) const;
     void answerWait(const std::string& target, const std::shared_ptr<http_exchange>&);
@@ -91,6 +108,11 @@
     std::vector<std::pair<http_request, std::shared_ptr<http_exchange>>> m_held;
     context_thread m_loop;
     std::unique_ptr<http_server> m_store;
+    std::vector<std::unique_ptr<http_server>> m_furtherStores;
+    std::map<std::string, store_refusal> m_refusals;
+    std::set<std::string> m_watchedAddresses;
+    // Calls that are not answered.
+    std::vector<std::shared_ptr<http_exchange>> m_silent;
     std::unique_ptr<http_server> m_server;
 };
 
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -31,7 +31,7 @@
 routed_node::routed_node(const routed_node_plan& plan)
     : m_file(settingsFile(plan))
 {
-    std::ofstream(m_file) << "[node]\nname = \"" << plan.name << "\"\navailability_zone = \"" << plan.availabilityZone << "\"\nmesh = \"" << plan.storeAddress << "\"\n[peer]\njoin = " << quotedList(plan.join)
+    std::ofstream(m_file) << "[node]\nname = \"" << plan.name << "\"\navailability_zone = \"" << plan.availabilityZone << "\"\nmesh = \"" << (plan.mesh.empty() ? plan.storeAddress : plan.mesh) << "\"\n[peer]\njoin = " << quotedList(plan.join)
                           << "\n[platform]\nendpoints = [\"" << plan.storeAddress << "\"]\n[routes]\nservice = \"" << plan.service
                           << "\"\nserver = \"" << plan.serverAddress << "\"\nzones = " << quotedList(plan.zones) << "\n"
                           << plan.furtherSettings;
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -22,6 +22,8 @@
     std::string availabilityZone = "a";
     // Zones that share the organisations' limits.
     std::vector<std::string> zones {};
+    // Name of the mesh; the address of the store if it is empty.
+    std::string mesh {};
     // Further sections of the settings file.
     std::string furtherSettings {};
 };
--- a/Tests/StandIn/gateway_json.cpp
+++ b/Tests/StandIn/gateway_json.cpp
@@ -145,7 +145,7 @@
 
 range_request parseRangeRequest(const Json::Value& value)
 {
-    return { parseKeyRange(value), parseNumber(member(value, "limit")) };
+    return { parseKeyRange(value), parseNumber(member(value, "limit")), parseNumber(member(value, "min_mod_revision")) };
 }
 
 put_request parsePutRequest(const Json::Value& value)
--- a/Tests/StandIn/key_value_store.cpp
+++ b/Tests/StandIn/key_value_store.cpp
@@ -50,6 +50,8 @@
 {
     range_result result;
     result.found = select(request.range);
+    auto isOlder = [&request](const key_value& entry) { return entry.modRevision < request.minModRevision; };
+    result.found.erase(std::remove_if(result.found.begin(), result.found.end(), isOlder), result.found.end());
     result.count = static_cast<std::int64_t>(result.found.size());
     if (request.limit > 0 && request.limit < result.count) {
         result.found.resize(static_cast<std::size_t>(request.limit));
--- a/Tests/StandIn/key_value_store.h
+++ b/Tests/StandIn/key_value_store.h
@@ -37,10 +37,11 @@
     std::optional<key_value> previous;
 };
 
-// Reads a range; limit 0 means no limit.
+// Reads a range, or what was written in it from a revision on; limit 0 means no limit.
 struct range_request {
     key_range range;
     std::int64_t limit = 0;
+    std::int64_t minModRevision = 0;
 };
 
 // Writes one key.
