Keep a peer's connection while its call waits for room

What callers would see: a call of another node that found no room for the moment ended at once with its connection, so uploads were refused though room became free a moment later. Cause: the session of a peer is kept by its outstanding read, and has none while it waits. Found by reading; MessageRoom. ACallWaitsForRoomAtItsTarget fails without the change (the call is reported as not run) and passes with it. The other readers are kept by their pool or server.

--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -75,6 +75,8 @@
         outgoing_frame m_outgoing;
         incoming_frame m_incoming;
         std::shared_ptr<exchange> m_exchange;
+        // Keeps the session while it waits for room, when no read is outstanding.
+        std::shared_ptr<peer_session> m_waiting;
         bool m_sendingAnswer = false;
         bool m_closed = false;
     };
@@ -147,14 +149,13 @@
         if (grant == byte_grant::Refused) {
             close();
         }
+        m_waiting = grant == byte_grant::Waiting ? shared_from_this() : nullptr;
         return grant == byte_grant::Granted;
     }
 
     void peer_session::roomDecided(byte_grant grant)
     {
-        if (m_closed) {
-            return;
-        }
+        m_waiting.reset();
         if (grant == byte_grant::Refused) {
             close();
             return;
--- a/Tests/MessageRoom/message_room_test.cpp
+++ b/Tests/MessageRoom/message_room_test.cpp
@@ -209,6 +209,27 @@
     EXPECT_EQ(pair.serverBudget->heldBytes(), 0U);
 }
 
+// Guards against a call that is refused at once though room becomes free soon.
+TEST(MessageRoom, ACallWaitsForRoomAtItsTarget)
+{
+    peer_pair pair(3);
+    auto taken = takeLargeRoom(pair.serverBudget);
+    std::optional<call_answer> result;
+    pair.client.start(pair.server.address(), makeRequest(12 * mebibyte), [&](call_answer answer) { result = std::move(answer); });
+    auto begun = std::chrono::steady_clock::now();
+    while (!result && std::chrono::steady_clock::now() - begun < testTimeout) {
+        pair.context.run_for(std::chrono::milliseconds(5));
+        pair.context.restart();
+        if (pair.serverBudget->waiting() > 0) {
+            taken.release();
+        }
+        pair.serverBudget->tick(std::chrono::steady_clock::now());
+    }
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result->outcome.run, execution::Ran);
+    EXPECT_EQ(pair.serverBudget->counts().waits, 1U);
+}
+
 // Guards against small calls that are held beyond the budget, and against their refusal without a reason.
 TEST(MessageRoom, ASmallCallWithoutRoomAtItsTargetIsRefused)
 {
