Ask for room for the next part of a message in one place

Behaviour as before. The four readers of HTTP messages asked the budget in the same lines, and six places wrapped a method into a handler that is called while its owner lives. Now message_parser::reserveNextPart() and grantHandler() serve them. isUsableAnswer() and classifyAnswer() share isAuthentic().

--- a/Source/backend/instance_answer.cpp
+++ b/Source/backend/instance_answer.cpp
@@ -26,12 +26,16 @@
         return status >= minSuccessStatus && status < minRedirectStatus;
     }
 
+    bool isAuthentic(const answer_metadata& metadata)
+    {
+        return metadata.isSealed && !metadata.isEncoded && !metadata.requestId.empty();
+    }
+
 }
 
 bool isUsableAnswer(unsigned status, const answer_metadata& metadata, const std::string& requestId)
 {
-    bool isAuthentic = metadata.isSealed && !metadata.isEncoded && !metadata.requestId.empty();
-    return answersRequest(metadata, requestId) && (isAuthentic || !isSuccess(status));
+    return answersRequest(metadata, requestId) && (isAuthentic(metadata) || !isSuccess(status));
 }
 
 bool answersRequest(const answer_metadata& metadata, const std::string& requestId)
@@ -48,8 +52,7 @@
     if (metadata.isNotExecuted || response.status == statusMisdirected) {
         return makeCallAnswer(0, 0, verdict::notRun(verdict_reason::BackendRefused));
     }
-    bool isAuthentic = metadata.isSealed && !metadata.isEncoded && !metadata.requestId.empty();
-    if (isSuccess(response.status) && !isAuthentic) {
+    if (isSuccess(response.status) && !isAuthentic(metadata)) {
         // An unsigned response does not prove that the server itself answered, even with status 2xx.
         return makeCallAnswer(0, 0, verdict::mayHaveRun(verdict_reason::AnswerLost));
     }
--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -1,6 +1,7 @@
 #include "backend/instance_client.h"
 
 #include "backend/answer_bounds.h"
+#include "budget/grant_handler.h"
 #include "http/connection_pool.h"
 #include "http/message_parser.h"
 #include "http/pooled_connection.h"
@@ -230,12 +231,7 @@
                 fail("the answer seems to have no end", instance_failure_cause::AnswerTooLarge);
                 return false;
             }
-            auto wanted = nextReservation(m_parser->heldBytes() + 1, m_parser->mostBytes());
-            auto grant = m_room.reserve(wanted, m_parser->mostBytes(), now, [weak = weak_from_this()](byte_grant later) {
-                if (auto self = weak.lock()) {
-                    self->roomDecided(later);
-                }
-            });
+            auto grant = m_parser->reserveNextPart(m_room, now, grantHandler(weak_from_this(), &instance_connection::roomDecided));
             if (grant == byte_grant::Refused) {
                 fail("the answer exceeds the memory of the node", instance_failure_cause::AnswerTooLarge);
             }
@@ -254,7 +250,7 @@
             read();
         }
 
-        // Whether the rest of the answer is worth its bytes.
+        // Whether the rest of the answer has to be received.
         bool isUsable(const instance_client_settings& settings) const
         {
             bool isLong = m_parser->heldBytes() > maxUnusableBytes;
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -1,5 +1,6 @@
 #include "caller/pipeline_session.h"
 
+#include "budget/grant_handler.h"
 #include "http/peer_close.h"
 
 #include <algorithm>
@@ -196,15 +197,10 @@
 // Asks for room for the next part of a request's body.
 bool pipeline_session::hasRoom()
 {
-    if (!m_parser || !m_parser->is_header_done()) {
+    if (!m_parser) {
         return true;
     }
-    auto most = m_parser->mostBytes();
-    auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
-        if (auto self = weak.lock()) {
-            self->roomDecided(later);
-        }
-    });
+    auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &pipeline_session::roomDecided));
     m_waitsForRoom = grant == byte_grant::Waiting;
     if (grant == byte_grant::Refused) {
         rejectWithoutRoom();
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "budget/grant_handler.h"
 #include "http/connection_pool.h"
 #include "http/message_parser.h"
 #include "http/socket_address.h"
@@ -174,15 +175,7 @@
         // Asks for room for the next part of the response.
         bool hasRoom()
         {
-            if (!m_parser->is_header_done()) {
-                return true;
-            }
-            auto most = m_parser->mostBytes();
-            auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
-                if (auto self = weak.lock()) {
-                    self->roomDecided(later);
-                }
-            });
+            auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &client_connection::roomDecided));
             if (grant == byte_grant::Refused) {
                 failWithoutRoom();
             }
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http/http_server.h"
 
+#include "budget/grant_handler.h"
 #include "http/connection_acceptor.h"
 #include "http/message_parser.h"
 #include "http/peer_close.h"
@@ -222,15 +223,7 @@
 // Asks for room for the next part of a request's body.
 bool http_session::hasRoom()
 {
-    if (!m_parser->is_header_done()) {
-        return true;
-    }
-    auto most = m_parser->mostBytes();
-    auto grant = m_room.reserve(nextReservation(m_parser->heldBytes() + 1, most), most, std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
-        if (auto self = weak.lock()) {
-            self->roomDecided(later);
-        }
-    });
+    auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &http_session::roomDecided));
     if (grant == byte_grant::Refused) {
         send(noRoomResponse(), false);
         return false;
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/byte_reservation.h"
 #include "http/http_message.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -7,6 +8,7 @@
 #include <boost/optional.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -40,6 +42,15 @@
 
     bool hasLength() const { return m_length.has_value(); }
 
+    // Asks for room for the next part of the body; see byte_reservation::reserve(). The header needs none.
+    byte_grant reserveNextPart(byte_reservation& room, std::chrono::steady_clock::time_point now, const byte_grant_handler& handler) const
+    {
+        if (!this->is_header_done()) {
+            return byte_grant::Granted;
+        }
+        return room.reserve(nextReservation(heldBytes() + 1, mostBytes()), mostBytes(), now, handler);
+    }
+
     std::string method;
     std::string target;
     unsigned status = 0;
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -1,5 +1,6 @@
 #include "peer/peer_client.h"
 
+#include "budget/grant_handler.h"
 #include "http/connection_pool.h"
 #include "http/pooled_connection.h"
 #include "peer/call_codec.h"
@@ -128,11 +129,7 @@
 
         bool canRead()
         {
-            auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
-                if (auto self = weak.lock()) {
-                    self->roomDecided(later);
-                }
-            });
+            auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &peer_connection::roomDecided));
             if (grant == byte_grant::Refused) {
                 fail(verdict::mayHaveRun(verdict_reason::NoMemory));
             }
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "peer/peer_server.h"
 
+#include "budget/grant_handler.h"
 #include "http/connection_acceptor.h"
 #include "http/socket_address.h"
 #include "http/socket_stream.h"
@@ -141,11 +142,7 @@
     // frame was not received completely.
     bool peer_session::canRead()
     {
-        auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), [weak = weak_from_this()](byte_grant later) {
-            if (auto self = weak.lock()) {
-                self->roomDecided(later);
-            }
-        });
+        auto grant = m_incoming.reserve(std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &peer_session::roomDecided));
         if (grant == byte_grant::Refused) {
             close();
         }
