Wait for the first request of a new connection when a port closes

The client had just connected, and was closed without an answer to a request that must not run twice.

Cause: a server that closes its port also closes idle connections, and a new one was idle until its first byte. The close reset the backlog, too; a routed node did not wait for requests that had arrived in part; and node closed connections whose clients had still to read their last answer.

With the wait, the backlog or the linger switched off one by one, SequentialClients and PipelinedClients fail.

Why this works: a connection that has carried no request counts as in progress for 1 s after it was accepted, so that the port's owner stays and answers what comes. The backlog is accepted before the listening socket is closed. Silent connections delay an exit by that second at most.

Left: what connects between the last accept and the close is reset by the operating system. peer_server::stopAccepting() had no other use than the end.

--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -31,7 +31,7 @@
 
 pipeline_server::~pipeline_server()
 {
-    stopAccepting();
+    m_state->acceptor.reset();
     for (const auto& session : sessionsOf(*m_state)) {
         session->abandon();
     }
@@ -54,12 +54,13 @@
     m_state->closingAfterAnswers = true;
 }
 
-void pipeline_server::stopAccepting()
+void pipeline_server::stopAccepting(std::chrono::steady_clock::time_point now)
 {
     m_state->closingAfterAnswers = true;
+    m_state->isStopped = true;
     m_state->acceptor->stop();
     for (const auto& session : sessionsOf(*m_state)) {
-        session->closeIfIdle();
+        session->closeIfIdle(now);
     }
 }
 
--- a/Source/caller/pipeline_server.h
+++ b/Source/caller/pipeline_server.h
@@ -60,10 +60,13 @@
     // Closes each connection after its last pending answer, so that clients connect to other nodes.
     void closeAfterAnswers();
 
-    // Accepts no further connections and closes idle ones.
-    void stopAccepting();
+    // Accepts no further connections and closes idle ones, except for those that have just been accepted and
+    // are about to receive their first request. To be called periodically from then on, to close what
+    // remains idle.
+    void stopAccepting(std::chrono::steady_clock::time_point now);
 
-    // Number of requests that are being processed or whose answers are being sent.
+    // Number of requests that are being received or processed, whose answers are being sent, or for which
+    // the server waits after stopAccepting().
     std::size_t inProgress() const;
 
     // Number of open connections.
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -110,6 +110,7 @@
 pipeline_session::pipeline_session(tcp::socket socket, std::shared_ptr<pipeline_server::state> server)
     : m_stream(std::move(socket))
     , m_server(std::move(server))
+    , m_firstRequest(std::chrono::steady_clock::now())
 {
 }
 
@@ -320,6 +321,7 @@
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->setMaxBodyBytes(limits.maxBodyBytes);
     m_room = byte_reservation(m_server->hooks.budget, byte_place::Caller);
+    m_firstRequest.arrived();
     enter(stage::Header);
 }
 
@@ -520,11 +522,23 @@
     }
 }
 
-void pipeline_session::closeIfIdle()
+bool pipeline_session::isIdle() const
+{
+    return m_stage == stage::Idle && m_exchanges.empty() && !m_writing;
+}
+
+std::size_t pipeline_session::inProgress() const
+{
+    bool isReceiving = m_stage == stage::Header || m_stage == stage::Body;
+    // The connections that are idle after the stop have been kept open for a request.
+    bool isKept = isIdle() && m_server->isStopped;
+    return m_exchanges.size() + (m_writing ? 1 : 0) + (isReceiving || isKept ? 1 : 0);
+}
+
+void pipeline_session::closeIfIdle(time_point now)
 {
     error_code error;
-    bool isIdle = m_stage == stage::Idle && m_exchanges.empty() && !m_writing;
-    if (isIdle && m_stream.socket().available(error) == 0) {
+    if (isIdle() && !m_firstRequest.isAwaited(now) && m_stream.socket().available(error) == 0) {
         close();
     }
 }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -2,6 +2,7 @@
 
 #include "caller/pipeline_server.h"
 #include "http/connection_acceptor.h"
+#include "http/first_request.h"
 #include "http/message_parser.h"
 #include "http/socket_stream.h"
 
@@ -29,6 +30,7 @@
     std::unordered_set<std::shared_ptr<pipeline_session>> sessions;
     pipeline_server_counts counts;
     bool closingAfterAnswers = false;
+    bool isStopped = false;
 };
 
 // One client connection.
@@ -40,14 +42,14 @@
 
     void start();
     void enforceTimeouts(time_point now);
-    void closeIfIdle();
+    void closeIfIdle(time_point now);
     // Closes the connection without a further answer. The handlers of its requests are not called.
     void abandon();
     // Continues after an answer has become available.
     void advance();
     // Whether nothing is read before an answer has been sent.
     bool isPaused() const;
-    std::size_t inProgress() const { return m_exchanges.size() + (m_writing ? 1 : 0); }
+    std::size_t inProgress() const;
 
 private:
     class exchange;
@@ -68,6 +70,7 @@
     void rejectWithoutRoom();
     void bytesArrived(const boost::system::error_code&);
     bool isFull() const;
+    bool isIdle() const;
     bool canAcceptRequest() const;
     bool acceptRequest();
     bool parse();
@@ -98,6 +101,7 @@
     // A long body that follows these bytes.
     message_body m_outgoingBody;
     stage m_stage = stage::Idle;
+    first_request m_firstRequest;
     time_point m_stageEntered;
     time_point m_writeStarted;
     bool m_reading = false;
--- a/Source/http/connection_acceptor.cpp
+++ b/Source/http/connection_acceptor.cpp
@@ -34,7 +34,7 @@
             }
             if (!error) {
                 self->handOver(std::move(socket));
-                self->acceptPending();
+                self->acceptPending(maxAcceptsPerEvent - 1);
             }
             if (self->acceptor.is_open()) {
                 self->accept();
@@ -45,10 +45,10 @@
     // Accepts the other connections in the backlog. A node that has just started receives a
     // new connection with each call. Accepting only one connection in each iteration of the
     // event loop delayed calls by 1.6 s on a node with 0.4 cores and 5,000 calls per second.
-    void acceptPending()
+    void acceptPending(int most)
     {
         error_code error;
-        for (int accepted = 1; !error && accepted < maxAcceptsPerEvent && acceptor.is_open(); ++accepted) {
+        for (int accepted = 0; !error && accepted < most && acceptor.is_open(); ++accepted) {
             tcp::socket socket(acceptor.get_executor());
             acceptor.accept(socket, error);
             if (!error) {
@@ -79,11 +79,13 @@
 
 connection_acceptor::~connection_acceptor()
 {
-    stop();
+    error_code ignored;
+    m_state->acceptor.close(ignored);
 }
 
 void connection_acceptor::stop()
 {
+    m_state->acceptPending(tcp::acceptor::max_listen_connections);
     error_code ignored;
     m_state->acceptor.close(ignored);
 }
--- a/Source/http/connection_acceptor.h
+++ b/Source/http/connection_acceptor.h
@@ -26,6 +26,8 @@
     // The listening address, "IP:port"; still available after stop().
     const std::string& address() const { return m_address; }
 
+    // Passes on the connections in the backlog, which the operating system would reset otherwise, and then
+    // stops listening. Further calls have no effect.
     void stop();
 
 private:
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "budget/grant_handler.h"
 #include "http/connection_acceptor.h"
+#include "http/first_request.h"
 #include "http/message_parser.h"
 #include "http/peer_close.h"
 
@@ -75,11 +76,14 @@
     {
     }
 
+    void closeIdle(std::chrono::steady_clock::time_point now);
+
     std::unique_ptr<connection_acceptor> acceptor;
     http_server_limits limits;
     http_handler handler;
     std::unordered_set<http_session*> sessions;
     bool closingAfterResponses = false;
+    bool isStopped = false;
 };
 
 // One client connection: reads a request, passes it to the handler, sends the response,
@@ -90,12 +94,18 @@
     ~http_session();
 
     void readRequest();
-    void closeIfIdle();
-    bool idle() const { return m_idle; }
+    void closeIfIdle(std::chrono::steady_clock::time_point now);
+    bool inProgress() const;
 
 private:
     class exchange;
 
+    enum class stage {
+        Idle, // Waits for the first byte of a request.
+        InProgress, // Receives, handles or responds to a request.
+        Lingering, // Waits for the client to close the connection after the last response.
+    };
+
     void readRemainder();
     bool hasRoom();
     void roomDecided(byte_grant);
@@ -120,7 +130,8 @@
     // Keeps the session while it waits for room, when it has no operation outstanding.
     std::shared_ptr<http_session> m_waiting;
     std::uint64_t m_exchangeNumber = 0;
-    bool m_idle = true;
+    first_request m_firstRequest;
+    stage m_stage = stage::Idle;
 };
 
 class http_session::exchange : public http_exchange {
@@ -170,6 +181,7 @@
     : m_stream(std::move(socket))
     , m_departureTimer(m_stream.get_executor())
     , m_server(std::move(server))
+    , m_firstRequest(std::chrono::steady_clock::now())
 {
     m_server->sessions.insert(this);
 }
@@ -181,7 +193,7 @@
 
 void http_session::readRequest()
 {
-    m_idle = true;
+    m_stage = stage::Idle;
     m_parser.emplace();
     m_parser->setMaxBodyBytes(m_server->limits.maxBodyBytes);
     m_parser->header_limit(maxHeaderBytes);
@@ -189,7 +201,8 @@
     m_stream.expires_after(m_server->limits.idleTimeout);
     auto self = shared_from_this();
     auto begin = [self] {
-        self->m_idle = false;
+        self->m_stage = stage::InProgress;
+        self->m_firstRequest.arrived();
         self->m_stream.expires_after(self->m_server->limits.requestTimeout);
         self->readRemainder();
     };
@@ -335,7 +348,7 @@
 // has unread bytes would reset the connection, and the client could lose the last answer.
 void http_session::closeGracefully()
 {
-    m_idle = true;
+    m_stage = stage::Lingering;
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.expires_after(lingerTimeout);
@@ -354,23 +367,38 @@
     });
 }
 
-void http_session::closeIfIdle()
+bool http_session::inProgress() const
+{
+    // The connections that are idle after the stop have been kept open for a request.
+    return m_stage == stage::InProgress || (m_stage == stage::Idle && m_server->isStopped);
+}
+
+void http_session::closeIfIdle(std::chrono::steady_clock::time_point now)
 {
     error_code error;
-    if (m_idle && m_stream.socket().available(error) == 0) {
+    if (m_stage == stage::Idle && !m_firstRequest.isAwaited(now) && m_stream.socket().available(error) == 0) {
         close();
     }
 }
 
 void http_session::close()
 {
-    m_idle = true;
+    m_stage = stage::Lingering;
     m_departureTimer.cancel();
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
 }
 
+void http_server::state::closeIdle(std::chrono::steady_clock::time_point now)
+{
+    // A session that is closed leaves the set.
+    auto present = sessions;
+    for (auto* session : present) {
+        session->closeIfIdle(now);
+    }
+}
+
 http_server::http_server(asio::io_context& context, const std::string& listenAddress, const http_server_limits& limits, http_handler handler)
     : m_state(std::make_shared<state>(limits, std::move(handler)))
 {
@@ -384,7 +412,8 @@
 
 http_server::~http_server()
 {
-    stopAccepting();
+    m_state->acceptor.reset();
+    m_state->closeIdle(std::chrono::steady_clock::time_point::max());
 }
 
 std::string http_server::address() const
@@ -401,19 +430,17 @@
 {
     std::size_t count = 0;
     for (const auto* session : m_state->sessions) {
-        count += session->idle() ? 0 : 1;
+        count += session->inProgress() ? 1 : 0;
     }
     return count;
 }
 
-void http_server::stopAccepting()
+void http_server::stopAccepting(std::chrono::steady_clock::time_point now)
 {
     m_state->closingAfterResponses = true;
+    m_state->isStopped = true;
     m_state->acceptor->stop();
-    auto sessions = m_state->sessions;
-    for (auto* session : sessions) {
-        session->closeIfIdle();
-    }
+    m_state->closeIdle(now);
 }
 
 }
--- a/Source/http/http_server.h
+++ b/Source/http/http_server.h
@@ -56,10 +56,13 @@
     // nodes.
     void closeAfterResponses();
 
-    // Stops accepting connections and closes idle ones; exchanges in progress are completed.
-    void stopAccepting();
+    // Stops accepting connections and closes idle ones, except for those that have just been accepted and
+    // are about to receive their first request; exchanges in progress are completed. To be called
+    // periodically from then on, to close what remains idle.
+    void stopAccepting(std::chrono::steady_clock::time_point now);
 
-    // Number of requests that are being received, handled or responded to.
+    // Number of requests that are being received, handled or responded to, or for which the server waits
+    // after stopAccepting().
     std::size_t inProgress() const;
 
     struct state;
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -352,7 +352,7 @@
             auto now = std::chrono::steady_clock::now();
             // Calls that run at the local backend server may still make onward calls through this node.
             if (inbound == 0 && m_stop.mayClosePorts(now)) {
-                m_callerServer->stopAccepting();
+                m_callerServer->stopAccepting(now);
             }
             bool idle = inbound == 0 && outbound == 0 && m_callerServer->inProgress() == 0 && m_peerServer->inProgress() == 0;
             bool hasLeft = m_self.state == member_state::Left;
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -478,7 +478,7 @@
         hooks.refuseWork = [this] { refuseWork(); };
         hooks.refuseClients = [this] { m_calls.entry().setIntake(call_intake::OnwardCalls); };
         hooks.endRequests = [this](const stop_progress& progress) { endRequests(progress); };
-        hooks.stopAccepting = [this] { m_clientServer->stopAccepting(); };
+        hooks.stopAccepting = [this](std::chrono::steady_clock::time_point now) { m_clientServer->stopAccepting(now); };
         hooks.leave = [this] { leave(); };
         return hooks;
     }
--- a/Source/node/routed_stop.cpp
+++ b/Source/node/routed_stop.cpp
@@ -53,7 +53,8 @@
     }
     auto progress = m_hooks.progress();
     if (m_plannedStop.mayClosePorts(now) && progress.arrived == 0) {
-        m_hooks.stopAccepting();
+        m_hooks.stopAccepting(now);
+        progress = m_hooks.progress();
     }
     logProgress(progress, now);
     if (m_plannedStop.mayExit(progress.isIdle(), now)) {
--- a/Source/node/routed_stop.h
+++ b/Source/node/routed_stop.h
@@ -32,8 +32,8 @@
     std::function<void()> refuseClients;
     // Answers every request still in progress at the drain timeout.
     std::function<void(const stop_progress&)> endRequests;
-    // Stops accepting client connections.
-    std::function<void()> stopAccepting;
+    // Stops accepting client connections; called repeatedly, to close those that have become idle.
+    std::function<void(std::chrono::steady_clock::time_point now)> stopAccepting;
     // Announces the departure to the other nodes and ends the process.
     std::function<void()> leave;
 };
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -259,7 +259,7 @@
 
 peer_server::~peer_server()
 {
-    stopAccepting();
+    m_state->acceptor.reset();
 }
 
 std::string peer_server::address() const
@@ -277,9 +277,4 @@
     return m_state->damagedFrames;
 }
 
-void peer_server::stopAccepting()
-{
-    m_state->acceptor->stop();
-}
-
 }
--- a/Source/peer/peer_server.h
+++ b/Source/peer/peer_server.h
@@ -42,8 +42,6 @@
     // Connections closed because they sent invalid frames, since the start of the process.
     std::uint64_t damagedFrames() const;
 
-    void stopAccepting();
-
     // Number of calls that are being handled or whose answer is being sent.
     std::size_t inProgress() const;
 
--- a/Tests/PipelinedClients/pipelined_clients_test.cpp
+++ b/Tests/PipelinedClients/pipelined_clients_test.cpp
@@ -1,5 +1,6 @@
 #include "RawSocket/raw_socket.h"
 #include "caller/pipeline_server.h"
+#include "http/first_request.h"
 
 #include <gtest/gtest.h>
 
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <limits>
 #include <mutex>
+#include <optional>
 #include <random>
 
 namespace vanillashunt {
@@ -115,6 +117,38 @@
             onLoop([this] { m_server->closeAfterAnswers(); });
         }
 
+        // What a node does repeatedly while it stops, this long after the present time.
+        void stopAccepting(std::chrono::milliseconds elapsed = {})
+        {
+            onLoop([this, elapsed] { m_server->stopAccepting(std::chrono::steady_clock::now() + elapsed); });
+        }
+
+        // Connects before the server stops accepting, and without the server having accepted the connection.
+        raw_socket connectBehindTheAcceptor()
+        {
+            std::optional<raw_socket> client;
+            onLoop([&] {
+                client = connect();
+                m_server->stopAccepting(std::chrono::steady_clock::now());
+            });
+            return std::move(*client);
+        }
+
+        std::size_t inProgress()
+        {
+            std::size_t result = 0;
+            onLoop([&] { result = m_server->inProgress(); });
+            return result;
+        }
+
+        void waitForConnection()
+        {
+            std::size_t count = 0;
+            while (count == 0) {
+                onLoop([&] { count = m_server->connections(); });
+            }
+        }
+
         // Answers each request within the handler from now on.
         void answerAtOnce()
         {
@@ -605,4 +639,52 @@
     EXPECT_NE(client.readUntil("sound").find("HTTP/1.1 200"), std::string::npos);
 }
 
+// Guards against a stopping server that closes a connection whose client is about to send its first request.
+TEST(PipelinedClients, AreAnsweredIfTheyConnectedJustBeforeTheServerStoppedAccepting)
+{
+    server_harness server;
+    auto client = server.connect();
+    server.waitForConnection();
+    server.stopAccepting();
+    EXPECT_EQ(server.inProgress(), 1U);
+    client.send(get("/0"));
+    server.answer(0, "whole");
+    EXPECT_NE(client.readUntil("whole").find("Connection: close"), std::string::npos);
+}
+
+// Guards against a stopping server that resets the connections in its backlog.
+TEST(PipelinedClients, AreAnsweredIfTheyWaitedInTheBacklogWhenTheServerStoppedAccepting)
+{
+    server_harness server;
+    auto client = server.connectBehindTheAcceptor();
+    client.send(get("/0"));
+    server.answer(0, "whole");
+    EXPECT_NE(client.readUntil("whole").find("Connection: close"), std::string::npos);
+}
+
+// Guards against a stop that waits for a connection on which nothing is sent.
+TEST(PipelinedClients, DoNotDelayAStopBySendingNothing)
+{
+    server_harness server;
+    auto client = server.connectBehindTheAcceptor();
+    EXPECT_EQ(server.inProgress(), 1U);
+    server.stopAccepting(first_request::maxWait);
+    EXPECT_EQ(server.inProgress(), 0U);
+    EXPECT_TRUE(client.endsWithoutReset());
+}
+
+// Guards against a stop that does not wait for a request of which a part has arrived.
+TEST(PipelinedClients, AreAnsweredIfTheirRequestArrivesInPartsDuringAStop)
+{
+    server_harness server;
+    auto client = server.connect();
+    client.send("GET /0 HTTP/1.1\r\n");
+    while (server.inProgress() == 0) { }
+    server.stopAccepting(first_request::maxWait);
+    EXPECT_EQ(server.inProgress(), 1U);
+    client.send("Host: a.example\r\n\r\n");
+    server.answer(0, "whole");
+    EXPECT_NE(client.readUntil("whole").find("Connection: close"), std::string::npos);
+}
+
 }
--- a/Tests/RawSocket/raw_socket.h
+++ b/Tests/RawSocket/raw_socket.h
@@ -78,12 +78,16 @@
     {
         boost::system::error_code error;
         auto count = boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(m_read), text, error);
+        m_isClosedByPeer = error == boost::asio::error::eof;
         auto taken = error ? m_read.size() : count;
         auto result = m_read.substr(0, taken);
         m_read.erase(0, taken);
         return result;
     }
 
+    // Whether the last readUntil() ended because the peer closed the connection and did not reset it.
+    bool isClosedByPeer() const { return m_isClosedByPeer; }
+
     // Reads exactly count bytes; returns fewer if the connection ends first.
     std::string readBytes(std::size_t count)
     {
@@ -129,6 +133,7 @@
 private:
     boost::asio::ip::tcp::socket m_socket;
     std::string m_read;
+    bool m_isClosedByPeer = false;
 };
 
 // A listening socket for a server that a test implements byte by byte.
--- a/Tests/RollingStop/rolling_stop_test.cpp
+++ b/Tests/RollingStop/rolling_stop_test.cpp
@@ -1,5 +1,7 @@
 #include "Harness/command_run.h"
 #include "Harness/load_run.h"
+#include "RawSocket/closing_port.h"
+#include "RawSocket/message_head.h"
 
 #include <gmock/gmock.h>
 
@@ -263,6 +265,21 @@
     slow.backend->process().kill();
 }
 
+// Guards against a stopping node that closes a new connection before its first request: the client cannot
+// know whether the request has run.
+TEST_F(rolling_stop_test, ANodeAnswersAClientThatConnectedJustBeforeItsPortClosed)
+{
+    auto& stay = m_mesh.server("stay-bangsar");
+    stay.backend->control(R"({"drain":true})");
+    stay.node->signal(SIGTERM);
+    auto last = lastConnectionBeforePortCloses(stay.caller());
+    last.send("GET /stay/details HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Customer: hotel-seri\r\n\r\n");
+    EXPECT_EQ(fieldOf(last.readUntil("\r\n\r\n"), "Vanillashunt-Verdict"), "not_run");
+    auto end = stay.node->wait();
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->exitCode, 0);
+}
+
 TEST_F(rolling_stop_test, ManyNodesThatStopAtOnceAllExit)
 {
     std::vector<std::string> names;
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -1,3 +1,4 @@
+#include "RawSocket/closing_port.h"
 #include "RoutedWorld/platform_world.h"
 #include "RoutedWorld/routed_node.h"
 
@@ -195,6 +196,21 @@
     world.hold(false);
 }
 
+// Guards against a stopping node that closes a new connection before its first request: the client cannot
+// know whether the request has run.
+TEST(RoutedNodes, AnswerAClientThatConnectedJustBeforeTheirPortClosed)
+{
+    serving_node fixture;
+    auto& node = *fixture.node;
+    node.process->signal(SIGTERM);
+    auto last = lastConnectionBeforePortCloses(node.port("caller"));
+    node.sendRequest(last);
+    EXPECT_EQ(last.readUntil("\r\n").substr(0, 12), "HTTP/1.1 503");
+    auto end = node.process->wait(maxWait);
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->exitCode, 0);
+}
+
 TEST(RoutedNodes, ServeAfterTheyReadTheirSettingsAgain)
 {
     serving_node fixture;
--- a/Tests/RoutedSoak/routed_soak_test.cpp
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -40,6 +40,9 @@
             if (!run.killsNodes() && told.status == 0) {
                 EXPECT_EQ(ran, 0) << "no answer: " << about;
             }
+            if (!run.killsNodes()) {
+                EXPECT_FALSE(told.isCutOff) << "the connection was accepted, and closed without an answer: " << about;
+            }
             bool known = told.status == 0 || told.status == 200 || told.status == 502 || told.status == 503 || told.status == 504;
             EXPECT_TRUE(known) << about;
         }
@@ -75,8 +78,8 @@
     playSeeds(server_restarts::ByOldId);
 }
 
-// Guards against requests that a stopping node leaves unanswered, and against work for a server that
-// has deregistered. Clients use persistent connections, nodes are stopped and frozen, and servers
+// Guards against requests that a stopping node leaves unanswered, also on connections that it has just
+// accepted, and against work for a server that has deregistered. Clients use persistent connections, nodes are stopped and frozen, and servers
 // deregister, also right after a restart of their node; each deregistration is followed by a late
 // report of the same server.
 TEST(RoutedSoak, KeepsThePromisesWhileServersLeaveAndNodesStop)
--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "RoutedSoak/soak_run.h"
 
+#include "http/first_request.h"
+
 #include <csignal>
 
 namespace vanillashunt {
@@ -16,6 +18,8 @@
     // A connection of a node takes 32 requests; mostly fewer than twice that are sent ahead, at times many more.
     constexpr std::size_t usualDepth = 64;
     constexpr std::size_t maxDepth = 1000;
+    // The longest pause of a client between the connection and its first request.
+    constexpr milliseconds maxFirstRequestPause { 50 };
     // The pause of a pipelining client after each connection, so that the others get their share.
     constexpr milliseconds pipeliningPause { 100 };
     constexpr const char* service = "desk";
@@ -323,16 +327,23 @@
     }
 }
 
-// Like ask(), but reuses the connection until either side closes it; connects if there is none.
-soak_outcome soak_run::askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, milliseconds& retryAfter) const
+// Like ask(), but reuses the connection until either side closes it. Connects if there is none, and pauses before
+// it sends the first request.
+soak_outcome soak_run::askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, milliseconds pause, milliseconds& retryAfter) const
 {
     soak_outcome result { requestId, idempotent, 0, {} };
     try {
-        if (!connection) {
+        auto begun = std::chrono::steady_clock::now();
+        bool isNew = !connection;
+        if (isNew) {
             connection = std::make_unique<raw_socket>(raw_socket::connectTo(address));
+            std::this_thread::sleep_for(pause);
         }
         connection->send(requestText(requestId, idempotent));
+        bool isSentInTime = std::chrono::steady_clock::now() - begun < first_request::maxWait;
         auto head = readAnswer(*connection, result);
+        // The operating system resets what arrives in the moment in which the port is closed.
+        result.isCutOff = isNew && isSentInTime && connection->isClosedByPeer();
         retryAfter = retryDelay(head);
         if (result.status == 0 || head.find("Connection: close") != std::string::npos) {
             connection.reset();
@@ -351,7 +362,8 @@
     std::unique_ptr<raw_socket> connection;
     for (int number = 0; !m_ends; ++number) {
         milliseconds retryAfter { 0 };
-        auto outcome = askOnConnection(connection, addressOf(which), "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0, retryAfter);
+        auto pause = milliseconds(random() % maxFirstRequestPause.count());
+        auto outcome = askOnConnection(connection, addressOf(which), "k" + std::to_string(seed) + "-" + std::to_string(number), random() % 2 == 0, pause, retryAfter);
         outcome.isPatient = isPatient;
         if (isPatient) {
             std::this_thread::sleep_for(retryAfter);
--- a/Tests/RoutedSoak/soak_run.h
+++ b/Tests/RoutedSoak/soak_run.h
@@ -22,6 +22,8 @@
     std::string body;
     // Whether the client waits for the advised time after a refusal.
     bool isPatient = true;
+    // Whether the node accepted the connection, and closed it although the request came at once.
+    bool isCutOff = false;
 };
 
 // How the servers of a soak start again.
@@ -85,7 +87,7 @@
     void serveClient(std::uint64_t seed);
     soak_outcome ask(const std::string& address, const std::string& requestId, bool idempotent) const;
     std::string addressOf(std::size_t which);
-    soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, std::chrono::milliseconds& retryAfter) const;
+    soak_outcome askOnConnection(std::unique_ptr<raw_socket>& connection, const std::string& address, const std::string& requestId, bool idempotent, std::chrono::milliseconds pause, std::chrono::milliseconds& retryAfter) const;
     void servePersistentClient(std::uint64_t seed, bool isPatient);
     std::vector<soak_outcome> askAhead(const std::string& address, const std::vector<std::string>& requestIds, std::size_t answersRead) const;
     void servePipeliningClient(std::uint64_t seed);
--- a/Tests/RoutedWorld/routed_node.cpp
+++ b/Tests/RoutedWorld/routed_node.cpp
@@ -109,9 +109,14 @@
 raw_socket routed_node::begin(const std::string& path, std::chrono::milliseconds deadline)
 {
     auto socket = raw_socket::connectTo(port("caller"));
+    sendRequest(socket, path, deadline);
+    return socket;
+}
+
+void routed_node::sendRequest(raw_socket& socket, const std::string& path, std::chrono::milliseconds deadline)
+{
     socket.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: r" + std::to_string(++m_requests)
         + "\r\nVanillashunt-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\nVanillashunt-Caller-Service: forged\r\nConnection: close\r\n\r\n");
-    return socket;
 }
 
 std::string routed_node::getUntil(const std::string& status)
--- a/Tests/RoutedWorld/routed_node.h
+++ b/Tests/RoutedWorld/routed_node.h
@@ -59,6 +59,8 @@
     std::string ready();
 
     raw_socket begin(const std::string& path = "/x/1", std::chrono::milliseconds deadline = std::chrono::seconds(20));
+    // Sends a request over a connection to the caller port.
+    void sendRequest(raw_socket&, const std::string& path = "/x/1", std::chrono::milliseconds deadline = std::chrono::seconds(20));
     std::string get(const std::string& path = "/x/1") { return begin(path).readToEnd(); }
 
     // Asks again until the answer has the status; what is known spreads by itself.
--- a/Tests/SequentialClients/sequential_clients_test.cpp
+++ b/Tests/SequentialClients/sequential_clients_test.cpp
@@ -1,10 +1,12 @@
 #include "RawSocket/raw_socket.h"
+#include "http/first_request.h"
 #include "http/http_server.h"
 
 #include <gtest/gtest.h>
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace vanillashunt {
@@ -73,6 +75,30 @@
             m_loop.runAndWait([this] { m_server->closeAfterResponses(); });
         }
 
+        // What a node does repeatedly while it stops, this long after the present time.
+        void stopAccepting(std::chrono::milliseconds elapsed = {})
+        {
+            m_loop.runAndWait([&] { m_server->stopAccepting(std::chrono::steady_clock::now() + elapsed); });
+        }
+
+        // Connects before the server stops accepting, and without the server having accepted the connection.
+        raw_socket connectBehindTheAcceptor()
+        {
+            std::optional<raw_socket> client;
+            m_loop.runAndWait([&] {
+                client = connect();
+                m_server->stopAccepting(std::chrono::steady_clock::now());
+            });
+            return std::move(*client);
+        }
+
+        std::size_t inProgress()
+        {
+            std::size_t result = 0;
+            m_loop.runAndWait([&] { result = m_server->inProgress(); });
+            return result;
+        }
+
     private:
         void add(const std::shared_ptr<http_exchange>& exchange)
         {
@@ -157,4 +183,45 @@
     EXPECT_TRUE(client.endsWithoutReset());
 }
 
+// Guards against a stopping server that closes a connection whose client is about to send its first request,
+// whether the server has accepted the connection or not.
+TEST(SequentialClients, AreAnsweredIfTheyConnectedJustBeforeTheServerStoppedAccepting)
+{
+    server_harness server;
+    auto client = server.connectBehindTheAcceptor();
+    server.stopAccepting();
+    EXPECT_EQ(server.inProgress(), 1U);
+    client.send(get("/0"));
+    server.answer(0, "whole");
+    EXPECT_NE(client.readUntil("whole").find("Connection: close"), std::string::npos);
+}
+
+// Guards against a stop that waits for a connection on which nothing is sent.
+TEST(SequentialClients, DoNotDelayAStopBySendingNothing)
+{
+    server_harness server;
+    auto client = server.connectBehindTheAcceptor();
+    server.stopAccepting(first_request::maxWait);
+    EXPECT_EQ(server.inProgress(), 0U);
+    EXPECT_TRUE(client.endsWithoutReset());
+}
+
+// Guards against a stop that resets a connection whose client has not read its last answer yet.
+TEST(SequentialClients, MaySendUntilTheyHaveReadTheirLastAnswerWhileTheServerStopsAccepting)
+{
+    constexpr std::size_t parts = 200;
+    server_harness server;
+    auto client = server.connect();
+    client.send(get("/0"));
+    server.exchange(0);
+    server.closeAfterResponses();
+    server.answer(0, "last");
+    for (std::size_t part = 0; part < parts; ++part) {
+        server.stopAccepting(first_request::maxWait);
+        EXPECT_NO_THROW(client.send(get("/1")));
+    }
+    EXPECT_NE(client.readUntil("last").find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.endsWithoutReset());
+}
+
 }
