Keep what each start of a server says, and ask for proof of unknown starts

Evidence, with the program of: RoutedNodes. SendNothingToAServerThatDrainsBehindADelayedHeartbeatOfAnother and SendNothingToAServerThatDeregisteredBeforeTheNodeRestartedWhateverIsDelayed fail, and pass now.

The soak draws late reports of crashed servers before a server leaves.

--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -35,6 +35,7 @@
     calls["outbound"]["in_progress"] = Json::UInt64(parts.calls.entry().inProgress());
     calls["server"]["connections_opened"] = Json::UInt64(parts.calls.serverCounts().connectionsOpened);
     calls["server"]["answers_cut_off"] = Json::UInt64(parts.calls.serverCounts().oversizedAnswers);
+    calls["server"]["unverified"] = parts.server.isUnverified();
     calls["server"]["reports_refused"] = Json::UInt64(parts.server.refused());
     calls["server"]["foreign_answers"] = Json::UInt64(parts.calls.serverCounts().foreignAnswers);
     auto& clients = calls["clients"];
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -124,7 +124,7 @@
         key_value_store m_store;
         http_client m_controlClient;
         peer_rpc m_peerRpc { m_controlClient };
-        server_reports m_serverReports { reportHooks() };
+        server_reports m_serverReports { reportHooks(), m_started };
         std::unique_ptr<membership_service> m_membership;
         member m_self;
         routed_calls m_calls;
--- a/Source/node/server_reports.cpp
+++ b/Source/node/server_reports.cpp
@@ -16,8 +16,9 @@
 
 }
 
-server_reports::server_reports(server_report_hooks hooks)
+server_reports::server_reports(server_report_hooks hooks, time_point processStarted)
     : m_hooks(std::move(hooks))
+    , m_starts(static_cast<bool>(m_hooks.probeHealth), processStarted)
     , m_limiter(maxLinesPerInterval, lineInterval)
 {
 }
@@ -32,15 +33,14 @@
     if (!hasAcceptedService(report)) {
         return refuse("there is no service named " + report.service, now);
     }
-    bool wasKnown = current().has_value();
-    auto effect = m_tracker.report(report, m_hooks.wallNow());
+    auto last = currentStart();
+    auto [effect, needsProbe] = m_starts.report(report, m_hooks.wallNow(), now);
     logReport(report, effect);
     if (effect == report_effect::Unclear) {
         return refuse("the report lacks the start time of its server, which other reports of that server have", now);
     }
-    bool isFirst = effect == report_effect::Replaced && !wasKnown && m_hooks.probeHealth;
-    bool isFirstOrUpdate = isFirst || effect == report_effect::Updated;
-    if (isFirstOrUpdate && m_verification.reported(report, isFirst)) {
+    logCurrentStart(last);
+    if (needsProbe) {
         m_hooks.probeHealth(report);
     }
     m_hooks.changed();
@@ -54,15 +54,27 @@
     auto born = bornText(report.start);
     auto incarnation = std::to_string(m_hooks.incarnation());
     logEvent(events::serverReportTaken, { { "instance", report.start.instanceId }, { "born", born }, { "state", toString(report.condition) }, { "sequence", std::to_string(report.sequence) }, { "effect", toString(effect) }, { "incarnation", incarnation } });
-    if (effect == report_effect::Replaced) {
-        logEvent(events::backendServerAnnounced, { { "service", report.service }, { "address", report.address }, { "instance", report.start.instanceId }, { "born", born } });
-    }
     if (effect == report_effect::Leaving || effect == report_effect::LeavingUnknown) {
         bool isKnown = effect == report_effect::Leaving;
         logEvent(events::backendServerLeaves, { { "instance", report.start.instanceId }, { "born", born }, { "state", toString(report.condition) }, { "known", isKnown ? "yes" : "no" }, { "incarnation", incarnation } });
     }
 }
 
+std::optional<server_start> server_reports::currentStart() const
+{
+    return current() ? std::optional<server_start>(current()->start) : std::nullopt;
+}
+
+// Logs the start that receives requests from now on, if it is another one than the last.
+void server_reports::logCurrentStart(const std::optional<server_start>& last) const
+{
+    auto start = currentStart();
+    if (!start || start == last || current()->condition != server_condition::Ready) {
+        return;
+    }
+    logEvent(events::backendServerAnnounced, { { "service", current()->service }, { "address", current()->address }, { "instance", start->instanceId }, { "born", bornText(*start) } });
+}
+
 // A deregistration names no service. The current server's service is accepted even if the routes no
 // longer contain it.
 bool server_reports::hasAcceptedService(const server_report& report) const
@@ -73,22 +85,28 @@
 
 void server_reports::misdirected(const server_start& start)
 {
-    m_tracker.misdirected(start);
+    auto last = currentStart();
+    m_starts.misdirected(start);
+    logCurrentStart(last);
     m_hooks.changed();
 }
 
 void server_reports::ended(const server_start& start)
 {
-    m_tracker.ended(start);
+    auto last = currentStart();
+    m_starts.ended(start);
+    logCurrentStart(last);
     m_hooks.changed();
 }
 
 void server_reports::healthProbed(const server_start& start, server_health health)
 {
-    if (health == server_health::NotServing && m_verification.isPending(start)) {
+    if (health == server_health::NotServing && m_starts.isUnverified(start)) {
         logEvent(events::backendServerNotServing, { { "instance", start.instanceId }, { "born", bornText(start) } });
     }
-    m_verification.probed(start, health);
+    auto last = currentStart();
+    m_starts.probed(start, health);
+    logCurrentStart(last);
     m_hooks.changed();
 }
 
--- a/Source/node/server_reports.h
+++ b/Source/node/server_reports.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "backend/server_tracker.h"
-#include "backend/start_verification.h"
+#include "backend/server_starts.h"
 #include "events/event_limiter.h"
 #include "http/http_message.h"
 
@@ -34,7 +33,7 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    explicit server_reports(server_report_hooks);
+    server_reports(server_report_hooks, time_point processStarted);
 
     // Returns the answer to the report. A successful answer is a commitment: from then on a
     // server that leaves gets no new work.
@@ -50,10 +49,13 @@
     void healthProbed(const server_start&, server_health);
 
     // The latest report of the current server; std::nullopt while no server is known.
-    const std::optional<server_report>& current() const { return m_tracker.current(); }
+    const std::optional<server_report>& current() const { return m_starts.current(); }
 
     // Whether the server is known and verified, and has not reported that it leaves.
-    bool takesWork() const { return m_tracker.takesWork() && !m_verification.isPending(current()->start); }
+    bool takesWork() const { return m_starts.takesWork(); }
+
+    // Whether the current server is held back until a health probe has shown that it serves.
+    bool isUnverified() const { return current() && m_starts.isUnverified(current()->start); }
 
     // Number of reports refused since the process started.
     std::uint64_t refused() const { return m_refused; }
@@ -62,10 +64,11 @@
     http_response refuse(const std::string& reason, time_point now);
     bool hasAcceptedService(const server_report&) const;
     void logReport(const server_report&, report_effect) const;
+    std::optional<server_start> currentStart() const;
+    void logCurrentStart(const std::optional<server_start>& last) const;
 
     server_report_hooks m_hooks;
-    server_tracker m_tracker;
-    start_verification m_verification;
+    server_starts m_starts;
     event_limiter m_limiter;
     std::uint64_t m_refused = 0;
 };
--- a/Tests/ForeignReports/foreign_reports_test.cpp
+++ b/Tests/ForeignReports/foreign_reports_test.cpp
@@ -80,7 +80,7 @@
 
     // Handles reports as a node does whose configuration has one service.
     struct report_port {
-        server_reports reports { { [](const std::string& service) { return service == "threads"; }, [] {}, [] { return std::chrono::system_clock::now(); }, [] { return 1U; } } };
+        server_reports reports { { [](const std::string& service) { return service == "threads"; }, [] {}, [] { return std::chrono::system_clock::now(); }, [] { return 1U; } }, {} };
         std::chrono::steady_clock::time_point now { std::chrono::seconds(100) };
 
         unsigned handle(const std::string& body) { return reports.handle(heartbeat(body), now).status; }
--- a/Tests/RoutedNodes/routed_nodes_test.cpp
+++ b/Tests/RoutedNodes/routed_nodes_test.cpp
@@ -117,6 +117,57 @@
     EXPECT_EQ(node->getUntil("200").substr(0, 12), "HTTP/1.1 200");
 }
 
+// Guards against a restarted node that takes a second delayed heartbeat for a proof that the server, which
+// deregistered with the process before, is still in use.
+TEST(RoutedNodes, SendNothingToAServerThatDeregisteredBeforeTheNodeRestartedWhateverIsDelayed)
+{
+    platform_world world;
+    world.configureWithHealthPath(1, "desk");
+    auto plan = planOf(world, "desk-1", "desk");
+    auto node = std::make_unique<routed_node>(plan);
+    node->report("ready", 6, "desk");
+    node->deregister("i-1");
+    node->process->kill();
+    node = std::make_unique<routed_node>(plan);
+    node->waitForLine("VS131");
+    world.setHealthAnswer(503, "i-1");
+    node->report("ready", 7, "desk");
+    node->waitForLine("VS116");
+    int sequence = 8;
+    for (; sequence < 24; ++sequence) {
+        node->report("ready", sequence, "desk");
+        EXPECT_EQ(node->get().substr(0, 12), "HTTP/1.1 503");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    node->waitForLine("VS116");
+    EXPECT_EQ(world.runs(), 0U);
+    // The health check was wrong, and is right again.
+    world.setHealthAnswer(200, "i-1");
+    for (; node->get().substr(0, 12) != "HTTP/1.1 200"; ++sequence) {
+        node->report("ready", sequence, "desk");
+    }
+    EXPECT_NE(world.runs(), 0U);
+}
+
+// Guards against a server that drains and receives requests, since a delayed heartbeat of a crashed server counted
+// as a newer one when it said so.
+TEST(RoutedNodes, SendNothingToAServerThatDrainsBehindADelayedHeartbeatOfAnother)
+{
+    platform_world world;
+    world.configure(1, "desk");
+    world.setInstance("i-1");
+    routed_node node(planOf(world, "desk-1", "desk"));
+    node.report("ready", 1, "desk");
+    EXPECT_EQ(node.getUntil("200").substr(0, 12), "HTTP/1.1 200");
+    auto runs = world.runs();
+    node.report("ready", 1, "desk", "crashed");
+    node.report("draining", 2, "desk");
+    for (int request = 0; request < 5; ++request) {
+        EXPECT_EQ(node.get().substr(0, 12), "HTTP/1.1 503");
+    }
+    EXPECT_EQ(world.runs(), runs);
+}
+
 // The health probe must not keep a healthy server out of use after a restart of the node.
 TEST(RoutedNodes, SendRequestsToAHealthyServerAfterTheNodeRestarted)
 {
--- a/Tests/RoutedSoak/soak_run.cpp
+++ b/Tests/RoutedSoak/soak_run.cpp
@@ -261,13 +261,22 @@
     }
 }
 
-// Deregisters the server, and delivers a late report that it is ready.
+// Deregisters or drains the server, at times behind a late report of a crashed server at its address, and delivers
+// late reports that it is ready.
 void soak_run::deregisterServer(std::size_t which)
 {
     auto& here = m_places[which];
-    here.node->deregister(here.server->instance());
+    if (m_random() % 2 == 0) {
+        here.node->reportOfStart(here.server->born() - 1, "ready", 1, service, "crashed-" + std::to_string(m_random()));
+    }
+    if (m_random() % 2 == 0) {
+        here.node->deregister(here.server->instance());
+    } else {
+        report(which, "draining");
+    }
     auto acknowledged = std::chrono::steady_clock::now();
     report(which, "ready");
+    report(which, "ready");
     countLateRuns(which, acknowledged);
 }
 
--- a/Tests/RoutedWorld/platform_world.cpp
+++ b/Tests/RoutedWorld/platform_world.cpp
@@ -125,6 +125,12 @@
     m_down = down;
 }
 
+void platform_world::setInstance(const std::string& instance)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_instance = instance;
+}
+
 void platform_world::hold(bool holds)
 {
     m_loop.runAndWait([&] {
@@ -292,6 +298,11 @@
             exchange->respond(m_healthAnswer);
             return;
         }
+        auto expected = fieldValue(request.fields, "Vanillashunt-Expect-Instance");
+        if (!m_instance.empty() && !expected.empty() && expected != m_instance) {
+            exchange->respond({ 421, { { "Vanillashunt-Request-Id", fieldValue(request.fields, "Vanillashunt-Request-Id") } }, "" });
+            return;
+        }
         m_runs.push_back(request);
         m_changed.notify_all();
     }
--- a/Tests/RoutedWorld/platform_world.h
+++ b/Tests/RoutedWorld/platform_world.h
@@ -46,6 +46,9 @@
     // Sets the server's answer to health probes: its status and instance id.
     void setHealthAnswer(unsigned status, const std::string& instance);
 
+    // From now on the server is this instance, and answers requests for another one with 421.
+    void setInstance(const std::string&);
+
     // Keeps what there is now as the copy that the store can come back from.
     void takeCopy();
     // The store is as it was when the copy was taken, and a new era begins.
@@ -104,6 +107,8 @@
     bool m_down = false;
     bool m_holding = false;
     http_response m_healthAnswer { 503, {}, {} };
+    // Empty if it takes requests for any instance.
+    std::string m_instance;
     std::vector<http_request> m_runs;
     std::vector<std::pair<http_request, std::shared_ptr<http_exchange>>> m_held;
     context_thread m_loop;
--- a/Tests/ServerTracker/server_tracker_test.cpp
+++ b/Tests/ServerTracker/server_tracker_test.cpp
@@ -234,4 +234,84 @@
     EXPECT_TRUE(tracker.takesWork());
 }
 
+// Guards against requests to a draining server, whose reports are ignored while a delayed report of a crashed
+// start counts as the newer start.
+TEST(ServerTracker, KeepsWhatAReplacedServerReportsUntilItIsRestored)
+{
+    for (auto condition : { server_condition::Draining, server_condition::Left }) {
+        server_tracker tracker;
+        tracker.report(reportOf("running", 3));
+        EXPECT_EQ(tracker.report(reportOf("crashed", 1)), report_effect::Replaced);
+        EXPECT_EQ(tracker.report(reportOf("running", 4, condition)), report_effect::LeavingUnknown);
+        tracker.report(reportOf("running", 5));
+        tracker.misdirected({ "crashed" });
+        EXPECT_FALSE(tracker.takesWork());
+    }
+}
+
+// The same, where the deregistration names no start, and is older than the time for which deregistrations are kept.
+TEST(ServerTracker, KeepsTheDeregistrationOfAReplacedServer)
+{
+    server_tracker tracker;
+    tracker.report(reportOfStart(10, 3), wallTime(20));
+    tracker.report(reportOf("crashed", 1), wallTime(21));
+    tracker.report(reportOf("i-1", 0, server_condition::Left), wallTime(22));
+    tracker.report(reportOf("crashed", 2), wallTime(300));
+    tracker.misdirected({ "crashed" });
+    EXPECT_FALSE(tracker.takesWork());
+}
+
+// Guards against a sound server that gets no requests, since delayed reports of several crashed starts came.
+TEST(ServerTracker, RestoresTheServerBehindSeveralDelayedReports)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("running", 3));
+    tracker.report(reportOf("crashed-1", 1));
+    tracker.report(reportOf("crashed-2", 1));
+    tracker.misdirected({ "crashed-2" });
+    tracker.misdirected({ "crashed-1" });
+    EXPECT_TRUE(tracker.takesWork());
+    EXPECT_EQ(tracker.current()->start.instanceId, "running");
+    tracker.report(reportOf("crashed-1", 2));
+    EXPECT_EQ(tracker.current()->start.instanceId, "running");
+}
+
+// The server answers a request for a replaced start late.
+TEST(ServerTracker, DoesNotRestoreAReplacedStartThatHasEnded)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 3));
+    tracker.report(reportOf("i-2", 1));
+    tracker.misdirected({ "i-1" });
+    EXPECT_TRUE(tracker.takesWork());
+    tracker.misdirected({ "i-2" });
+    EXPECT_FALSE(tracker.current());
+}
+
+// Guards against a sound server that gets no requests for good, since a delayed report of an earlier server
+// says that it drains.
+TEST(ServerTracker, DoesNotReplaceAServerByAnUnknownOneThatDrains)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("running", 3));
+    EXPECT_EQ(tracker.report(reportOf("earlier", 9, server_condition::Draining)), report_effect::LeavingUnknown);
+    EXPECT_TRUE(tracker.takesWork());
+    EXPECT_EQ(tracker.current()->start.instanceId, "running");
+    // Whatever that server sent before does not make it ready.
+    EXPECT_EQ(tracker.report(reportOf("earlier", 8)), report_effect::Nothing);
+    tracker.misdirected({ "running" });
+    EXPECT_FALSE(tracker.takesWork());
+}
+
+// Guards against an acknowledged report that has no effect: reports arrive in any order, and a server without
+// start time may have started again by its id, with lower sequence numbers.
+TEST(ServerTracker, AppliesAnOutdatedReportThatAServerDrains)
+{
+    server_tracker tracker;
+    tracker.report(reportOf("i-1", 900));
+    EXPECT_EQ(tracker.report(reportOf("i-1", 5, server_condition::Draining)), report_effect::Leaving);
+    EXPECT_FALSE(tracker.takesWork());
+    EXPECT_EQ(tracker.current()->sequence, 900U);
+}
+
 }
