--- a/Tests/RoutedSoak/routed_soak_test.cpp
+++ b/Tests/RoutedSoak/routed_soak_test.cpp
@@ -12,6 +12,10 @@
     //      not run twice; with the rule it never failed.
     const std::vector<std::uint64_t> keptSeeds { 3 };
 
+    // The same for servers that leave.
+    //   11: failed where a late report of a crashed server hid that the running one drains.
+    const std::vector<std::uint64_t> keptLeavingSeeds { 3, 11 };
+
     constexpr int faultsOfARun = 12;
 
     // The promises, from what clients and servers saw.
@@ -51,9 +55,9 @@
         ::testing::Test::RecordProperty("served", served);
     }
 
-    void playSeeds(server_restarts restarts)
+    void playSeeds(server_restarts restarts, const std::vector<std::uint64_t>& kept)
     {
-        for (auto seed : soakSeeds(keptSeeds)) {
+        for (auto seed : soakSeeds(kept)) {
             soak_run run(seed, restarts);
             run.breakThings(faultsOfARun);
             EXPECT_TRUE(run.allServe()) << "seed " << seed;
@@ -68,14 +72,14 @@
 // that goes away, and changes of the routes, one upon the other.
 TEST(RoutedSoak, KeepsThePromisesWhileThingsBreak)
 {
-    playSeeds(server_restarts::ByNewId);
+    playSeeds(server_restarts::ByNewId, keptSeeds);
 }
 
 // The same where a server that starts again keeps its id, crashes without a word, and a
 // late report of the start before says that it drains.
 TEST(RoutedSoak, KeepsThePromisesWhileServersStartAgainByTheirId)
 {
-    playSeeds(server_restarts::ByOldId);
+    playSeeds(server_restarts::ByOldId, keptSeeds);
 }
 
 // Guards against requests that a stopping node leaves unanswered, also on connections that it has just
@@ -84,7 +88,7 @@
 // report of the same server.
 TEST(RoutedSoak, KeepsThePromisesWhileServersLeaveAndNodesStop)
 {
-    playSeeds(server_restarts::AfterDeregistration);
+    playSeeds(server_restarts::AfterDeregistration, keptLeavingSeeds);
 }
 
 }
