Let the two servers of large answers share their threads

Behaviour as before. bulk_server, which came with the budget of bytes, had written again what endless_server has: accepting connections, a thread for each, and their end; and both had a fieldOf() beside that of RawSocket/message_head.h. Now threaded_server serves both, and a mutex that nothing used is gone. Found by reading the change once more.

--- a/Tests/EndlessAnswers/endless_server.cpp
+++ b/Tests/EndlessAnswers/endless_server.cpp
@@ -1,5 +1,7 @@
 #include "EndlessAnswers/endless_server.h"
 
+#include "RawSocket/message_head.h"
+
 namespace vanillashunt {
 
 namespace asio = boost::asio;
@@ -10,16 +12,6 @@
     constexpr std::size_t blockBytes = 16384;
     constexpr std::chrono::milliseconds slowPause { 5 };
 
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        auto begin = head.find(name + ": ");
-        if (begin == std::string::npos) {
-            return "";
-        }
-        begin += name.size() + 2;
-        return head.substr(begin, head.find('\r', begin) - begin);
-    }
-
     std::string block(const std::string& text)
     {
         std::string result;
@@ -55,49 +47,15 @@
 
 endless_server::endless_server(endless_answer answer)
     : m_answer(std::move(answer))
-    , m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
-    , m_accepting([this] { accept(); })
-{
-}
-
-endless_server::~endless_server()
-{
-    m_ends = true;
-    // Wakes the thread that accepts.
-    asio::io_context context;
-    tcp::socket last(context);
-    error_code ignored;
-    last.connect(m_acceptor.local_endpoint(), ignored);
-    m_accepting.join();
-    for (auto& each : m_connections) {
-        each.socket.shutdown(tcp::socket::shutdown_both, ignored);
-        each.thread.join();
-    }
-}
-
-std::string endless_server::address() const
+    , m_server([this](tcp::socket& socket) { serve(socket); })
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-}
-
-void endless_server::accept()
-{
-    while (!m_ends) {
-        error_code error;
-        auto socket = m_acceptor.accept(error);
-        if (error || m_ends) {
-            return;
-        }
-        auto& added = m_connections.emplace_back(std::move(socket));
-        added.thread = std::thread([this, &added] { serve(added.socket); });
-    }
 }
 
 void endless_server::serve(tcp::socket& socket)
 {
     error_code error;
     std::string received;
-    while (!m_ends) {
+    while (!m_server.ends()) {
         auto count = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
         if (error) {
             return;
@@ -119,14 +77,14 @@
     error_code error;
     // The first bytes come together, so that a caller may read the header with a part of the body.
     asio::write(socket, asio::buffer(m_answer.first + m_answer.repeated), error);
-    while (!error && !m_ends && m_answer.pause.count() == 0) {
+    while (!error && !m_server.ends() && m_answer.pause.count() == 0) {
         asio::write(socket, asio::buffer(m_answer.repeated), error);
     }
-    for (std::size_t byte = 0; !error && !m_ends && m_answer.pause.count() > 0; ++byte) {
+    for (std::size_t byte = 0; !error && !m_server.ends() && m_answer.pause.count() > 0; ++byte) {
         asio::write(socket, asio::buffer(&m_answer.repeated[byte % m_answer.repeated.size()], 1), error);
         std::this_thread::sleep_for(m_answer.pause);
     }
-    if (!m_ends) {
+    if (!m_server.ends()) {
         ++m_closedByCaller;
     }
 }
--- a/Tests/EndlessAnswers/endless_server.h
+++ b/Tests/EndlessAnswers/endless_server.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include <boost/asio.hpp>
+#include "RawSocket/threaded_server.h"
 
 #include <atomic>
 #include <chrono>
-#include <list>
-#include <mutex>
 #include <string>
-#include <thread>
+#include <vector>
 
 namespace vanillashunt {
 
@@ -29,9 +27,8 @@
 class endless_server {
 public:
     explicit endless_server(endless_answer);
-    ~endless_server();
 
-    std::string address() const;
+    std::string address() const { return m_server.address(); }
 
     // Connections on which an endless answer has begun, and those that the caller has closed since.
     std::size_t begun() const { return m_begun; }
@@ -40,29 +37,13 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
-    struct connection {
-        explicit connection(tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        tcp::socket socket;
-        std::thread thread;
-    };
-
-    void accept();
     void serve(tcp::socket&);
     void answerWithoutEnd(tcp::socket&);
 
     endless_answer m_answer;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::atomic<bool> m_ends = false;
     std::atomic<std::size_t> m_begun = 0;
     std::atomic<std::size_t> m_closedByCaller = 0;
-    std::mutex m_mutex;
-    std::list<connection> m_connections;
-    std::thread m_accepting;
+    threaded_server m_server;
 };
 
 }
--- a/Tests/RoutedWorld/bulk_server.cpp
+++ b/Tests/RoutedWorld/bulk_server.cpp
@@ -1,5 +1,7 @@
 #include "RoutedWorld/bulk_server.h"
 
+#include "RawSocket/message_head.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -14,16 +16,6 @@
     constexpr std::size_t pieceBytes = 65536;
     constexpr std::chrono::microseconds endlessPause { 2500 };
 
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        auto begin = head.find(name + ": ");
-        if (begin == std::string::npos) {
-            return "";
-        }
-        begin += name.size() + 2;
-        return head.substr(begin, head.find('\r', begin) - begin);
-    }
-
     // The number of mebibytes that the path asks for after this word.
     std::optional<std::size_t> askedFor(const std::string& head, const std::string& word)
     {
@@ -68,42 +60,8 @@
 }
 
 bulk_server::bulk_server()
-    : m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
-    , m_accepting([this] { accept(); })
-{
-}
-
-bulk_server::~bulk_server()
-{
-    m_ends = true;
-    // Wakes the thread that accepts.
-    asio::io_context context;
-    tcp::socket last(context);
-    error_code ignored;
-    last.connect(m_acceptor.local_endpoint(), ignored);
-    m_accepting.join();
-    for (auto& each : m_connections) {
-        each.socket.shutdown(tcp::socket::shutdown_both, ignored);
-        each.thread.join();
-    }
-}
-
-std::string bulk_server::address() const
+    : m_server([this](tcp::socket& socket) { serve(socket); })
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-}
-
-void bulk_server::accept()
-{
-    while (!m_ends) {
-        error_code error;
-        auto socket = m_acceptor.accept(error);
-        if (error || m_ends) {
-            return;
-        }
-        auto& added = m_connections.emplace_back(std::move(socket));
-        added.thread = std::thread([this, &added] { serve(added.socket); });
-    }
 }
 
 std::map<std::string, int> bulk_server::runs()
--- a/Tests/RoutedWorld/bulk_server.h
+++ b/Tests/RoutedWorld/bulk_server.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include <boost/asio.hpp>
+#include "RawSocket/threaded_server.h"
 
-#include <atomic>
-#include <list>
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace vanillashunt {
 
@@ -18,9 +15,8 @@
 class bulk_server {
 public:
     bulk_server();
-    ~bulk_server();
 
-    std::string address() const;
+    std::string address() const { return m_server.address(); }
 
     // How often each request ran, by its id.
     std::map<std::string, int> runs();
@@ -28,26 +24,11 @@
 private:
     using tcp = boost::asio::ip::tcp;
 
-    struct connection {
-        explicit connection(tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-
-        tcp::socket socket;
-        std::thread thread;
-    };
-
-    void accept();
     void serve(tcp::socket&);
 
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::atomic<bool> m_ends = false;
-    std::list<connection> m_connections;
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
-    std::thread m_accepting;
+    threaded_server m_server;
 };
 
 // The piece of which the large answers consist.
