Keep small requests their way beside uploads that have just begun

What callers saw: none reported; found by trials of the budget of bytes. 400 clients begin an upload and send 1,000 bytes each, 400 KB in all: from then on the node answers every other request with 503 for as long as they last. At 260 MiB 318 such uploads are enough, at 160 MiB 168.

Cause: what is not received at once reserved its whole share, 64 KiB, with its first bytes. Shares came from an eighth of the budget and nothing else, though the rest was free; a request that had arrived completely found none, and was refused.

SmallRequestsAreServedBesideManyUploadsThatHaveJustBegun fails (503 for each of 20 requests), and ByteBudget.HasRoomForCompleteMessagesBesideManyThatHaveJustBegun, UsesTheRoomOfLargeMessagesForSmallOnesWhileThereAreNone and LetsAMessageThatWaitedForItsShareGrowToItsFullSize. All pass now. The same by hand with 400 uploads at 160 MiB: 503 for 8 of 8 requests before, 200 for all after.

Why this works: shares grow with what has arrived, from 4 KiB by doubling. Beyond the part for shares they are taken from room that the first large message does not need, so one at least still completes. A quarter of that part is for complete messages only. A message that waited for a part of its share begins its turn when it exceeds it.

ByteBudget.KeepsSmallMessagesToTheirPart asserted the fault: a complete message of 1 KiB was refused while 70 of 80 MiB were free. KeepsSmallMessagesFromTheRoomOfA- LargeOne asserts the same bounds where a large message has begun, which is what the old one was to guard, and that this message then gets all of its room. For the same reason takeAllRoom() of MessageRoom takes the room for large messages, too.

The soak draws such uploads. It does not fail with the old program (28 of 3,766 small requests refused; the bound allows a tenth), so the test above is the guard.

--- a/Source/budget/byte_budget.cpp
+++ b/Source/budget/byte_budget.cpp
@@ -9,6 +9,8 @@
 
     // The part of the budget that is kept for the shares of messages.
     constexpr std::uint64_t smallDivisor = 8;
+    // The fraction of that part that only complete messages use.
+    constexpr std::uint64_t completeDivisor = 4;
 
     // What a node needs beside messages: its program, the members, routes and journals.
     constexpr std::uint64_t processBytes = 48ULL * 1024 * 1024;
@@ -54,34 +56,57 @@
     return bytes - smallPart(bytes);
 }
 
-void byte_budget::account(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter)
+// The message is still received.
+void byte_budget::arriving(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter)
 {
-    m_smallHeld += smallPart(heldAfter) - smallPart(heldBefore);
+    m_arrivingSmall += smallPart(heldAfter) - smallPart(heldBefore);
     m_largeHeld += largePart(heldAfter) - largePart(heldBefore);
     m_heldByPlace[static_cast<std::size_t>(place)] += heldAfter - heldBefore;
 }
 
-bool byte_budget::hasSmallRoom(std::uint64_t heldBytes, std::uint64_t wantedBytes) const
+void byte_budget::completed(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving)
 {
-    auto needed = smallPart(wantedBytes) - smallPart(heldBytes);
-    return needed == 0 || m_smallHeld + needed <= m_smallBytes;
+    (wasArriving ? m_arrivingSmall : m_completeSmall) -= smallPart(heldBefore);
+    m_completeSmall += smallPart(heldAfter);
+    m_largeHeld += largePart(heldAfter) - largePart(heldBefore);
+    m_heldByPlace[static_cast<std::size_t>(place)] += heldAfter - heldBefore;
+}
+
+// The bytes of shares, with what is kept for complete messages, that do not fit into the part for small
+// messages. They are taken from the room that no large message needs.
+std::uint64_t byte_budget::excessOfShares(std::uint64_t smallHeld, std::uint64_t completeSmall) const
+{
+    auto keptForComplete = m_smallBytes / completeDivisor;
+    auto small = smallHeld + (keptForComplete > completeSmall ? keptForComplete - completeSmall : 0);
+    return small > m_smallBytes ? small - m_smallBytes : 0;
+}
+
+bool byte_budget::hasRoomToArrive(std::uint64_t heldBytes, std::uint64_t wantedBytes, std::uint64_t turn) const
+{
+    auto smallHeld = m_arrivingSmall + m_completeSmall + smallPart(wantedBytes) - smallPart(heldBytes);
+    auto excess = excessOfShares(smallHeld, m_completeSmall);
+    auto neededLarge = largePart(wantedBytes) - largePart(heldBytes);
+    return excess + neededLarge == 0 || m_largeHeld + neededLarge + excess + reservedForFirst(turn) <= m_largeBytes;
+}
+
+// Only the share needs room: what a complete message holds beyond it is held already.
+bool byte_budget::hasRoomComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const
+{
+    auto smallHeld = m_arrivingSmall + m_completeSmall + smallPart(bytes) - smallPart(heldBytes);
+    auto completeSmall = m_completeSmall + smallPart(bytes) - (isArriving ? 0 : smallPart(heldBytes));
+    return smallHeld <= m_smallBytes || m_largeHeld + excessOfShares(smallHeld, completeSmall) + reservedForFirst(0) <= m_largeBytes;
 }
 
 // What the first message may still need. It is kept from all others, and not from the first itself.
 std::uint64_t byte_budget::reservedForFirst(std::uint64_t turn) const
 {
-    const auto& [firstTurn, first] = *m_growing.begin();
+    if (m_growing.empty() || m_growing.begin()->first == turn) {
+        return 0;
+    }
+    const auto& first = m_growing.begin()->second;
     auto most = largePart(first.mostBytes);
     auto held = largePart(first.heldBytes);
-    return firstTurn == turn || most <= held ? 0 : most - held;
-}
-
-bool byte_budget::hasRoom(const turn_map::value_type& message, std::uint64_t wantedBytes) const
-{
-    const auto& [turn, state] = message;
-    auto needed = largePart(wantedBytes) - largePart(state.heldBytes);
-    bool hasLargeRoom = needed == 0 || m_largeHeld + needed + reservedForFirst(turn) <= m_largeBytes;
-    return hasLargeRoom && hasSmallRoom(state.heldBytes, wantedBytes);
+    return most <= held ? 0 : most - held;
 }
 
 void byte_budget::noteBlocked(const growing_message& message, blocked_room& blocked) const
@@ -110,10 +135,10 @@
 {
     auto& state = message.second;
     bool needsLarge = largePart(wantedBytes) > largePart(state.heldBytes);
-    if ((needsLarge ? blocked.large : blocked.small) || !hasRoom(message, wantedBytes)) {
+    if ((needsLarge ? blocked.large : blocked.small) || !hasRoomToArrive(state.heldBytes, wantedBytes, message.first)) {
         return false;
     }
-    account(state.place, state.heldBytes, wantedBytes);
+    arriving(state.place, state.heldBytes, wantedBytes);
     state.heldBytes = wantedBytes;
     state.wantedBytes = 0;
     return true;
--- a/Source/budget/byte_budget.h
+++ b/Source/budget/byte_budget.h
@@ -70,10 +70,12 @@
 };
 
 // Bounds the bytes that one node holds for messages. Each message has a free share, from a part of the
-// budget that is kept for small messages. What a message holds beyond its share comes from the rest, in
-// the order in which messages exceeded their shares: the first one may always grow to its full size, and
-// the others only into what that one leaves. So one message at least completes or is cut off, and the
-// others follow it. A message that is complete keeps its room until it is released.
+// budget that is kept for small messages; if that part is used up, from the room that no large message
+// needs. What a message holds beyond its share comes from the rest, in the order in which messages exceeded
+// their shares: the first one may always grow to its full size, and the others only into what that one
+// leaves. So one message at least completes or is cut off, and the others follow it. A message that is
+// complete keeps its room until it is released. A fraction of the part for small messages is kept for
+// complete ones, so that requests which arrive at once are not refused for others that arrive slowly.
 class byte_budget : public std::enable_shared_from_this<byte_budget> {
 public:
     using time_point = std::chrono::steady_clock::time_point;
@@ -92,7 +94,7 @@
     // The most that one message may ever hold.
     std::uint64_t maxMessageBytes() const { return m_largeBytes; }
     std::uint64_t totalBytes() const { return m_settings.totalBytes; }
-    std::uint64_t heldBytes() const { return m_smallHeld + m_largeHeld; }
+    std::uint64_t heldBytes() const { return m_arrivingSmall + m_completeSmall + m_largeHeld; }
     std::uint64_t heldBytes(byte_place place) const { return m_heldByPlace[static_cast<std::size_t>(place)]; }
     // Messages that hold more than their share and are not complete.
     std::size_t growing() const { return m_growing.size(); }
@@ -125,9 +127,11 @@
 
     std::uint64_t smallPart(std::uint64_t bytes) const;
     std::uint64_t largePart(std::uint64_t bytes) const;
-    void account(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter);
-    bool hasSmallRoom(std::uint64_t heldBytes, std::uint64_t wantedBytes) const;
-    bool hasRoom(const turn_map::value_type&, std::uint64_t wantedBytes) const;
+    void arriving(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter);
+    void completed(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving);
+    std::uint64_t excessOfShares(std::uint64_t smallHeld, std::uint64_t completeSmall) const;
+    bool hasRoomToArrive(std::uint64_t heldBytes, std::uint64_t wantedBytes, std::uint64_t turn) const;
+    bool hasRoomComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const;
     std::uint64_t reservedForFirst(std::uint64_t turn) const;
     bool grow(turn_map::value_type&, std::uint64_t wantedBytes, const blocked_room&);
     void noteBlocked(const growing_message&, blocked_room&) const;
@@ -140,7 +144,9 @@
     byte_budget_settings m_settings;
     std::uint64_t m_smallBytes;
     std::uint64_t m_largeBytes;
-    std::uint64_t m_smallHeld = 0;
+    // The shares of messages that are received, and of complete ones.
+    std::uint64_t m_arrivingSmall = 0;
+    std::uint64_t m_completeSmall = 0;
     std::uint64_t m_largeHeld = 0;
     std::array<std::uint64_t, bytePlaceCount> m_heldByPlace {};
     // By turn, in the order in which messages exceeded their shares.
--- a/Source/budget/byte_reservation.cpp
+++ b/Source/budget/byte_reservation.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+    constexpr std::uint64_t minStep = 4ULL * 1024;
     constexpr std::uint64_t smallStep = 64ULL * 1024;
     constexpr std::uint64_t largeStep = 1024ULL * 1024;
 
@@ -23,6 +24,7 @@
     , m_place(other.m_place)
     , m_held(std::exchange(other.m_held, 0))
     , m_turn(std::exchange(other.m_turn, 0))
+    , m_isArriving(other.m_isArriving)
 {
 }
 
@@ -34,6 +36,7 @@
         m_place = other.m_place;
         m_held = std::exchange(other.m_held, 0);
         m_turn = std::exchange(other.m_turn, 0);
+        m_isArriving = other.m_isArriving;
     }
     return *this;
 }
@@ -57,9 +60,15 @@
     if (wantedBytes > budget.maxMessageBytes()) {
         return byte_grant::Refused;
     }
-    bool isSmall = m_turn == 0 && wantedBytes <= budget.m_settings.freeShareBytes;
-    if (isSmall && budget.hasSmallRoom(m_held, wantedBytes)) {
-        budget.account(m_place, m_held, wantedBytes);
+    bool isSmall = wantedBytes <= budget.m_settings.freeShareBytes;
+    bool hasExceededShare = heldBytes() > budget.m_settings.freeShareBytes;
+    if (m_turn != 0 && !isSmall && !hasExceededShare) {
+        // It waited for a part of its share. Its turn to grow beyond begins here.
+        m_held = heldBytes();
+        budget.m_growing.erase(std::exchange(m_turn, 0));
+    }
+    if (m_turn == 0 && isSmall && budget.hasRoomToArrive(m_held, wantedBytes, 0)) {
+        budget.arriving(m_place, m_held, wantedBytes);
         m_held = wantedBytes;
         return byte_grant::Granted;
     }
@@ -69,6 +78,7 @@
     }
     auto& message = *budget.m_growing.find(m_turn);
     message.second.handler = std::move(handler);
+    message.second.mostBytes = std::max(message.second.mostBytes, std::min(mostBytes, budget.maxMessageBytes()));
     if (budget.grow(message, wantedBytes, budget.blockedBefore(m_turn))) {
         return byte_grant::Granted;
     }
@@ -85,13 +95,13 @@
     }
     auto held = heldBytes();
     m_budget->m_growing.erase(std::exchange(m_turn, 0));
-    m_budget->account(m_place, held, bytes);
+    m_budget->completed(m_place, held, bytes, std::exchange(m_isArriving, false));
     m_held = bytes;
 }
 
 bool byte_reservation::completeIfRoom(std::uint64_t bytes)
 {
-    bool hasRoom = !m_budget || bytes <= heldBytes() || m_budget->hasSmallRoom(heldBytes(), bytes);
+    bool hasRoom = !m_budget || bytes <= heldBytes() || m_budget->hasRoomComplete(heldBytes(), bytes, m_isArriving);
     if (hasRoom) {
         complete(bytes);
     } else {
@@ -103,11 +113,16 @@
 void byte_reservation::release()
 {
     complete(0);
+    m_isArriving = true;
 }
 
 std::uint64_t nextReservation(std::uint64_t receivedBytes, std::uint64_t mostBytes)
 {
-    auto step = receivedBytes < largeStep ? smallStep : largeStep;
+    auto step = receivedBytes < largeStep ? minStep : largeStep;
+    // Doubled, so that messages which have just begun hold little.
+    while (step < smallStep && step <= receivedBytes) {
+        step *= 2;
+    }
     return std::min(mostBytes, (receivedBytes / step + 1) * step);
 }
 
--- a/Source/budget/byte_reservation.h
+++ b/Source/budget/byte_reservation.h
@@ -30,8 +30,8 @@
     // The message is complete and holds this many bytes from now on, whether or not they were reserved.
     void complete(std::uint64_t bytes);
 
-    // The same if the bytes need no turn to grow and the room for small messages is not used up; otherwise
-    // returns false. For messages that can be refused although they have arrived.
+    // The same if there is room for the share of the message; otherwise returns false. For messages that can be
+    // refused although they have arrived.
     bool completeIfRoom(std::uint64_t bytes);
 
     void release();
@@ -43,8 +43,10 @@
     byte_place m_place = byte_place::Caller;
     // Bytes held, unless the message grows beyond its share; then the budget knows them.
     std::uint64_t m_held = 0;
-    // Nonzero while the message grows beyond its share.
+    // Nonzero while the message grows beyond its share, or waits for a part of it.
     std::uint64_t m_turn = 0;
+    // Until the message is complete.
+    bool m_isArriving = true;
 };
 
 // The room to ask for before a further part of a message is received: in steps, so that the parts that
--- a/Tests/ByteBudget/byte_budget_test.cpp
+++ b/Tests/ByteBudget/byte_budget_test.cpp
@@ -77,23 +77,100 @@
 }
 
 // Guards against small messages that fill the room of a large one which has begun.
-TEST(ByteBudget, KeepsSmallMessagesToTheirPart)
+TEST(ByteBudget, KeepsSmallMessagesFromTheRoomOfALargeOne)
 {
     auto budget = makeBudget();
     auto now = start;
+    auto large = open(budget);
+    EXPECT_EQ(large.reserve(mebibyte, 70 * mebibyte, now, ignore), byte_grant::Granted);
     std::deque<byte_reservation> small;
-    for (int i = 0; i < 160; ++i) {
+    std::vector<byte_grant> grants;
+    do {
         small.push_back(open(budget));
-        EXPECT_EQ(small.back().reserve(64 * kibibyte, 64 * kibibyte, now, ignore), byte_grant::Granted);
+    } while (small.back().reserve(64 * kibibyte, 64 * kibibyte, now, record(grants)) == byte_grant::Granted);
+    EXPECT_GE(small.size(), 100U);
+    std::deque<byte_reservation> complete;
+    do {
+        complete.push_back(open(budget));
+    } while (complete.back().completeIfRoom(64 * kibibyte));
+    EXPECT_LE(budget->heldBytes(), 11 * mebibyte);
+    EXPECT_EQ(budget->counts().refusals.at(static_cast<std::size_t>(byte_refusal_cause::NoSmallRoom)), 1U);
+    small.pop_front();
+    small.pop_front();
+    budget->tick(now);
+    EXPECT_EQ(grants, std::vector<byte_grant> { byte_grant::Granted });
+    EXPECT_EQ(large.reserve(70 * mebibyte, 70 * mebibyte, now, ignore), byte_grant::Granted);
+    EXPECT_LE(budget->heldBytes(), settings().totalBytes);
+}
+
+// Guards against messages that have just begun and arrive slowly, for which complete ones are refused.
+TEST(ByteBudget, HasRoomForCompleteMessagesBesideManyThatHaveJustBegun)
+{
+    constexpr std::uint64_t receivedBytes = 1000;
+    for (bool isFilledByLarge : { false, true }) {
+        auto budget = makeBudget();
+        auto now = start;
+        auto large = open(budget);
+        if (isFilledByLarge) {
+            EXPECT_EQ(large.reserve(70 * mebibyte, 70 * mebibyte, now, ignore), byte_grant::Granted);
+        }
+        std::deque<byte_reservation> begun;
+        for (int i = 0; i < 4000; ++i) {
+            begun.push_back(open(budget));
+            begun.back().reserve(nextReservation(receivedBytes, 60 * mebibyte), 60 * mebibyte, now, ignore);
+        }
+        std::deque<byte_reservation> complete;
+        for (int i = 0; i < 1000; ++i) {
+            complete.push_back(open(budget, byte_place::Caller));
+            EXPECT_TRUE(complete.back().completeIfRoom(kibibyte));
+        }
+        EXPECT_LE(budget->heldBytes(), settings().totalBytes);
     }
+}
+
+// Guards against large messages that cannot grow since the room which nobody needs is kept for small ones, and
+// against the reverse.
+TEST(ByteBudget, UsesTheRoomOfLargeMessagesForSmallOnesWhileThereAreNone)
+{
+    auto budget = makeBudget();
+    auto now = start;
+    std::deque<byte_reservation> complete;
+    while (budget->heldBytes() < 70 * mebibyte) {
+        complete.push_back(open(budget));
+        ASSERT_TRUE(complete.back().completeIfRoom(32 * kibibyte));
+    }
+    auto large = open(budget);
     std::vector<byte_grant> grants;
-    auto further = open(budget);
-    EXPECT_EQ(further.reserve(kibibyte, kibibyte, now, record(grants)), byte_grant::Waiting);
-    EXPECT_FALSE(open(budget).completeIfRoom(kibibyte));
-    small.pop_front();
+    EXPECT_EQ(large.reserve(60 * mebibyte, 60 * mebibyte, now, record(grants)), byte_grant::Waiting);
+    complete.resize(10);
     budget->tick(now);
     EXPECT_EQ(grants, std::vector<byte_grant> { byte_grant::Granted });
-    EXPECT_EQ(budget->counts().refusals.at(static_cast<std::size_t>(byte_refusal_cause::NoSmallRoom)), 1U);
+}
+
+// Guards against a message that waited for a part of its share, and then counts as one that needs no more.
+TEST(ByteBudget, LetsAMessageThatWaitedForItsShareGrowToItsFullSize)
+{
+    auto budget = makeBudget();
+    auto now = start;
+    auto holder = open(budget);
+    holder.complete(70 * mebibyte);
+    std::deque<byte_reservation> small;
+    std::vector<byte_grant> grants;
+    do {
+        small.push_back(open(budget));
+    } while (small.back().reserve(64 * kibibyte, 64 * kibibyte, now, record(grants)) == byte_grant::Granted);
+    auto header = open(budget);
+    EXPECT_EQ(header.reserve(4 * kibibyte, 4 * kibibyte, now, record(grants)), byte_grant::Waiting);
+    holder.release();
+    small.clear();
+    budget->tick(now);
+    ASSERT_EQ(grants, std::vector<byte_grant> { byte_grant::Granted });
+    EXPECT_EQ(header.reserve(mebibyte, 64 * mebibyte, now, ignore), byte_grant::Granted);
+    auto other = open(budget);
+    EXPECT_EQ(other.reserve(20 * mebibyte, 20 * mebibyte, now, ignore), byte_grant::Waiting);
+    EXPECT_EQ(header.reserve(64 * mebibyte, 64 * mebibyte, now, ignore), byte_grant::Granted);
+    header.release();
+    EXPECT_EQ(budget->heldBytes(), 0U);
 }
 
 // Guards against messages that each hold a part and wait for the others for ever.
--- a/Tests/LargeBodies/large_bodies_test.cpp
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -18,7 +18,7 @@
     constexpr std::size_t mebibyte = 1048576;
 
     // The settings of a machine whose processes may have 260 MB, and the bound on what a node uses of it.
-    constexpr const char* memorySettings = "[limits]\nmax_body = \"64MiB\"\nmemory = \"260MiB\"\n";
+    constexpr const char* usualMemory = "260MiB";
     constexpr std::size_t maxMegabytes = 200;
 
     // The limits of the users' deployments; the server's service is "desk".
@@ -33,7 +33,8 @@
 
     // A node where requests enter, and the node beside the server.
     struct large_world {
-        large_world()
+        explicit large_world(const std::string& memory = usualMemory)
+            : furtherSettings("[limits]\nmax_body = \"64MiB\"\nmemory = \"" + memory + "\"\n")
         {
             world.putConfiguration(configuration());
             target = std::make_unique<routed_node>(plan("desk-1", "desk", {}));
@@ -45,10 +46,11 @@
         routed_node_plan plan(const std::string& name, const std::string& service, const std::vector<std::string>& join) const
         {
             routed_node_plan result { name, service, world.storeAddress(), server.address(), join };
-            result.furtherSettings = memorySettings;
+            result.furtherSettings = furtherSettings;
             return result;
         }
 
+        std::string furtherSettings;
         platform_world world;
         bulk_server server;
         std::unique_ptr<routed_node> target;
@@ -194,4 +196,32 @@
     EXPECT_LE(megabytes(*world.target, "VmHWM"), maxMegabytes);
 }
 
+namespace {
+
+    // Opens connections that each send these bytes, and nothing more.
+    std::vector<raw_socket> beginRequests(const std::string& address, int count, const std::string& bytes)
+    {
+        std::vector<raw_socket> connections;
+        connections.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            connections.push_back(raw_socket::connectTo(address));
+            connections.back().trySend(bytes);
+        }
+        return connections;
+    }
+
+}
+
+// Guards against uploads that have hardly begun, and have no bytes to speak of, but keep a node's small requests
+// from being served.
+TEST(LargeBodies, SmallRequestsAreServedBesideManyUploadsThatHaveJustBegun)
+{
+    constexpr int uploads = 400;
+    large_world world;
+    auto begun = beginRequests(world.entry->port("caller"), uploads, "POST /y/1 HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: u\r\nContent-Length: 60000000\r\n\r\n" + std::string(1000, 'x'));
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(download(*world.entry, "/x/small").status, 200);
+    }
+}
+
 }
--- a/Tests/MessageRoom/message_room_test.cpp
+++ b/Tests/MessageRoom/message_room_test.cpp
@@ -35,12 +35,13 @@
         return room;
     }
 
-    // Takes all room for small messages.
-    std::vector<byte_reservation> takeSmallRoom(const std::shared_ptr<byte_budget>& budget)
+    // Takes the room for large messages, and all that small ones could use besides.
+    std::vector<byte_reservation> takeAllRoom(const std::shared_ptr<byte_budget>& budget)
     {
         constexpr int messages = 32;
         std::vector<byte_reservation> rooms;
-        rooms.reserve(messages);
+        rooms.reserve(messages + 1);
+        rooms.push_back(takeLargeRoom(budget));
         for (int i = 0; i < messages; ++i) {
             rooms.emplace_back(budget, byte_place::Caller);
             rooms.back().complete(byte_budget_settings {}.freeShareBytes);
@@ -239,7 +240,7 @@
 TEST(MessageRoom, ASmallCallWithoutRoomAtItsTargetIsRefused)
 {
     peer_pair pair(3);
-    auto taken = takeSmallRoom(pair.serverBudget);
+    auto taken = takeAllRoom(pair.serverBudget);
     auto answer = pair.call(makeRequest(1000));
     EXPECT_EQ(answer.outcome.run, execution::NotRun);
     EXPECT_EQ(answer.outcome.reason, verdict_reason::NoMemory);
--- a/Tests/RoutedSoak/large_message_soak_test.cpp
+++ b/Tests/RoutedSoak/large_message_soak_test.cpp
@@ -69,6 +69,7 @@
                 clients.emplace_back([this, seed = m_random()] { upload(seed); });
             }
             clients.emplace_back([this, seed = m_random()] { askEndless(seed); });
+            clients.emplace_back([this, seed = m_random()] { beginRequests(seed); });
             auto end = std::chrono::steady_clock::now() + duration;
             while (std::chrono::steady_clock::now() < end) {
                 auto& process = *m_nodes[m_random() % nodeCount]->process;
@@ -156,7 +157,7 @@
             return outcome.isComplete && answer.find("Connection: close") == std::string::npos;
         }
 
-        // On connections that are kept.
+        // On connections that are kept for some requests.
         void askSmall(std::uint64_t seed)
         {
             std::mt19937_64 random(seed);
@@ -167,7 +168,7 @@
                 }
                 auto id = "small-" + std::to_string(seed) + "-" + std::to_string(number);
                 connection->send(head("GET", "/x/small", id, 0));
-                if (!readAnswer(*connection, { id })) {
+                if (!readAnswer(*connection, { id }) || random() % 4 == 0) {
                     connection.reset();
                 }
                 std::this_thread::sleep_for(smallPause);
@@ -213,6 +214,24 @@
             }
         }
 
+        // Sends the beginnings of many uploads or headers to each node, and leaves after a while.
+        void beginRequests(std::uint64_t seed)
+        {
+            std::mt19937_64 random(seed);
+            while (!m_ends) {
+                std::vector<raw_socket> connections;
+                for (auto& node : m_nodes) {
+                    auto begin = random() % 2 == 0 ? head("POST", "/y/1", "begun", 60000000) : "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Long: ";
+                    auto sent = begin + std::string(random() % 16000, 'x');
+                    for (auto left = random() % 500; left > 0; --left) {
+                        connections.push_back(raw_socket::connectTo(node->port("caller")));
+                        connections.back().trySend(sent);
+                    }
+                }
+                std::this_thread::sleep_for(milliseconds(random() % 2000));
+            }
+        }
+
         std::uint64_t m_seed;
         std::mt19937_64 m_random;
         platform_world m_world;
