Count headers, frames and requests in progress in the budget of bytes

What callers would see: a node over its memory, with every request in progress there lost, by many connections that send little each. None was reported; found by trials.

Cause: the budget counted a message from its body on. A header is parsed as a whole, and lay uncounted in the buffer of its connection until then; Beast's async_read_some() even reads on until it is complete. Uncounted, too: short frames of other nodes that arrive in parts, up to 64 KiB that a caller sends behind 32 unanswered requests, and what a node keeps for each request beside its bytes.

LargeBodies.RequestsThatHaveJustBegunFitIntoTheMemoryOfANode fails (101 MB, 96 allowed) and passes now.

Why this works: each reader asks for room for its buffer while a header is incomplete, and does not read on without. http_server and http_client read once and parse (readPart), so that they can ask in between. Short frames are counted without being refused: the sender of one that is sent as a whole could not know that it has not run. While requests are unanswered, 2 KiB are read at a time.

Ruled out: the connections themselves (3,800 idle ones add 14 MB).

The state dump shows what is read ahead (clients.read_ahead_bytes).

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -222,16 +222,16 @@
         // Asks for room for the next part of an answer.
         bool canRead()
         {
-            if (m_connection.isIdle() || !m_parser->is_header_done()) {
+            if (m_connection.isIdle()) {
                 return true;
             }
             auto now = std::chrono::steady_clock::now();
             auto client = m_client.lock();
-            if (client && !m_parser->hasLength() && m_parser->heldBytes() > client->bounds.maxUndeclaredBytes(now)) {
+            if (client && isUndeclaredAnswerArriving() && m_parser->heldBytes() > client->bounds.maxUndeclaredBytes(now)) {
                 fail("the answer seems to have no end", instance_failure_cause::AnswerTooLarge);
                 return false;
             }
-            auto grant = m_parser->reserveNextPart(m_room, now, grantHandler(weak_from_this(), &instance_connection::roomDecided));
+            auto grant = m_parser->reserveNextPart(m_room, m_connection.stream().received().size(), now, grantHandler(weak_from_this(), &instance_connection::roomDecided));
             if (grant == byte_grant::Refused) {
                 fail("the answer exceeds the memory of the node", instance_failure_cause::AnswerTooLarge);
             }
--- a/Source/caller/pipeline_server.cpp
+++ b/Source/caller/pipeline_server.cpp
@@ -83,6 +83,15 @@
     return static_cast<std::size_t>(std::count_if(m_state->sessions.begin(), m_state->sessions.end(), [](const auto& session) { return session->isPaused(); }));
 }
 
+std::size_t pipeline_server::readAheadBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& session : m_state->sessions) {
+        bytes += session->readAheadBytes();
+    }
+    return bytes;
+}
+
 const pipeline_server_counts& pipeline_server::counts() const
 {
     return m_state->counts;
--- a/Source/caller/pipeline_server.h
+++ b/Source/caller/pipeline_server.h
@@ -75,6 +75,9 @@
     // Number of connections from which nothing is read before an answer has been sent.
     std::size_t pausedConnections() const;
 
+    // Bytes that have been received and are not part of an accepted request.
+    std::size_t readAheadBytes() const;
+
     const pipeline_server_counts& counts() const;
 
     struct state;
--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -30,7 +30,10 @@
 
     // Maximum number of bytes that are read ahead while no request is accepted; more stay in the socket
     // buffer.
-    constexpr std::size_t maxReadAheadBytes = 65536;
+    constexpr std::size_t maxReadAheadBytes = 2048;
+
+    // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
+    constexpr std::size_t maxUnparsedBytes = 65536;
 
     // Answers are sent together up to this size, so that each large one has the time limit to itself.
     constexpr std::size_t maxBatchBytes = 65536;
@@ -188,6 +191,11 @@
     if (m_reading || m_closed || m_waitsForRoom || isPaused() || !hasRoom()) {
         return;
     }
+    bool readsAhead = !m_exchanges.empty() && !(m_parser && m_parser->is_header_done());
+    if (readsAhead) {
+        // What follows the last request that is accepted stays in the socket buffer.
+        m_stream.shortenNextRead();
+    }
     m_reading = true;
     m_stream.read([self = shared_from_this()](const error_code& error) {
         self->m_reading = false;
@@ -195,13 +203,13 @@
     });
 }
 
-// Asks for room for the next part of a request's body.
+// Asks for room for the next part of a request.
 bool pipeline_session::hasRoom()
 {
     if (!m_parser) {
         return true;
     }
-    auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &pipeline_session::roomDecided));
+    auto grant = m_parser->reserveNextPart(m_room, m_stream.received().size(), std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &pipeline_session::roomDecided));
     m_waitsForRoom = grant == byte_grant::Waiting;
     if (grant == byte_grant::Refused) {
         rejectWithoutRoom();
@@ -291,7 +299,7 @@
         auto used = m_parser->put(m_stream.received().data(), error);
         m_stream.received().consume(used);
         if (error == http::error::need_more) {
-            if (m_stream.received().size() < std::max<std::size_t>(maxReadAheadBytes, m_server->hooks.limits().maxHeaderBytes)) {
+            if (m_stream.received().size() < std::max<std::size_t>(maxUnparsedBytes, m_server->hooks.limits().maxHeaderBytes)) {
                 break;
             }
             // A chunk header or trailer fields; the parser limits the header.
@@ -333,7 +341,7 @@
         reject(statusBadRequest, "the request must have exactly one Host field, and its body a known length or chunked encoding");
         return;
     }
-    if (!m_room.completeIfRoom(m_parser->heldBytes())) {
+    if (!m_room.completeIfRoom(m_parser->heldBytes() + requestStateBytes)) {
         rejectWithoutRoom();
         return;
     }
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -49,6 +49,7 @@
     void advance();
     // Whether nothing is read before an answer has been sent.
     bool isPaused() const;
+    std::size_t readAheadBytes() const { return m_stream.bytes().size(); }
     std::size_t inProgress() const;
 
 private:
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -2,7 +2,7 @@
 
 #include "budget/grant_handler.h"
 #include "http/connection_pool.h"
-#include "http/message_parser.h"
+#include "http/message_part.h"
 #include "http/socket_address.h"
 
 #include <boost/asio.hpp>
@@ -25,6 +25,10 @@
     // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
     constexpr std::size_t maxBufferedBytes = 65536;
 
+    // A longer header is read on only after it has been given room.
+    constexpr std::size_t maxHeaderPartBytes = 4096;
+    constexpr std::size_t maxPartBytes = 65536;
+
     class client_connection;
 
 }
@@ -159,7 +163,8 @@
 
         void read()
         {
-            http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+            auto maxBytes = m_parser->is_header_done() ? maxPartBytes : maxHeaderPartBytes;
+            readPart(m_stream, m_buffer, maxBytes, *m_parser, [self = shared_from_this()](const error_code& error) {
                 if (error) {
                     self->fail(error);
                     return;
@@ -175,7 +180,7 @@
         // Asks for room for the next part of the response.
         bool hasRoom()
         {
-            auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &client_connection::roomDecided));
+            auto grant = m_parser->reserveNextPart(m_room, m_buffer.size(), std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &client_connection::roomDecided));
             if (grant == byte_grant::Refused) {
                 failWithoutRoom();
             }
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -3,7 +3,7 @@
 #include "budget/grant_handler.h"
 #include "http/connection_acceptor.h"
 #include "http/first_request.h"
-#include "http/message_parser.h"
+#include "http/message_part.h"
 #include "http/peer_close.h"
 
 #include <boost/asio.hpp>
@@ -26,6 +26,8 @@
     constexpr unsigned statusTooLarge = 413;
     constexpr unsigned statusUnavailable = 503;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+    // A longer header is read on only after it has been given room.
+    constexpr std::size_t firstReadBytes = 4096;
 
     // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
     constexpr std::size_t maxBufferedBytes = 4 * std::size_t(maxHeaderBytes);
@@ -107,6 +109,7 @@
     };
 
     void readRemainder();
+    void partArrived(const error_code&);
     bool hasRoom();
     void roomDecided(byte_grant);
     void requestReceived(const error_code&);
@@ -204,14 +207,14 @@
         self->m_stage = stage::InProgress;
         self->m_firstRequest.arrived();
         self->m_stream.expires_after(self->m_server->limits.requestTimeout);
-        self->readRemainder();
+        self->partArrived(parseReceived(self->m_buffer, *self->m_parser));
     };
     if (m_buffer.size() > 0) {
         begin();
         return;
     }
     // The idle timeout applies until the first byte; then the request timeout applies.
-    m_stream.async_read_some(m_buffer.prepare(maxHeaderBytes), [self, begin](error_code error, std::size_t count) {
+    m_stream.async_read_some(m_buffer.prepare(firstReadBytes), [self, begin](error_code error, std::size_t count) {
         if (error) {
             self->close();
             return;
@@ -224,19 +227,23 @@
 
 void http_session::readRemainder()
 {
-    http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-        if (error || self->m_parser->is_done()) {
-            self->requestReceived(error);
-        } else if (self->hasRoom()) {
-            self->readRemainder();
-        }
-    });
+    auto maxBytes = m_parser->is_header_done() ? std::size_t(maxHeaderBytes) : firstReadBytes;
+    readPart(m_stream, m_buffer, maxBytes, *m_parser, [self = shared_from_this()](const error_code& error) { self->partArrived(error); });
+}
+
+void http_session::partArrived(const error_code& error)
+{
+    if (error || m_parser->is_done()) {
+        requestReceived(error);
+    } else if (hasRoom()) {
+        readRemainder();
+    }
 }
 
-// Asks for room for the next part of a request's body.
+// Asks for room for the next part of a request.
 bool http_session::hasRoom()
 {
-    auto grant = m_parser->reserveNextPart(m_room, std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &http_session::roomDecided));
+    auto grant = m_parser->reserveNextPart(m_room, m_buffer.size(), std::chrono::steady_clock::now(), grantHandler(weak_from_this(), &http_session::roomDecided));
     if (grant == byte_grant::Refused) {
         send(noRoomResponse(), false);
         return false;
@@ -274,7 +281,7 @@
             request.fields.push_back(std::move(field));
         }
     }
-    if (!m_room.completeIfRoom(m_parser->heldBytes())) {
+    if (!m_room.completeIfRoom(m_parser->heldBytes() + requestStateBytes)) {
         send(noRoomResponse(), false);
         return;
     }
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -42,11 +42,13 @@
 
     bool hasLength() const { return m_length.has_value(); }
 
-    // Asks for room for the next part of the body; see byte_reservation::reserve(). The header needs none.
-    byte_grant reserveNextPart(byte_reservation& room, std::chrono::steady_clock::time_point now, const byte_grant_handler& handler) const
+    // Asks for room for the next part of the message; see byte_reservation::reserve(). A header is parsed as a
+    // whole: until then, its bytes are those in the buffer of the connection.
+    byte_grant reserveNextPart(byte_reservation& room, std::uint64_t bufferedBytes, std::chrono::steady_clock::time_point now, const byte_grant_handler& handler) const
     {
         if (!this->is_header_done()) {
-            return byte_grant::Granted;
+            auto wanted = bufferedBytes > 0 ? nextReservation(bufferedBytes, std::numeric_limits<std::uint64_t>::max()) : 0;
+            return room.reserve(wanted, wanted, now, handler);
         }
         return room.reserve(nextReservation(heldBytes() + 1, mostBytes()), mostBytes(), now, handler);
     }
--- a/Source/http/socket_stream.h
+++ b/Source/http/socket_stream.h
@@ -92,6 +92,9 @@
         return false;
     }
 
+    // The next read takes few bytes.
+    void shortenNextRead() { m_readBytes = minReadBytes; }
+
 private:
     static constexpr std::size_t minReadBytes = 2048;
     static constexpr std::size_t maxReadBytes = 65536;
--- a/Source/node/routed_dump.cpp
+++ b/Source/node/routed_dump.cpp
@@ -41,6 +41,7 @@
     auto& clients = calls["clients"];
     clients["connections"] = Json::UInt64(parts.clients.connections());
     clients["paused"] = Json::UInt64(parts.clients.pausedConnections());
+    clients["read_ahead_bytes"] = Json::UInt64(parts.clients.readAheadBytes());
     clients["filled"] = Json::UInt64(parts.clients.counts().filled);
     clients["refused_without_room"] = Json::UInt64(parts.clients.counts().noRoom);
     clients["abandoned_requests"] = Json::UInt64(parts.clients.counts().abandonedRequests);
--- a/Source/peer/incoming_frame.cpp
+++ b/Source/peer/incoming_frame.cpp
@@ -37,8 +37,13 @@
     }
     auto header = decodeHeader(bytesOf(received).data());
     if (header->length <= maxShortBytes) {
+        // Counted without asking: the sender of a refused frame that is sent as a whole does not know whether
+        // it has run.
+        m_room = byte_reservation(m_budget, m_place);
+        m_room.complete(received.size());
         return search;
     }
+    m_room = byte_reservation(m_budget, m_place);
     m_longHeader = header;
     // Pages are resident only when they are used.
     m_longPayload.reserve(header->length);
@@ -63,9 +68,6 @@
     if (!m_longHeader) {
         return byte_grant::Granted;
     }
-    if (m_room.heldBytes() == 0) {
-        m_room = byte_reservation(m_budget, m_place);
-    }
     return m_room.reserve(nextReservation(m_longPayload.size(), m_longHeader->length), m_longHeader->length, now, std::move(handler));
 }
 
@@ -88,7 +90,7 @@
 {
     if (!m_longHeader) {
         m_room = byte_reservation(m_budget, m_place);
-        m_hasRoom = m_room.completeIfRoom(m_found.payload.size());
+        m_hasRoom = m_room.completeIfRoom(m_found.payload.size() + requestStateBytes);
     } else {
         m_hasRoom = true;
         m_room.complete(m_found.payload.size());
--- a/Tests/LargeBodies/large_bodies_test.cpp
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -224,4 +224,30 @@
     }
 }
 
+// Guards against connections without a complete request that together take a node over its memory, at each port
+// that many clients can reach.
+TEST(LargeBodies, RequestsThatHaveJustBegunFitIntoTheMemoryOfANode)
+{
+    constexpr int connections = 1500;
+    constexpr std::size_t allowedMegabytes = 96;
+    const std::string header = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Long: ";
+    const std::string ahead = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: a\r\nVanillashunt-Deadline-Ms: 20000\r\n\r\n";
+    std::string manyAhead;
+    while (manyAhead.size() < 65536) {
+        manyAhead += ahead;
+    }
+    for (const std::string port : { "caller", "backend", "operator" }) {
+        large_world world("96MiB");
+        auto begun = beginRequests(world.entry->port(port), connections, header + std::string(port == "caller" ? 16000 : 31000, 'x'));
+        for (int i = 0; i < 20; ++i) {
+            EXPECT_EQ(download(*world.entry, "/x/small").status, 200) << port;
+        }
+        if (port == "caller") {
+            auto further = beginRequests(world.entry->port(port), connections, manyAhead);
+            std::this_thread::sleep_for(milliseconds(500));
+        }
+        EXPECT_LE(megabytes(*world.entry, "VmHWM"), allowedMegabytes) << port;
+    }
+}
+
 }
--- a/Tests/MessageRoom/message_room_test.cpp
+++ b/Tests/MessageRoom/message_room_test.cpp
@@ -2,8 +2,10 @@
 #include "backend/answer_bounds.h"
 #include "backend/instance_answer.h"
 #include "backend/instance_client.h"
+#include "caller/pipeline_server.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "peer/incoming_frame.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
 
@@ -386,4 +388,147 @@
     });
 }
 
+namespace {
+
+    constexpr int slowConnections = 200;
+    constexpr std::size_t slowBytes = 15000;
+
+    // Waits until the budget counts this many bytes; returns what it counts.
+    std::uint64_t waitForHeld(context_thread& loop, const byte_budget& budget, std::uint64_t bytes)
+    {
+        std::uint64_t held = 0;
+        auto begun = std::chrono::steady_clock::now();
+        while (held < bytes && std::chrono::steady_clock::now() - begun < testTimeout) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            loop.runAndWait([&] { held = budget.heldBytes(); });
+        }
+        return held;
+    }
+
+    // Opens connections that send the beginning of a header, and no more.
+    std::vector<raw_socket> beginHeaders(const std::string& address)
+    {
+        std::vector<raw_socket> result;
+        result.reserve(slowConnections);
+        for (int i = 0; i < slowConnections; ++i) {
+            result.push_back(raw_socket::connectTo(address));
+            result.back().send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(slowBytes, 'x'));
+        }
+        return result;
+    }
+
+    // A server of callers on an event loop of its own, with its budget.
+    struct caller_port {
+        caller_port()
+        {
+            loop.runAndWait([&] {
+                pipeline_server_hooks hooks;
+                hooks.limits = [] { return client_limits {}; };
+                hooks.request = [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) { exchanges.push_back(exchange); };
+                hooks.budget = budget;
+                server = std::make_unique<pipeline_server>(loop.context, "127.0.0.1:0", hooks);
+            });
+        }
+
+        ~caller_port()
+        {
+            loop.runAndWait([&] { server.reset(); });
+        }
+
+        std::shared_ptr<byte_budget> budget = makeBudget();
+        std::vector<std::shared_ptr<http_exchange>> exchanges;
+        context_thread loop;
+        std::unique_ptr<pipeline_server> server;
+    };
+
+}
+
+// Guards against headers that arrive slowly on many connections and are not counted.
+TEST(MessageRoom, CountsHeadersThatCallersHaveBegun)
+{
+    caller_port port;
+    {
+        auto connections = beginHeaders(port.server->address());
+        EXPECT_GE(waitForHeld(port.loop, *port.budget, slowConnections * slowBytes), slowConnections * slowBytes);
+    }
+    port.loop.runAndWait([&] { port.server.reset(); });
+    EXPECT_EQ(port.budget->heldBytes(), 0U);
+}
+
+// The same at the ports of operators and of servers that report, and of the command node.
+TEST(MessageRoom, CountsHeadersThatClientsOfTheHttpServerHaveBegun)
+{
+    context_thread loop;
+    auto budget = makeBudget();
+    std::unique_ptr<http_server> server;
+    loop.runAndWait([&] {
+        http_server_limits limits;
+        limits.budget = budget;
+        server = std::make_unique<http_server>(loop.context, "127.0.0.1:0", limits, [](const http_request&, const std::shared_ptr<http_exchange>& exchange) { exchange->respond({ 200, {}, {} }); });
+    });
+    {
+        auto connections = beginHeaders(server->address());
+        EXPECT_GE(waitForHeld(loop, *budget, slowConnections * slowBytes), slowConnections * slowBytes);
+    }
+    loop.runAndWait([&] { server.reset(); });
+}
+
+// The same for headers that a server's answers have begun.
+TEST(MessageRoom, CountsHeadersThatAServerHasBegun)
+{
+    server_pair pair;
+    std::vector<std::future<instance_result>> results;
+    std::vector<raw_socket> connections;
+    results.reserve(slowConnections);
+    connections.reserve(slowConnections);
+    for (int i = 0; i < slowConnections; ++i) {
+        results.push_back(pair.send());
+        connections.push_back(pair.listener.accept());
+        connections.back().readUntil("\r\n\r\n");
+        connections.back().send("HTTP/1.1 200 OK\r\nX-Long: " + std::string(slowBytes, 'x'));
+    }
+    EXPECT_GE(waitForHeld(pair.loop, *pair.budget, slowConnections * slowBytes), slowConnections * slowBytes);
+    connections.clear();
+    for (auto& result : results) {
+        EXPECT_TRUE(std::holds_alternative<instance_failure>(result.get()));
+    }
+    pair.loop.runAndWait([&] { EXPECT_EQ(pair.budget->heldBytes(), 0U); });
+}
+
+// The same for short frames between nodes, which are received in part while a link is narrow.
+TEST(MessageRoom, CountsFramesThatOtherNodesHaveBegun)
+{
+    context_thread loop;
+    auto budget = makeBudget();
+    incoming_frame frame(frame_kind::Request, 64 * mebibyte, budget, byte_place::PeerRequest);
+    frame_history history;
+    auto bytes = encodeFrame(makeRequest(40000), std::chrono::steady_clock::now(), history);
+    boost::beast::flat_buffer received;
+    auto half = bytes.size() / 2;
+    received.commit(boost::asio::buffer_copy(received.prepare(half), boost::asio::buffer(bytes.data(), half)));
+    EXPECT_EQ(frame.take(received), frame_search::Incomplete);
+    EXPECT_EQ(budget->heldBytes(byte_place::PeerRequest), half);
+    frame.reset();
+    EXPECT_EQ(budget->heldBytes(), 0U);
+}
+
+// Guards against requests sent ahead that a full connection reads without counting them.
+TEST(MessageRoom, LeavesWhatIsSentBehindAFullConnectionInTheSocket)
+{
+    constexpr std::size_t maxReadAhead = 8192;
+    caller_port port;
+    auto connection = raw_socket::connectTo(port.server->address());
+    std::string ahead;
+    while (ahead.size() < 65536) {
+        ahead += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+    connection.send(ahead);
+    std::size_t paused = 0;
+    while (paused == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        port.loop.runAndWait([&] { paused = port.server->pausedConnections(); });
+    }
+    port.loop.runAndWait([&] { EXPECT_LE(port.server->readAheadBytes(), maxReadAhead); });
+}
+
 }
