Read the seeds soon after an outage of the store, and often while alone

What callers would see: while nodes know each other not, each refuses what other services run. Nodes that start while the store is down, or that a cut separated from machines at new addresses, found each other up to 90 s after the outage, and 45 s after the cut.

Cause: a node could ask the source, and waited for a timer of its own, which doubled to 60 s while reads failed and to 30 s while they led to nobody. Meanwhile the watch of the routes, and that of the contracts at the command node, knew that the store answers.

NodesThatAreAloneReadTheSeedsSoonAfterAnOutage fails (1 of 20 nodes reads in 1.25 s) and NodesThatAreAloneForLongFindNewSeedsWithinSeconds fails for 12 of 20 nodes. Both pass now, and NodesBackOffFromAStoreThatIsDown as before.

Why this works: the first call that succeeds after failed ones lets nodes that are alone or keep a seed read the seeds within 0.9 s, whatever their delay is. A node that is alone reads them every 2 to 6 s. During an outage there are no more calls than before; 6,700 nodes that are all alone make 1,700 reads a second, the smallest store of the users allows 2,000.

Not shown with real processes: the wiring of both commands is by reading.

--- a/Source/node/configuration_service.cpp
+++ b/Source/node/configuration_service.cpp
@@ -170,7 +170,9 @@
             storeFailed(failure->message);
             return;
         }
-        m_consecutiveFailures = 0;
+        if (std::exchange(m_consecutiveFailures, 0) > 0 && m_hooks.storeRecovered) {
+            m_hooks.storeRecovered();
+        }
         m_hasReadStore = true;
         const auto& range = std::get<store_range>(result);
         // The watch should have reported these changes before; it may hang.
--- a/Source/node/configuration_service.h
+++ b/Source/node/configuration_service.h
@@ -24,6 +24,8 @@
     std::function<void(contract_snapshot)> contractsChanged;
     // Returns a random number below the bound.
     std::function<std::uint64_t(std::uint64_t bound)> randomBelow;
+    // Called when the store answers again after failed reads. Optional.
+    std::function<void()> storeRecovered {};
 };
 
 // How to reach the store, and this node's identity.
--- a/Source/node/membership_actor.cpp
+++ b/Source/node/membership_actor.cpp
@@ -71,7 +71,7 @@
             m_protocol.setSelf(message.self, currentTime());
             publish(currentTime());
         },
-        [this](const store_returned&) { m_seedKeeper.storeReturned(currentTime()); },
+        [this](const read_seeds_soon&) { m_seedKeeper.readSoon(currentTime()); },
         [this](const spread_requested&) { m_protocol.spreadSoon(currentTime()); },
         [this](const member_call_ended& message) {
             m_protocol.callEnded(message.memberId, message.answered, currentTime());
--- a/Source/node/membership_messages.h
+++ b/Source/node/membership_messages.h
@@ -29,7 +29,7 @@
 struct spread_requested {
 };
 
-struct store_returned {
+struct read_seeds_soon {
 };
 
 struct member_call_ended {
@@ -43,5 +43,5 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::seeds_read)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::self_changed)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::spread_requested)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::store_returned)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::read_seeds_soon)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(vanillashunt::member_call_ended)
--- a/Source/node/membership_service.cpp
+++ b/Source/node/membership_service.cpp
@@ -51,9 +51,9 @@
     sendActor(spread_requested {});
 }
 
-void membership_service::storeReturned()
+void membership_service::readSeedsSoon()
 {
-    sendActor(store_returned {});
+    sendActor(read_seeds_soon {});
 }
 
 void membership_service::callEnded(std::uint64_t memberId, bool answered)
--- a/Source/node/membership_service.h
+++ b/Source/node/membership_service.h
@@ -50,8 +50,9 @@
     // Gossips without waiting for the next round, since one of the own versions has increased.
     void spreadSoon();
 
-    // Tells that the store was restored from an earlier copy of its data.
-    void storeReturned();
+    // Reads the seeds soon if this node keeps one or is alone: the store answers again after an outage, or was
+    // restored from an earlier copy of its data.
+    void readSeedsSoon();
 
     // Reports whether a member responded to a call. Used to determine whether its
     // availability zone is reachable.
--- a/Source/node/node_process.cpp
+++ b/Source/node/node_process.cpp
@@ -217,6 +217,7 @@
             m_membership->spreadSoon();
         };
         hooks.randomBelow = [this](std::uint64_t bound) { return m_random() % bound; };
+        hooks.storeRecovered = [this] { m_membership->readSeedsSoon(); };
         return hooks;
     }
 
--- a/Source/node/routed_process.cpp
+++ b/Source/node/routed_process.cpp
@@ -261,7 +261,7 @@
             logEvent(events::storeReturned, { { "era", std::to_string(era) }, { "before", std::to_string(before) } });
             m_routes.storeReturned();
             m_poison.storeReturned();
-            m_membership->storeReturned();
+            m_membership->readSeedsSoon();
         };
         hooks.eraUnreadable = [](std::size_t bytes) { logEvent(events::storeEraUnreadable, { { "bytes", std::to_string(bytes) } }); };
         return hooks;
@@ -277,7 +277,10 @@
             m_membership->spreadSoon();
         };
         hooks.randomBelow = [this](std::uint64_t bound) { return m_random() % bound; };
-        hooks.storeRecovered = [this] { m_poison.storeRecovered(); };
+        hooks.storeRecovered = [this] {
+            m_poison.storeRecovered();
+            m_membership->readSeedsSoon();
+        };
         hooks.readWhileCutOff = [this] { m_poison.readStored(); };
         return hooks;
     }
--- a/Source/node/seed_keeper.cpp
+++ b/Source/node/seed_keeper.cpp
@@ -13,10 +13,10 @@
     constexpr milliseconds callTimeout { 2000 };
     constexpr milliseconds refreshPeriod { 60000 };
     constexpr milliseconds initialAloneReadDelay { 250 };
-    constexpr milliseconds maxAloneReadDelay { 30000 };
-    // Delay from the restoration of the store until the seeds are read again; jitter changes
-    // it by up to half.
-    constexpr milliseconds storeReturnedDelay { 600 };
+    // Nodes that a cut has separated for long find each other soon after its end.
+    constexpr milliseconds maxAloneReadDelay { 4000 };
+    // Delay of a read that other news of the store is the reason for; jitter changes it by up to half.
+    constexpr milliseconds soonDelay { 600 };
     constexpr milliseconds initialBackoff { 1000 };
     constexpr milliseconds maxBackoff { 60000 };
     // Seeds that were read have the time of this many reads to respond before a node that is
@@ -53,9 +53,10 @@
     read();
 }
 
-void seed_keeper::storeReturned(time_point now)
+void seed_keeper::readSoon(time_point now)
 {
-    scheduleRead(storeReturnedDelay, now);
+    m_consecutiveFailures = 0;
+    scheduleRead(soonDelay, now);
 }
 
 void seed_keeper::read()
--- a/Source/node/seed_keeper.h
+++ b/Source/node/seed_keeper.h
@@ -45,8 +45,8 @@
 
     void tick(const seed_duty&, time_point now);
 
-    // The store was restored from an earlier copy of its data. A node that keeps a seed checks it soon.
-    void storeReturned(time_point now);
+    // Reads the seeds soon, if this node keeps one or is alone, and whatever the delay after failed reads is.
+    void readSoon(time_point now);
 
     // Whether a call to the store is in progress.
     bool calling() const { return m_calling; }
--- a/Tests/SeedKeeping/seed_keeping_test.cpp
+++ b/Tests/SeedKeeping/seed_keeping_test.cpp
@@ -1,5 +1,6 @@
 #include "Harness/stand_in.h"
 #include "node/seed_keeper.h"
+#include "store/seed_directory.h"
 #include "store/store_client.h"
 
 #include <boost/asio.hpp>
@@ -49,6 +50,18 @@
             }
         }
 
+        // Another node keeps the seed.
+        void writeSeed(const std::string& address)
+        {
+            bool isWritten = false;
+            m_store.swap(seedKey("bangsar", 0), 0, address, std::chrono::seconds(10), [&](const store_result<store_swap>&) { isWritten = true; });
+            while (!isWritten) {
+                m_context.run_one();
+            }
+        }
+
+        std::chrono::steady_clock::time_point now() const { return m_now; }
+
         seed_keeper_counts total() const
         {
             seed_keeper_counts sum;
@@ -109,4 +122,38 @@
     EXPECT_EQ(fleet.seedAddresses.size(), 1U);
 }
 
+// Guards against nodes that start in an outage of the store, and find each other a minute after its end.
+TEST(SeedKeeping, NodesThatAreAloneReadTheSeedsSoonAfterAnOutage)
+{
+    stand_in platform({ "platform" });
+    platform.control(R"({"down":true})");
+    keeper_fleet fleet(platform.address());
+    fleet.run(minutes(10), 1, true);
+    platform.control(R"({"down":false})");
+    auto before = fleet.total();
+    for (auto& keeper : fleet.keepers) {
+        keeper->readSoon(fleet.now());
+    }
+    fleet.run(milliseconds(1250), 1, true);
+    auto after = fleet.total();
+    EXPECT_EQ(after.failures, before.failures);
+    EXPECT_GE(after.reads, before.reads + fleetSize);
+    EXPECT_EQ(after.writes, 1U);
+}
+
+// Guards against a node that was alone for long and finds others, whose addresses it does not know, late.
+TEST(SeedKeeping, NodesThatAreAloneForLongFindNewSeedsWithinSeconds)
+{
+    stand_in platform({ "platform" });
+    keeper_fleet fleet(platform.address());
+    fleet.run(minutes(10), 0, true);
+    fleet.writeSeed("192.0.2.99:7002");
+    for (auto& keeper : fleet.keepers) {
+        auto reads = keeper->counts().reads;
+        fleet.run(milliseconds(6250), 0, true);
+        EXPECT_GT(keeper->counts().reads, reads);
+    }
+    EXPECT_EQ(fleet.seedAddresses, std::vector<std::string> { "192.0.2.99:7002" });
+}
+
 }
