Admit requests that wait for quota in a loop

Cause: an admitted request that finds no server ends at once and gives its quota back, and giveBack() admitted the next one within the same call. So the stack grew with the number of waiting requests. Besides, each admission searched all of them.

Why this works: quota given back while requests are being admitted is used by the loop that admits. Waiting requests are kept in the order of admission, as before the highest position first, and among these the one that has waited longest.

--- a/Source/quota/quota_account.cpp
+++ b/Source/quota/quota_account.cpp
@@ -36,14 +36,15 @@
         return 0;
     }
     auto id = ++m_lastId;
-    m_organisationOf[id] = request.organisation;
-    known.waiting.push_back({ id, request.position, request.waitUntil, std::move(handler) });
+    waiting_place place { request.position, id };
+    m_requests[id] = { request.organisation, place };
+    known.waiting[place] = { request.waitUntil, std::move(handler) };
     ++known.fresh;
     ++m_waiting;
     if (known.sequence == 0 && now >= known.nextAsk) {
         ask(request.organisation, known, now);
     }
-    return m_organisationOf.count(id) == 0 ? 0 : id;
+    return m_requests.count(id) == 0 ? 0 : id;
 }
 
 void quota_account::ask(const std::string& organisation, entry& known, time_point now)
@@ -56,16 +57,11 @@
 
 void quota_account::cancel(std::uint64_t requestId)
 {
-    auto node = m_organisationOf.extract(requestId);
+    auto node = m_requests.extract(requestId);
     if (!node) {
         return;
     }
-    auto& waiting = m_entries[node.mapped()].waiting;
-    auto found = std::find_if(waiting.begin(), waiting.end(), [requestId](const waiting_request& request) { return request.id == requestId; });
-    if (found != waiting.end()) {
-        waiting.erase(found);
-        --m_waiting;
-    }
+    m_waiting -= m_entries[node.mapped().organisation].waiting.erase(node.mapped().place);
 }
 
 void quota_account::giveBack(const std::string& organisation, time_point now)
@@ -91,37 +87,41 @@
     }
 }
 
+// An admitted request that ends at once gives its quota back, and the next one is admitted by this loop and not
+// by a nested call, so that the stack does not grow with the number of waiting requests.
 void quota_account::admitWaiting(const std::string& organisation, entry& known, time_point now)
 {
+    if (std::exchange(known.admitting, true)) {
+        return;
+    }
     while (known.unused > 0 && !known.waiting.empty()) {
-        auto highest = std::max_element(known.waiting.begin(), known.waiting.end(), [](const auto& a, const auto& b) { return a.position < b.position; });
-        auto next = std::move(*highest);
-        known.waiting.erase(highest);
+        auto next = known.waiting.extract(known.waiting.begin());
         --known.unused;
         --m_waiting;
-        m_organisationOf.erase(next.id);
+        m_requests.erase(next.key().id);
         m_admitted.add(organisation, now);
-        next.handler(std::nullopt, now);
+        next.mapped().handler(std::nullopt, now);
     }
+    known.admitting = false;
 }
 
 // Refuses waiting requests that cannot be admitted in time.
 void quota_account::refuseLate(entry& known, time_point now)
 {
     auto earliestAdmission = now + known.wait;
-    std::vector<waiting_request> refused;
+    std::vector<quota_handler> refused;
     for (auto waiter = known.waiting.begin(); waiter != known.waiting.end();) {
-        if (waiter->waitUntil > earliestAdmission) {
+        if (waiter->second.waitUntil > earliestAdmission) {
             ++waiter;
             continue;
         }
-        refused.push_back(std::move(*waiter));
+        --m_waiting;
+        m_requests.erase(waiter->first.id);
+        refused.push_back(std::move(waiter->second.handler));
         waiter = known.waiting.erase(waiter);
     }
-    for (auto& request : refused) {
-        --m_waiting;
-        m_organisationOf.erase(request.id);
-        request.handler(spread(known.wait), now);
+    for (auto& handler : refused) {
+        handler(spread(known.wait), now);
     }
 }
 
--- a/Source/quota/quota_account.h
+++ b/Source/quota/quota_account.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -75,16 +76,29 @@
     std::uint32_t admitted(const std::string& organisation, time_point now) const { return m_admitted.count(organisation, now); }
 
 private:
-    struct waiting_request {
-        std::uint64_t id = 0;
+    // The order in which waiting requests are admitted.
+    struct waiting_place {
         shedding_position position = 0;
+        std::uint64_t id = 0;
+
+        bool operator<(const waiting_place& other) const { return position != other.position ? position > other.position : id < other.id; }
+    };
+
+    struct waiting_request {
         time_point waitUntil;
         quota_handler handler;
     };
 
+    struct known_request {
+        std::string organisation;
+        waiting_place place;
+    };
+
     // The state of one organisation.
     struct entry {
-        std::vector<waiting_request> waiting;
+        std::map<waiting_place, waiting_request> waiting;
+        // Whether waiting requests are being admitted.
+        bool admitting = false;
         // Grants that were not used yet.
         std::uint32_t unused = 0;
         // Waiting requests that the pool has not been asked for yet.
@@ -104,7 +118,8 @@
 
     quota_account_hooks m_hooks;
     std::unordered_map<std::string, entry> m_entries;
-    std::unordered_map<std::uint64_t, std::string> m_organisationOf;
+    // The waiting requests, by id.
+    std::unordered_map<std::uint64_t, known_request> m_requests;
     recent_admissions m_admitted;
     std::uint64_t m_lastId = 0;
     std::size_t m_waiting = 0;
--- a/Tests/QuotaHolds/quota_holds_test.cpp
+++ b/Tests/QuotaHolds/quota_holds_test.cpp
@@ -1,5 +1,7 @@
 #include "QuotaHolds/quota_fleet.h"
 
+#include "quota/quota_account.h"
+
 #include <gtest/gtest.h>
 
 namespace vanillashunt {
@@ -365,4 +367,32 @@
     }
 }
 
+// Guards against a stack that grows with the requests that wait for quota while their service has no server: each
+// is admitted by what the one before gave back.
+TEST(QuotaHolds, EndsAnyNumberOfWaitingRequestsThatReachNoServer)
+{
+    constexpr std::uint32_t requests = 100000;
+    const std::string organisation = "hotel";
+    quota_account_hooks hooks;
+    hooks.nextSequence = [] { return 1; };
+    hooks.ask = [](std::uint32_t, const quota_ask&, quota_account::time_point) {};
+    hooks.unanswered = [](std::uint32_t, quota_account::time_point) {};
+    hooks.chance = [](std::uint64_t) { return 0; };
+    quota_account account(hooks);
+    quota_account::time_point now { std::chrono::hours(1) };
+    std::vector<shedding_position> order;
+    for (std::uint32_t i = 0; i < requests; ++i) {
+        auto position = static_cast<shedding_position>(i % 3);
+        account.take(
+            { organisation, position, now + std::chrono::seconds(1) }, [&, position](quota_refusal refusal, quota_account::time_point decided) {
+                EXPECT_FALSE(refusal.has_value());
+                order.push_back(position);
+                account.giveBack(organisation, decided); }, now);
+    }
+    account.granted(1, { organisation, 1 }, now);
+    EXPECT_EQ(order.size(), requests);
+    EXPECT_TRUE(std::is_sorted(order.rbegin(), order.rend()));
+    EXPECT_EQ(account.waiting(), 0U);
+}
+
 }
