Show that changes reach nodes whose watchers end one after the other

ConfigurationReaches has two tests more, with real processes: seven nodes of which a watcher is killed before each of five changes, and keys that are taken from, and given to, a node that is left alone.

--- a/Tests/ConfigurationReaches/configuration_reaches_test.cpp
+++ b/Tests/ConfigurationReaches/configuration_reaches_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace vanillashunt {
@@ -69,4 +70,39 @@
     }
 }
 
+// Guards against a zone that learns of no change while each node that takes over the watch is killed, too.
+TEST(ConfigurationReaches, NodesWhoseWatchersAreKilledOneAfterTheOther)
+{
+    zone_world zone(7);
+    std::vector<std::size_t> alive { 0, 1, 2, 3, 4, 5, 6 };
+    for (int kill = 0; kill < 5; ++kill) {
+        zone.findWatchers(std::min<std::size_t>(alive.size(), 3));
+        auto killed = *std::find_if(zone.watchers.begin(), zone.watchers.end(), [&](std::size_t which) { return std::count(alive.begin(), alive.end(), which) == 1; });
+        zone.nodes[killed]->process->kill();
+        alive.erase(std::remove(alive.begin(), alive.end(), killed), alive.end());
+        auto line = zone.change();
+        for (auto which : alive) {
+            zone.expectChange(which, line);
+        }
+    }
+}
+
+// Guards against a node that serves a key by an old configuration, because nobody tells it of the new one.
+TEST(ConfigurationReaches, KeysAreTakenFromANodeThatIsLeftAlone)
+{
+    zone_world zone(4);
+    zone.putKeys({ "kept", "taken" });
+    for (auto& node : zone.nodes) {
+        EXPECT_EQ(zone.getUntil(*node, "taken", "200"), "200");
+    }
+    zone.findWatchers();
+    auto last = zone.followers.front();
+    zone.signalOthers({ last }, SIGSTOP);
+    zone.putKeys({ "kept", "added" });
+    EXPECT_EQ(zone.getUntil(*zone.nodes[last], "taken", "401"), "401");
+    EXPECT_EQ(zone.getUntil(*zone.nodes[last], "added", "200"), "200");
+    EXPECT_EQ(zone.getUntil(*zone.nodes[last], "kept", "200"), "200");
+    zone.signalOthers({ last }, SIGCONT);
+}
+
 }
--- a/Tests/RoutedWorld/zone_world.h
+++ b/Tests/RoutedWorld/zone_world.h
@@ -52,10 +52,9 @@
         return std::stoul(text.substr(text.find(metric) + metric.size()));
     }
 
-    // Tells the watchers from the others, once three nodes wait for changes at the store.
-    void findWatchers()
+    // Tells the watchers from the others, once so many nodes wait for changes at the store.
+    void findWatchers(std::size_t watcherCount = 3)
     {
-        constexpr std::size_t watcherCount = 3;
         std::set<std::string> watched;
         while (watched.size() != watcherCount) {
             world.takeWatchedAddresses();
@@ -76,6 +75,33 @@
         return "version=\"" + std::to_string(version) + "\"";
     }
 
+    // Puts another version into the store, in which one organisation has these keys.
+    void putKeys(const std::vector<std::string>& keys)
+    {
+        std::string list;
+        for (const auto& key : keys) {
+            list += (list.empty() ? "\"" : ",\"") + key + "\"";
+        }
+        world.putConfiguration(R"({"version":"r)" + std::to_string(++version) + R"(","resources":[
+            {"type":"routes","metadata":{"name":"one"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent","timeout_s":20,"target_latency_s":1,"priority":0,"service":"desk","max_attempts":2}},
+            {"type":"tenants","metadata":{"name":"hotel"},"spec":{"api_keys":[)"
+            + list + R"(],"priority":1,"rate_per_s":0,"burst":0}}]})");
+    }
+
+    // Sends requests with the key until one is answered with the status; returns that, or what the last one got.
+    static std::string getUntil(routed_node& node, const std::string& key, const std::string& status)
+    {
+        std::string latest;
+        auto begun = std::chrono::steady_clock::now();
+        while (latest != status && std::chrono::steady_clock::now() - begun < routed_node::longest) {
+            auto socket = raw_socket::connectTo(node.port("caller"));
+            socket.send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\nVanillashunt-Request-Id: k\r\nVanillashunt-Deadline-Ms: 5000\r\nConnection: close\r\nApi-Key: " + key + "\r\n\r\n");
+            auto answer = socket.readToEnd();
+            latest = answer.size() < 12 ? "" : answer.substr(9, 3);
+        }
+        return latest;
+    }
+
     // Signals all nodes but these.
     void signalOthers(const std::vector<std::size_t>& spared, int signal)
     {
