--- a/Source/budget/byte_budget.cpp
+++ b/Source/budget/byte_budget.cpp
@@ -57,14 +57,14 @@
 }
 
 // The message is still received.
-void byte_budget::arriving(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter)
+void byte_budget::accountArriving(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter)
 {
     m_arrivingSmall += smallPart(heldAfter) - smallPart(heldBefore);
     m_largeHeld += largePart(heldAfter) - largePart(heldBefore);
     m_heldByPlace[static_cast<std::size_t>(place)] += heldAfter - heldBefore;
 }
 
-void byte_budget::completed(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving)
+void byte_budget::accountComplete(byte_place place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving)
 {
     (wasArriving ? m_arrivingSmall : m_completeSmall) -= smallPart(heldBefore);
     m_completeSmall += smallPart(heldAfter);
@@ -90,7 +90,7 @@
 }
 
 // Only the share needs room: what a complete message holds beyond it is held already.
-bool byte_budget::hasRoomComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const
+bool byte_budget::hasRoomToComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const
 {
     auto smallHeld = m_arrivingSmall + m_completeSmall + smallPart(bytes) - smallPart(heldBytes);
     auto completeSmall = m_completeSmall + smallPart(bytes) - (isArriving ? 0 : smallPart(heldBytes));
@@ -138,7 +138,7 @@
     if ((needsLarge ? blocked.large : blocked.small) || !hasRoomToArrive(state.heldBytes, wantedBytes, message.first)) {
         return false;
     }
-    arriving(state.place, state.heldBytes, wantedBytes);
+    accountArriving(state.place, state.heldBytes, wantedBytes);
     state.heldBytes = wantedBytes;
     state.wantedBytes = 0;
     return true;
--- a/Source/budget/byte_budget.h
+++ b/Source/budget/byte_budget.h
@@ -130,11 +130,11 @@
 
     std::uint64_t smallPart(std::uint64_t bytes) const;
     std::uint64_t largePart(std::uint64_t bytes) const;
-    void arriving(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter);
-    void completed(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving);
+    void accountArriving(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter);
+    void accountComplete(byte_place, std::uint64_t heldBefore, std::uint64_t heldAfter, bool wasArriving);
     std::uint64_t excessOfShares(std::uint64_t smallHeld, std::uint64_t completeSmall) const;
     bool hasRoomToArrive(std::uint64_t heldBytes, std::uint64_t wantedBytes, std::uint64_t turn) const;
-    bool hasRoomComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const;
+    bool hasRoomToComplete(std::uint64_t heldBytes, std::uint64_t bytes, bool isArriving) const;
     std::uint64_t reservedForFirst(std::uint64_t turn) const;
     bool grow(turn_map::value_type&, std::uint64_t wantedBytes, const blocked_room&);
     void noteBlocked(const growing_message&, blocked_room&) const;
--- a/Source/budget/byte_reservation.cpp
+++ b/Source/budget/byte_reservation.cpp
@@ -68,7 +68,7 @@
         budget.m_growing.erase(std::exchange(m_turn, 0));
     }
     if (m_turn == 0 && isSmall && budget.hasRoomToArrive(m_held, wantedBytes, 0)) {
-        budget.arriving(m_place, m_held, wantedBytes);
+        budget.accountArriving(m_place, m_held, wantedBytes);
         m_held = wantedBytes;
         return byte_grant::Granted;
     }
@@ -95,13 +95,13 @@
     }
     auto held = heldBytes();
     m_budget->m_growing.erase(std::exchange(m_turn, 0));
-    m_budget->completed(m_place, held, bytes, std::exchange(m_isArriving, false));
+    m_budget->accountComplete(m_place, held, bytes, std::exchange(m_isArriving, false));
     m_held = bytes;
 }
 
 bool byte_reservation::completeIfRoom(std::uint64_t bytes)
 {
-    bool hasRoom = !m_budget || bytes <= heldBytes() || m_budget->hasRoomComplete(heldBytes(), bytes, m_isArriving);
+    bool hasRoom = !m_budget || bytes <= heldBytes() || m_budget->hasRoomToComplete(heldBytes(), bytes, m_isArriving);
     if (hasRoom) {
         complete(bytes);
     } else {
