--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -27,7 +27,7 @@
     constexpr unsigned statusUnavailable = 503;
     constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
     // A longer header is read on only after it has been given room.
-    constexpr std::size_t firstReadBytes = 4096;
+    constexpr std::size_t maxHeaderPartBytes = 4096;
 
     // Limits the bytes that are received and not parsed, such as those of a chunk header without end.
     constexpr std::size_t maxBufferedBytes = 4 * std::size_t(maxHeaderBytes);
@@ -214,7 +214,7 @@
         return;
     }
     // The idle timeout applies until the first byte; then the request timeout applies.
-    m_stream.async_read_some(m_buffer.prepare(firstReadBytes), [self, begin](error_code error, std::size_t count) {
+    m_stream.async_read_some(m_buffer.prepare(maxHeaderPartBytes), [self, begin](error_code error, std::size_t count) {
         if (error) {
             self->close();
             return;
@@ -227,7 +227,7 @@
 
 void http_session::readRemainder()
 {
-    auto maxBytes = m_parser->is_header_done() ? std::size_t(maxHeaderBytes) : firstReadBytes;
+    auto maxBytes = m_parser->is_header_done() ? std::size_t(maxHeaderBytes) : maxHeaderPartBytes;
     readPart(m_stream, m_buffer, maxBytes, *m_parser, [self = shared_from_this()](const error_code& error) { self->partArrived(error); });
 }
 
