Count what is formatted and not read yet in the budget of bytes

What callers would see: a node over its memory by clients that read slowly; none reported.

Cause: answers are formatted into one buffer of a connection, up to 80 KB, and short frames between nodes into one of up to 64 KiB. Their bodies gave back their room then, and the copies were not counted for as long as a client, or a paused node, did not read them: up to ten seconds.

Evidence: MessageRoom.CountsAnswersThatClientsDoNotRead counts 0 bytes without the change (60 s waited), and passes with it. For frames between nodes there is no test.

Why this works: what a socket does not take at once is counted until it is written. Nothing is refused for it, but what arrives waits for the room.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -461,6 +461,10 @@
     });
     if (completed) {
         written({});
+    } else {
+        // Copies, which the client may leave unread for long. The body has its own room.
+        m_outgoingRoom = byte_reservation(m_server->hooks.budget, byte_place::Caller);
+        m_outgoingRoom.complete(m_outgoingBytes.size());
     }
     return completed;
 }
@@ -469,6 +473,7 @@
 {
     m_writing = false;
     m_outgoingBytes = {};
+    m_outgoingRoom = {};
     m_outgoingBody.clear();
     if (m_closed) {
         return;
--- a/Source/caller/pipeline_session.h
+++ b/Source/caller/pipeline_session.h
@@ -99,6 +99,7 @@
     // The room of the request that is being received.
     byte_reservation m_room;
     std::string m_outgoingBytes;
+    byte_reservation m_outgoingRoom;
     // A long body that follows these bytes.
     message_body m_outgoingBody;
     stage m_stage = stage::Idle;
--- a/Source/peer/peer_client.cpp
+++ b/Source/peer/peer_client.cpp
@@ -109,6 +109,12 @@
             });
             if (sentCompletely) {
                 writeFinished(true);
+                return;
+            }
+            if (auto client = m_client.lock()) {
+                // Copies, which a paused node may leave unread for long. The body has its own room.
+                m_outgoingRoom = byte_reservation(client->settings.budget, byte_place::Caller);
+                m_outgoingRoom.complete(m_outgoing.begin.size() + m_outgoing.end.size());
             }
         }
 
@@ -117,6 +123,7 @@
         {
             m_written = succeeded;
             m_outgoing = {};
+            m_outgoingRoom = {};
         }
 
         void connectionEnded(const error_code&) { fail(verdictWithoutAnswer()); }
@@ -220,6 +227,7 @@
         frame_history m_sentFrames;
         frame_history m_receivedFrames;
         outgoing_frame m_outgoing;
+        byte_reservation m_outgoingRoom;
         incoming_frame m_incoming;
         bool m_written = false;
     };
--- a/Source/peer/peer_server.cpp
+++ b/Source/peer/peer_server.cpp
@@ -74,6 +74,7 @@
         // Request id of the call in progress.
         std::string m_requestId;
         outgoing_frame m_outgoing;
+        byte_reservation m_outgoingRoom;
         incoming_frame m_incoming;
         std::shared_ptr<exchange> m_exchange;
         // Keeps the session while it waits for room, when no read is outstanding.
@@ -215,6 +216,10 @@
         });
         if (sentCompletely) {
             answerSent();
+        } else {
+            // Copies, for which a paused node may not ask for long. The body has its own room.
+            m_outgoingRoom = byte_reservation(m_server->budget, byte_place::PeerRequest);
+            m_outgoingRoom.complete(m_outgoing.begin.size() + m_outgoing.end.size());
         }
     }
 
@@ -222,6 +227,7 @@
     {
         m_sendingAnswer = false;
         m_outgoing = {};
+        m_outgoingRoom = {};
         --m_server->inProgress;
     }
 
--- a/Tests/MessageRoom/message_room_test.cpp
+++ b/Tests/MessageRoom/message_room_test.cpp
@@ -424,7 +424,13 @@
             loop.runAndWait([&] {
                 pipeline_server_hooks hooks;
                 hooks.limits = [] { return client_limits {}; };
-                hooks.request = [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) { exchanges.push_back(exchange); };
+                hooks.request = [this](const http_request&, const std::shared_ptr<http_exchange>& exchange) {
+                    if (answerBytes > 0) {
+                        exchange->respond({ 200, {}, std::string(answerBytes, 'y') });
+                    } else {
+                        exchanges.push_back(exchange);
+                    }
+                };
                 hooks.budget = budget;
                 server = std::make_unique<pipeline_server>(loop.context, "127.0.0.1:0", hooks);
             });
@@ -437,6 +443,8 @@
 
         std::shared_ptr<byte_budget> budget = makeBudget();
         std::vector<std::shared_ptr<http_exchange>> exchanges;
+        // Size of the answers that requests get at once; 0 for none.
+        std::size_t answerBytes = 0;
         context_thread loop;
         std::unique_ptr<pipeline_server> server;
     };
@@ -531,4 +539,27 @@
     port.loop.runAndWait([&] { EXPECT_LE(port.server->readAheadBytes(), maxReadAhead); });
 }
 
+// Guards against answers that clients do not read, and that are not counted once they are formatted.
+TEST(MessageRoom, CountsAnswersThatClientsDoNotRead)
+{
+    constexpr int clients = 4;
+    constexpr int requests = 1500;
+    caller_port port;
+    port.answerBytes = 16000;
+    std::vector<raw_socket> connections;
+    std::string ahead;
+    for (int i = 0; i < requests; ++i) {
+        ahead += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+    for (int i = 0; i < clients; ++i) {
+        connections.push_back(raw_socket::connectTo(port.server->address()));
+        connections.back().send(ahead);
+    }
+    auto expected = clients * port.answerBytes;
+    EXPECT_GE(waitForHeld(port.loop, *port.budget, expected), expected);
+    connections.clear();
+    port.loop.runAndWait([&] { port.server.reset(); });
+    EXPECT_EQ(port.budget->heldBytes(), 0U);
+}
+
 }
