Pin the room of small messages beside a large one as exactly as before

Cause: the loops of the new test counted, and their counts were not asserted. Found by reading the change once more. Now exactly 120 shares of 64 KiB are granted (three quarters of 10 MiB), 11 MiB are held in all, 1 KiB waits and is granted later, and 1 KiB that is complete is refused.

--- a/Tests/ByteBudget/byte_budget_test.cpp
+++ b/Tests/ByteBudget/byte_budget_test.cpp
@@ -88,17 +88,23 @@
     do {
         small.push_back(open(budget));
     } while (small.back().reserve(64 * kibibyte, 64 * kibibyte, now, record(grants)) == byte_grant::Granted);
-    EXPECT_GE(small.size(), 100U);
+    // All but the last one, which waits: three quarters of the part for small messages.
+    EXPECT_EQ(small.size() - 1, 120U);
     std::deque<byte_reservation> complete;
     do {
         complete.push_back(open(budget));
     } while (complete.back().completeIfRoom(64 * kibibyte));
-    EXPECT_LE(budget->heldBytes(), 11 * mebibyte);
-    EXPECT_EQ(budget->counts().refusals.at(static_cast<std::size_t>(byte_refusal_cause::NoSmallRoom)), 1U);
+    EXPECT_EQ(budget->heldBytes(), 11 * mebibyte);
+    std::vector<byte_grant> furtherGrants;
+    auto further = open(budget);
+    EXPECT_EQ(further.reserve(kibibyte, kibibyte, now, record(furtherGrants)), byte_grant::Waiting);
+    EXPECT_FALSE(open(budget).completeIfRoom(kibibyte));
+    EXPECT_EQ(budget->counts().refusals.at(static_cast<std::size_t>(byte_refusal_cause::NoSmallRoom)), 2U);
     small.pop_front();
     small.pop_front();
     budget->tick(now);
     EXPECT_EQ(grants, std::vector<byte_grant> { byte_grant::Granted });
+    EXPECT_EQ(furtherGrants, std::vector<byte_grant> { byte_grant::Granted });
     EXPECT_EQ(large.reserve(70 * mebibyte, 70 * mebibyte, now, ignore), byte_grant::Granted);
     EXPECT_LE(budget->heldBytes(), settings().totalBytes);
 }
