Wait for answers, not for half a second, while requests sent ahead fill a node

LargeBodies.RequestsThatHaveJustBegunFitIntoTheMemoryOfANode slept 0.5 s before it read the peak. Tests wait for conditions: now each of the 1,500 connections waits for the answer to its first request. The check and its bound are as before, and the peak is read later.

--- a/Tests/LargeBodies/large_bodies_test.cpp
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -244,7 +244,9 @@
         }
         if (port == "caller") {
             auto further = beginRequests(world.entry->port(port), connections, manyAhead);
-            std::this_thread::sleep_for(milliseconds(500));
+            for (auto& connection : further) {
+                EXPECT_FALSE(connection.readUntil("\r\n\r\n").empty());
+            }
         }
         EXPECT_LE(megabytes(*world.entry, "VmHWM"), allowedMegabytes) << port;
     }
