Tell a reset from an end where the write of a request took the reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The client got that part, framed as a whole answer.

Cause: the system reports a reset once, to whichever operation on the socket comes first. While a request is being written that is the write, which both clients pass over, since a server that answers early may close before it has read everything. The read behind it then reports the end of the connection, and an answer without a length is complete at its end.

Evidence, by strace on the new test (instance client):

epoll_wait(9, [{events=EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP, ...}]) = 1 sendmsg(12, ... iov_len=65536 ...) = -1 ECONNRESET recvfrom(12, "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\r\na p"..., 2048) = 35 recvfrom(12, "", 2048) = 0

http_client shows the same with recvmsg. Asio performs the write that waits before the read that waits, so this is the rule and not a race. Where no write waits, recvfrom returns ECONNRESET, and the answer was lost as it should be: that is why small requests were not affected.

Why it works: reset_detector keeps what a write was told, and turns the end that a later read reports into the reset. A server that ends its answer properly and resets behind it stays sound: the write then fails with EPIPE, not with ECONNRESET, which strace shows for both clients, too. Both readers of answers use it: socket_stream (servers on routes, other nodes) and readPart() (http_client: servers of "node", the store, health checks, operators' calls).

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -3,7 +3,7 @@
 #include "backend/answer_bounds.h"
 #include "budget/grant_handler.h"
 #include "http/connection_pool.h"
-#include "http/message_parser.h"
+#include "http/message_part.h"
 #include "http/pooled_connection.h"
 
 #include <boost/asio.hpp>
@@ -269,15 +269,12 @@
         // connection is reset.
         void connectionEnded(const error_code& error)
         {
-            error_code parseError;
-            if (error == asio::error::eof && m_parser->got_some()) {
-                m_parser->put_eof(parseError);
-            }
-            if (error == asio::error::eof && !parseError && m_parser->is_done()) {
-                answerComplete();
+            auto result = error == asio::error::eof ? parseEnd(*m_parser) : error;
+            if (result) {
+                fail(result.message());
                 return;
             }
-            fail(error.message());
+            answerComplete();
         }
 
         void bytesReceived()
--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -153,6 +153,7 @@
             http::async_write(m_stream, m_request, [self = shared_from_this()](error_code error, std::size_t) {
                 // A server that rejects a request early may respond and close before it has read
                 // the whole request, so the response is still read.
+                self->m_resets.written(error);
                 if (error && error != asio::error::broken_pipe && error != asio::error::connection_reset) {
                     self->fail(error);
                     return;
@@ -164,7 +165,7 @@
         void read()
         {
             auto maxBytes = m_parser->is_header_done() ? maxPartBytes : maxHeaderPartBytes;
-            readPart(m_stream, m_buffer, maxBytes, *m_parser, [self = shared_from_this()](const error_code& error) {
+            readPart(m_stream, m_buffer, maxBytes, *m_parser, m_resets, [self = shared_from_this()](const error_code& error) {
                 if (error) {
                     self->fail(error);
                     return;
@@ -244,6 +245,7 @@
         std::weak_ptr<http_client::state> m_client;
         http_client_settings m_settings;
         beast::tcp_stream m_stream;
+        reset_detector m_resets;
         std::string m_address;
         beast::flat_buffer m_buffer { maxBufferedBytes };
         http::request<http::span_body<const char>> m_request;
--- a/Source/http/http_server.cpp
+++ b/Source/http/http_server.cpp
@@ -121,6 +121,7 @@
     void close();
 
     beast::tcp_stream m_stream;
+    reset_detector m_resets;
     asio::steady_timer m_departureTimer;
     std::shared_ptr<http_server::state> m_server;
     beast::flat_buffer m_buffer { maxBufferedBytes };
@@ -228,7 +229,7 @@
 void http_session::readRemainder()
 {
     auto maxBytes = m_parser->is_header_done() ? std::size_t(maxHeaderBytes) : maxHeaderPartBytes;
-    readPart(m_stream, m_buffer, maxBytes, *m_parser, [self = shared_from_this()](const error_code& error) { self->partArrived(error); });
+    readPart(m_stream, m_buffer, maxBytes, *m_parser, m_resets, [self = shared_from_this()](const error_code& error) { self->partArrived(error); });
 }
 
 void http_session::partArrived(const error_code& error)
@@ -340,6 +341,7 @@
     m_response.prepare_payload();
     m_stream.expires_after(m_server->limits.requestTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this(), keepOpen](error_code error, std::size_t) {
+        self->m_resets.written(error);
         self->m_responseBody.clear();
         if (error) {
             self->close();
--- a/Source/http/message_part.h
+++ b/Source/http/message_part.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/message_parser.h"
+#include "http/reset_detector.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,24 +28,33 @@
     return error;
 }
 
+// The error of a message that has not been parsed completely when its connection ends; none if it ends with
+// the connection.
+template <bool isRequest>
+boost::beast::error_code parseEnd(message_parser<isRequest>& parser)
+{
+    boost::beast::error_code error;
+    if (parser.got_some()) {
+        parser.put_eof(error);
+    }
+    if (!error && !parser.is_done()) {
+        error = boost::beast::http::error::end_of_stream;
+    }
+    return error;
+}
+
 // Reads once, and parses what has arrived. Beast's async_read_some() reads on until a whole header has arrived,
 // so that nothing could ask for room meanwhile. The handler is called with an error, or once the message has
-// grown; the stream, the buffer and the parser have to live until then.
+// grown; the stream, the buffer, the parser and the detector have to live until then.
 template <bool isRequest, typename Stream, typename Handler>
-void readPart(Stream& stream, boost::beast::flat_buffer& buffer, std::size_t maxBytes, message_parser<isRequest>& parser, Handler handler)
+void readPart(Stream& stream, boost::beast::flat_buffer& buffer, std::size_t maxBytes, message_parser<isRequest>& parser, const reset_detector& resets, Handler handler)
 {
-    namespace http = boost::beast::http;
     auto count = std::min(maxBytes, buffer.max_size() - buffer.size());
-    stream.async_read_some(buffer.prepare(count), [&buffer, &parser, handler = std::move(handler)](boost::beast::error_code error, std::size_t received) {
+    stream.async_read_some(buffer.prepare(count), [&buffer, &parser, &resets, handler = std::move(handler)](boost::beast::error_code error, std::size_t received) {
         buffer.commit(received);
+        error = resets.resultOfRead(error);
         if (error == boost::asio::error::eof) {
-            error = {};
-            if (parser.got_some()) {
-                parser.put_eof(error);
-            }
-            if (!error && !parser.is_done()) {
-                error = http::error::end_of_stream;
-            }
+            error = parseEnd(parser);
         } else if (!error) {
             error = parseReceived(buffer, parser);
         }
--- a/Source/http/socket_stream.h
+++ b/Source/http/socket_stream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/reset_detector.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -49,7 +51,7 @@
     }
 
     // Calls the handler once, with an error or after bytes were received. Only one read may
-    // be outstanding.
+    // be outstanding. A connection that was reset never ends with eof.
     template <typename Handler>
     void read(Handler handler)
     {
@@ -62,7 +64,7 @@
             // short, and a node has hundreds of connections.
             m_readBytes = count == m_readBytes ? std::min(m_readBytes * growthFactor, maxReadBytes) : minReadBytes;
             m_received.commit(count);
-            handler(error);
+            handler(m_resets.resultOfRead(error));
         });
     }
 
@@ -81,12 +83,14 @@
             return true;
         }
         if (error && error != boost::asio::error::would_block) {
+            m_resets.written(error);
             boost::asio::post(m_socket.get_executor(), [handler = std::move(handler), error, written] { handler(error, written); });
             return false;
         }
         boost::beast::buffers_suffix<Buffers> remaining(bytes);
         remaining.consume(written);
-        boost::asio::async_write(m_socket, remaining, [handler = std::move(handler), written](const error_code& writeError, std::size_t count) {
+        boost::asio::async_write(m_socket, remaining, [this, handler = std::move(handler), written](const error_code& writeError, std::size_t count) {
+            m_resets.written(writeError);
             handler(writeError, written + count);
         });
         return false;
@@ -104,6 +108,7 @@
 
     tcp_socket m_socket;
     boost::beast::flat_buffer m_received;
+    reset_detector m_resets;
     std::size_t m_readBytes = minReadBytes;
 };
 
--- /dev/null
+++ b/Tests/BrokenAnswers/answer_reader.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "http/http_message.h"
+
+#include <memory>
+#include <string>
+
+namespace vanillashunt {
+
+// What became of a request.
+struct read_answer {
+    // Whether the reader took an answer for whole.
+    bool isWhole = false;
+    // Without a whole answer: whether the reader says that the request may have run.
+    bool mayHaveRun = false;
+    unsigned status = 0;
+    http_fields fields;
+    std::string body;
+};
+
+// One of the clients by which nodes send requests and read HTTP answers.
+class answer_reader {
+public:
+    virtual ~answer_reader() = default;
+
+    // Sends to "IP:port", and waits for the result.
+    virtual read_answer send(const std::string& address, const http_request&) = 0;
+};
+
+// The client of a routed node for its server.
+std::unique_ptr<answer_reader> makeInstanceReader();
+
+// The client of the command "node" for its server, and of every node for the store, health checks and operators' calls.
+std::unique_ptr<answer_reader> makeHttpReader();
+
+}
--- /dev/null
+++ b/Tests/BrokenAnswers/broken_answers_test.cpp
@@ -0,0 +1,155 @@
+#include "BrokenAnswers/answer_reader.h"
+#include "BrokenAnswers/broken_server.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillashunt {
+
+namespace {
+
+    // More than the sockets of both sides hold, so that the request is still being written when the answer comes.
+    constexpr std::size_t largeBytes = std::size_t { 16 } * 1024 * 1024;
+    constexpr std::size_t smallBytes = 100;
+
+    // What reads the answers.
+    const std::string instanceClient = "ReadByTheInstanceClient";
+    const std::string httpClient = "ReadByTheHttpClient";
+
+    // A request by its size, and when it is answered.
+    struct upload {
+        std::string name;
+        std::size_t bytes = 0;
+        answer_time time = answer_time::AfterRequest;
+    };
+
+    std::vector<upload> uploads()
+    {
+        return {
+            { "large, still being written", largeBytes, answer_time::BeforeBody },
+            { "small, written and not read", smallBytes, answer_time::BeforeBody },
+            { "small, written and read", smallBytes, answer_time::AfterRequest },
+        };
+    }
+
+    const std::string ok = "HTTP/1.1 200 OK\r\nX-Own: 1\r\n";
+    // The next request comes on another connection, which nothing behind this answer ends.
+    const std::string last = ok + "Connection: close\r\n";
+    const std::string withoutLength = last + "\r\nthe whole body";
+    const std::string withLength = last + "Content-Length: 14\r\n\r\nthe whole body";
+    const std::string chunked = last + "Transfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n5\r\n body\r\n0\r\n\r\n";
+
+    std::string bodyOf(const std::string& answer) { return answer.substr(answer.find("\r\n\r\n") + 4); }
+
+    bool hasWholeHeader(const std::string& answer) { return answer.find("\r\n\r\n") != std::string::npos; }
+
+}
+
+// Every client that reads HTTP answers.
+class broken_answers_test : public testing::TestWithParam<std::string> {
+protected:
+    read_answer answerTo(broken_server& server, const upload& kind)
+    {
+        return m_reader->send(server.address(), { "POST", "/x", { { "Host", "a.example" } }, bodyOf(kind) });
+    }
+
+    read_answer answerOf(const broken_answer& answer, const upload& kind = { "none", 0 })
+    {
+        broken_server server(answer);
+        return answerTo(server, kind);
+    }
+
+    void expectLost(const broken_answer& answer, const upload& kind = { "none", 0 })
+    {
+        auto result = answerOf(answer, kind);
+        EXPECT_FALSE(result.isWhole) << kind.name << ": " << answer.bytes << ": " << result.body;
+        EXPECT_TRUE(result.mayHaveRun) << kind.name << ": " << answer.bytes;
+    }
+
+    void expectBody(const broken_answer& answer, const upload& kind, const std::string& body)
+    {
+        auto result = answerOf(answer, kind);
+        EXPECT_TRUE(result.isWhole) << kind.name << ": " << answer.bytes;
+        EXPECT_EQ(result.body, body) << kind.name << ": " << answer.bytes;
+    }
+
+    std::unique_ptr<answer_reader> m_reader = GetParam() == httpClient ? makeHttpReader() : makeInstanceReader();
+
+private:
+    static message_body bodyOf(const upload& kind)
+    {
+        static const message_body large(std::string(largeBytes, 'u'));
+        return kind.bytes == largeBytes ? large : message_body(std::string(kind.bytes, 'u'));
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(BrokenAnswers, broken_answers_test, testing::Values(instanceClient, httpClient), [](const auto& parameter) { return parameter.param; });
+
+// Guards against a part of a body that is taken for the whole, since the write of the request took the reset.
+TEST_P(broken_answers_test, WithoutALengthAreLostByAReset)
+{
+    for (const auto& kind : uploads()) {
+        expectLost({ ok + "\r\na part", connection_end::Reset, kind.time }, kind);
+        expectLost({ ok + "\r\n", connection_end::Reset, kind.time }, kind);
+    }
+    const upload large { "large, partly read", largeBytes };
+    expectLost({ ok + "\r\na part", connection_end::ResetLater, answer_time::BeforeBody }, large);
+}
+
+// Guards against a sound early answer that is taken for a broken one.
+TEST_P(broken_answers_test, WithoutALengthAreWholeAtACleanEnd)
+{
+    for (const auto& kind : uploads()) {
+        expectBody({ withoutLength, connection_end::Closed, kind.time }, kind, "the whole body");
+        expectBody({ withoutLength, connection_end::ClosedThenReset, kind.time }, kind, "the whole body");
+    }
+}
+
+// Guards against an answer that is refused although its own length shows that it has arrived as a whole.
+TEST_P(broken_answers_test, WithALengthAreWholeWhateverComesBehind)
+{
+    for (const auto& kind : uploads()) {
+        for (auto end : { connection_end::Closed, connection_end::ClosedThenReset, connection_end::Reset, connection_end::KeptOpen }) {
+            expectBody({ withLength, end, kind.time }, kind, "the whole body");
+            expectBody({ chunked, end, kind.time }, kind, "the whole body");
+        }
+    }
+    expectBody({ withLength, connection_end::ResetLater, answer_time::BeforeBody }, { "large, partly read", largeBytes }, "the whole body");
+}
+
+// Guards against any first part of an answer, of its header or of its body, that is taken for an answer.
+TEST_P(broken_answers_test, CutAtAnyByteAreWholeOrLost)
+{
+    for (const auto& kind : uploads()) {
+        for (const auto& answer : { withoutLength, withLength, chunked }) {
+            broken_server server;
+            for (std::size_t cut = 0; cut <= answer.size(); ++cut) {
+                auto part = answer.substr(0, cut);
+                for (auto end : { connection_end::Closed, connection_end::Reset }) {
+                    server.setAnswer({ part, end, kind.time });
+                    bool endsWithConnection = answer == withoutLength && end == connection_end::Closed && hasWholeHeader(part);
+                    bool isWhole = endsWithConnection || (cut == answer.size() && answer != withoutLength);
+                    auto result = answerTo(server, kind);
+                    ASSERT_EQ(result.isWhole, isWhole) << kind.name << ", reset: " << (end == connection_end::Reset) << ": " << part;
+                    ASSERT_TRUE(result.isWhole || result.mayHaveRun) << kind.name << ": " << part;
+                    ASSERT_EQ(result.body, endsWithConnection ? vanillashunt::bodyOf(part) : isWhole ? "the whole body"
+                                                                                                     : "")
+                        << kind.name << ": " << part;
+                }
+            }
+        }
+    }
+}
+
+// Guards against a request on a connection whose answer was broken.
+TEST_P(broken_answers_test, EndTheirConnection)
+{
+    for (const auto& kind : uploads()) {
+        broken_server server({ ok + "\r\na part", connection_end::Reset, kind.time });
+        EXPECT_FALSE(answerTo(server, kind).isWhole) << kind.name;
+        auto next = m_reader->send(server.address(), { "GET", "/sound", { { "Host", "a.example" } }, {} });
+        EXPECT_EQ(next.body, "sound") << kind.name;
+        EXPECT_EQ(server.connections(), 2U) << kind.name;
+    }
+}
+
+}
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <future>
 #include <thread>
 
 namespace vanillashunt {
@@ -157,6 +158,50 @@
     EXPECT_EQ(result.body, "");
 }
 
+// Guards against a part of an answer that is taken for the whole, since the write of the request took the reset.
+TEST(PeerCalls, AnAnswerCutAtAnyByteIsLost)
+{
+    constexpr std::size_t largeBytes = std::size_t { 16 } * 1024 * 1024;
+    const message_body large(std::string(largeBytes, 'u'));
+    frame_history sent;
+    auto frame = encodeFrame(makeAnswer(makeRequest(7), "late checkout confirmed"), "r", sent);
+    const std::string whole(frame.begin(), frame.end());
+    context_thread loop;
+    std::unique_ptr<peer_client> client;
+    loop.runAndWait([&] { client = std::make_unique<peer_client>(loop.context, peer_client_settings {}); });
+    for (bool isLarge : { false, true }) {
+        for (bool resets : { false, true }) {
+            for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+                raw_listener peer;
+                std::promise<call_answer> result;
+                loop.runAndWait([&] {
+                    auto request = makeRequest(7);
+                    request.body = isLarge ? large : message_body();
+                    client->start(peer.address(), request, [&](call_answer answer) { result.set_value(std::move(answer)); });
+                });
+                auto connection = peer.accept();
+                auto head = connection.readBytes(frameHeaderBytes);
+                if (!isLarge) {
+                    connection.readBytes(decodeHeader(head.data())->length);
+                }
+                connection.send(whole.substr(0, cut));
+                if (resets) {
+                    connection.reset();
+                } else {
+                    connection.endSending();
+                    connection.readToEnd();
+                }
+                auto answer = result.get_future().get();
+                ASSERT_EQ(answer.outcome.run == execution::Ran, cut == whole.size()) << cut << ", reset: " << resets << ", large: " << isLarge;
+                ASSERT_EQ(answer.body, cut == whole.size() ? "late checkout confirmed" : "");
+                // A peer runs nothing of which it has not received the whole frame.
+                ASSERT_TRUE(isLarge || answer.outcome.run != execution::NotRun) << cut;
+            }
+        }
+    }
+    loop.runAndWait([&] { client.reset(); });
+}
+
 TEST(PeerCalls, UnreachablePeerMeansNotRun)
 {
     asio::io_context context;
--- a/Tests/RawSocket/raw_socket.h
+++ b/Tests/RawSocket/raw_socket.h
@@ -117,6 +117,9 @@
 
     void close() { m_socket.close(); }
 
+    // Shuts down the sending side: the peer reads the end of the connection.
+    void endSending() { m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
+
     // Resets the connection (RST), as after a crash: reads at the other side fail.
     void reset()
     {
