Let no answer pass without a valid status

What callers saw: an answer with status 000 ended a request on routes only at its deadline, with 504, and its connection to the server stayed in use until then; at "node" the caller got a 503 with the verdict "ran". Answers with status 600 or 999 reached callers as they were, at "node" also 099 and 101. An answer behind one with status 000 on the same connection was taken for that to the request.

Cause: instance_client skipped every status below 200 as an informational answer, and waited for the next one, even behind the end of the connection; http_client took any three digits for a final status.

Evidence: the new tests, before. At http_client 30 checks of 5 statuses failed (000, 001, 099, 600, 999, each with three framings); instance_client did not return from its first answer with 000 whose connection ended; both took the sound answer behind 000, 099 and 101. On routes: 504 in place of 502.

Why it works: message_parser, through which both clients read, now reports a status that is neither informational nor from 200 to 599 as a malformed message, as it does for one that has no three digits, which passed no reader before either. 101 is one of them: nodes ask for no other protocol, so that nothing behind it can be read.

The connection is closed, and the request may have run.

--- a/Source/backend/instance_client.cpp
+++ b/Source/backend/instance_client.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/answer_bounds.h"
 #include "budget/grant_handler.h"
+#include "call/http_status.h"
 #include "http/connection_pool.h"
 #include "http/message_part.h"
 #include "http/pooled_connection.h"
@@ -35,7 +36,6 @@
     // Of a response that cannot be passed on, no more than this is received.
     constexpr std::uint64_t maxUnusableBytes = 65536;
     constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
-    constexpr unsigned minFinalStatus = 200;
 
     class instance_connection;
 
@@ -254,7 +254,7 @@
         bool isUsable(const instance_client_settings& settings) const
         {
             bool isLong = m_parser->heldBytes() > maxUnusableBytes;
-            return !isLong || !settings.isUsable || m_parser->status < minFinalStatus || settings.isUsable(m_parser->status, m_parser->fields, m_requestId);
+            return !isLong || !settings.isUsable || isInformationalStatus(m_parser->status) || settings.isUsable(m_parser->status, m_parser->fields, m_requestId);
         }
 
         void idleConnectionEnded()
@@ -320,7 +320,7 @@
                 close();
                 return;
             }
-            if (m_parser->status < minFinalStatus) {
+            if (isInformationalStatus(m_parser->status)) {
                 beginAnswer();
                 return;
             }
--- a/Source/http/message_parser.h
+++ b/Source/http/message_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "budget/byte_reservation.h"
+#include "call/http_status.h"
 #include "http/http_message.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -17,7 +18,7 @@
 
 // Parses an HTTP message directly into the types of the nodes. Beast's own message type
 // stores each field in a node of a list and of a tree, from which the field would have to
-// be copied.
+// be copied. A response without a valid status is an error.
 template <bool isRequest>
 class message_parser : public boost::beast::http::basic_parser<isRequest> {
 public:
@@ -89,8 +90,10 @@
 
     void on_response_impl(int code, string_view, int, error_code& error) override
     {
-        error = {};
         status = static_cast<unsigned>(code);
+        // No request asks for another protocol.
+        bool isValid = isFinalStatus(status) || (isInformationalStatus(status) && status != statusSwitchingProtocols);
+        error = isValid ? error_code {} : boost::beast::http::error::bad_status;
         fields.reserve(typicalFieldCount);
     }
 
@@ -188,6 +191,7 @@
     void on_finish_impl(error_code& error) override { error = {}; }
 
     static constexpr std::size_t typicalFieldCount = 8;
+    static constexpr unsigned statusSwitchingProtocols = 101;
 
     std::uint64_t m_maxBodyBytes = defaultMaxBodyBytes;
     // Content-Length; nothing if the message has none.
--- a/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
@@ -105,4 +105,16 @@
     }
 }
 
+// Guards against a status that is none, which reaches a client.
+TEST(BrokenAnswersAtNodes, WithoutAValidStatusAreLost)
+{
+    node_of_broken_server node;
+    ASSERT_TRUE(node.isServing);
+    for (const char* status : { "000", "099", "101", "600", "999" }) {
+        for (const char* framing : { "Content-Length: 5\r\n\r\nwrong", "\r\nwrong" }) {
+            expectLost(node.answerTo({ "HTTP/1.1 " + std::string(status) + " x\r\nX-Own: 1\r\n" + framing }, smallBytes), status);
+        }
+    }
+}
+
 }
--- a/Tests/BrokenAnswers/broken_answers_on_routes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_on_routes_test.cpp
@@ -149,4 +149,19 @@
     EXPECT_EQ(route.entry->get("/x/sound").substr(9, 3), "200");
 }
 
+// Guards against a status that is none, which reaches a client, or for which the request waits until its deadline.
+TEST(BrokenAnswersOnRoutes, WithoutAValidStatusAreLost)
+{
+    route_to_broken_server route;
+    const std::string fields = "Vanillashunt-Server-Seal: seal\r\nVanillashunt-Request-Id: {id}\r\n";
+    for (const char* status : { "000", "099", "101", "600", "999" }) {
+        const auto line = "HTTP/1.1 " + std::string(status) + " x\r\n";
+        for (const char* framing : { "Content-Length: 5\r\n\r\nwrong", "\r\nwrong" }) {
+            expectLost(route.answerTo({ line + fields + framing }, "/y/1", smallBytes), status);
+            expectLost(route.answerTo({ line + framing }, "/y/1", smallBytes), status);
+        }
+        expectLost(route.answerTo({ line + "Content-Length: 0\r\n\r\n", connection_end::KeptOpen }, "/y/1", smallBytes), status);
+    }
+}
+
 }
--- a/Tests/BrokenAnswers/broken_answers_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_test.cpp
@@ -161,4 +161,22 @@
     }
 }
 
+// Guards against a status that is none, which reaches callers as if it were an answer.
+TEST_P(broken_answers_test, WithoutAValidStatusAreLost)
+{
+    for (const char* status : { "000", "001", "099", "600", "999", "20", "2000", "+20", " 200", "2x0", "" }) {
+        for (const char* framing : { "Content-Length: 5\r\n\r\nwrong", "Content-Length: 0\r\n\r\n", "\r\nwrong" }) {
+            expectLost({ "HTTP/1.1 " + std::string(status) + " x\r\n" + framing });
+        }
+    }
+}
+
+// Guards against an answer without a valid status that is skipped, so that bytes behind it are taken for the answer.
+TEST_P(broken_answers_test, WithoutAValidStatusAreNotSkipped)
+{
+    for (const char* status : { "000", "099", "101", "600", "999" }) {
+        expectLost({ "HTTP/1.1 " + std::string(status) + " x\r\nContent-Length: 0\r\n\r\n" + withLength, connection_end::KeptOpen });
+    }
+}
+
 }
