Read on behind informational answers in http_client

What callers saw: where a server sent an informational answer first (100 or 103), a node of the command "node" passed that on as the answer, with status 103 and without a body, and noted that the request ran. The same client reads answers of the store, of health checks and to operators' calls, which failed by it.

Cause: http_client took the first message for the final one, whatever its status.

Evidence: the new test at "node" got 103 in place of 200; at http_client all answers behind informational ones were lost, and informational ones at which the connection ended were taken for whole. instance_client, which skips them, passed.

Why it works: http_client begins anew behind an informational answer, with what it has received already and within the time limit of its request. EndlessAnswers.ToTheHttpClientEndAtItsTimeLimit shows that answers of this kind without an end cannot keep it from that limit.

--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "budget/grant_handler.h"
+#include "call/http_status.h"
 #include "http/connection_pool.h"
 #include "http/message_part.h"
 #include "http/socket_address.h"
@@ -118,12 +119,15 @@
             m_body = request.body;
             m_request.body() = { m_body.text().data(), m_body.size() };
             m_request.prepare_payload();
+            beginResponse();
+        }
+
+        void beginResponse()
+        {
             m_room = byte_reservation(m_settings.budget, m_settings.place);
             m_parser.emplace();
             m_parser->setMaxBodyBytes(m_settings.maxBodyBytes);
-            if (request.method == "HEAD") {
-                m_parser->skip(true);
-            }
+            m_parser->skip(m_request.method() == http::verb::head);
         }
 
         void connect()
@@ -167,17 +171,22 @@
         void read()
         {
             auto maxBytes = m_parser->is_header_done() ? maxPartBytes : maxHeaderPartBytes;
-            readPart(m_stream, m_buffer, maxBytes, *m_parser, m_resets, [self = shared_from_this()](const error_code& error) {
-                if (error) {
-                    self->fail(error);
-                    return;
-                }
-                if (self->m_parser->is_done()) {
-                    self->succeed();
-                } else if (self->hasRoom()) {
-                    self->read();
-                }
-            });
+            readPart(m_stream, m_buffer, maxBytes, *m_parser, m_resets, [self = shared_from_this()](const error_code& error) { self->partArrived(error); });
+        }
+
+        void partArrived(error_code error)
+        {
+            while (!error && m_parser->is_done() && isInformationalStatus(m_parser->status)) {
+                beginResponse();
+                error = parseReceived(m_buffer, *m_parser);
+            }
+            if (error) {
+                fail(error);
+            } else if (m_parser->is_done()) {
+                succeed();
+            } else if (hasRoom()) {
+                read();
+            }
         }
 
         // Asks for room for the next part of the response.
--- a/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
@@ -117,4 +117,14 @@
     }
 }
 
+// Guards against an informational answer that is passed on as the final one.
+TEST(BrokenAnswersAtNodes, BehindInformationalOnesAreDelivered)
+{
+    node_of_broken_server node;
+    ASSERT_TRUE(node.isServing);
+    auto answer = node.answerTo({ "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n" + ok + "Content-Length: 14\r\n\r\nthe whole body", connection_end::KeptOpen }, smallBytes);
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "the whole body");
+}
+
 }
--- a/Tests/BrokenAnswers/broken_answers_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_test.cpp
@@ -179,4 +179,22 @@
     }
 }
 
+// Guards against an informational answer that is taken for the final one.
+TEST_P(broken_answers_test, BehindInformationalOnesAreRead)
+{
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n";
+    const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string both = goOn + hints + withLength;
+    // The header of the final answer arrives with later reads.
+    const std::string longer = goOn + hints + ok + "X-Long: " + std::string(5000, 'l') + "\r\nContent-Length: 14\r\n\r\nthe whole body";
+    for (const auto& kind : uploads()) {
+        expectBody({ both, connection_end::KeptOpen, kind.time }, kind, "the whole body");
+        expectBody({ longer, connection_end::KeptOpen, kind.time }, kind, "the whole body");
+        expectBody({ hints + withoutLength, connection_end::Closed, kind.time }, kind, "the whole body");
+        expectLost({ hints, connection_end::Closed, kind.time }, kind);
+        expectLost({ hints, connection_end::Reset, kind.time }, kind);
+        expectLost({ goOn + ok, connection_end::Closed, kind.time }, kind);
+    }
+}
+
 }
--- a/Tests/EndlessAnswers/endless_answers_test.cpp
+++ b/Tests/EndlessAnswers/endless_answers_test.cpp
@@ -1,11 +1,13 @@
 #include "EndlessAnswers/endless_server.h"
 #include "RoutedWorld/platform_world.h"
 #include "RoutedWorld/routed_node.h"
+#include "http/http_client.h"
 
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <fstream>
+#include <future>
 
 namespace vanillashunt {
 
@@ -143,4 +145,32 @@
     }
 }
 
+// Guards against a call to the store, a health check or an operator's call that informational answers without an
+// end keep from its time limit.
+TEST(EndlessAnswers, ToTheHttpClientEndAtItsTimeLimit)
+{
+    constexpr milliseconds timeLimit { 300 };
+    for (const auto& answer : endlessAnswers()) {
+        if (answer.name.find("informational") == std::string::npos) {
+            continue;
+        }
+        endless_server server(answer);
+        context_thread loop;
+        std::unique_ptr<http_client> client;
+        std::promise<http_result> result;
+        loop.runAndWait([&] {
+            client = std::make_unique<http_client>(loop.context, http_client_settings {});
+            client->send(server.address(), { "GET", "/x", {}, {} }, timeLimit, [&](http_result value) { result.set_value(std::move(value)); });
+        });
+        auto ended = result.get_future().get();
+        const auto* failure = std::get_if<http_failure>(&ended);
+        ASSERT_NE(failure, nullptr) << answer.name;
+        EXPECT_TRUE(failure->timedOut) << answer.name;
+        while (server.closedByCaller() < server.begun()) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        loop.runAndWait([&] { client.reset(); });
+    }
+}
+
 }
