Take changes from a watch only where the store answered with 200

What callers saw: nothing so far; found by looking for readers that take an answer without a status for one. A store in trouble, or whatever else answers at its address, could change contracts by an answer with status 000, 404 or 503 whose body has lines like those of a watch.

Cause: store_watch read its stream without a look at the status.

Evidence: BrokenAnswersOfStores.ReportNothingToAWatch failed for 000, 099, 404, 503, 600 and 999. Lines that were cut at any byte, by an end and by a reset, were not reported before either.

Why it works: the watch ends at any other status, and is started again as after every end of it.

--- a/Source/store/store_watch.cpp
+++ b/Source/store/store_watch.cpp
@@ -22,6 +22,7 @@
     // value has a megabyte at most.
     constexpr std::size_t longestLine = 4UL * 1024 * 1024;
     constexpr std::chrono::seconds connectTimeout { 2 };
+    constexpr unsigned statusOk = 200;
 
     std::string watchBody(const std::string& prefix, std::int64_t fromRevision)
     {
@@ -104,6 +105,10 @@
                 self->end(error.message());
                 return;
             }
+            if (self->m_parser.get().result_int() != statusOk) {
+                self->end("the store answered with status " + std::to_string(self->m_parser.get().result_int()));
+                return;
+            }
             self->m_stream.expires_never();
             self->readSome();
         });
--- a/Tests/BrokenAnswers/broken_answers_of_stores_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_of_stores_test.cpp
@@ -1,6 +1,8 @@
 #include "BrokenAnswers/broken_server.h"
 #include "platform/key_value_store.h"
+#include "store/gateway_json.h"
 #include "store/store_client.h"
+#include "store/store_watch.h"
 
 #include <gtest/gtest.h>
 
@@ -50,6 +52,32 @@
         EXPECT_TRUE(failure->mayHaveWritten) << answer.bytes;
     }
 
+    std::string watchLine(const std::string& key)
+    {
+        return R"({"result":{"header":{"revision":"8"},"events":[{"kv":{"key":")" + encodeBase64(key) + R"(","value":"dg==","mod_revision":"8"}}]}})" + "\n";
+    }
+
+    // The keys that a watch reports before it ends.
+    std::vector<std::string> watchedKeys(const broken_answer& answer)
+    {
+        broken_server server(answer);
+        context_thread loop;
+        std::vector<std::string> keys;
+        std::promise<void> ended;
+        std::unique_ptr<store_watch> watch;
+        store_watch_hooks hooks;
+        hooks.changed = [&](const store_range& range) {
+            for (const auto& entry : range.entries) {
+                keys.push_back(entry.key);
+            }
+        };
+        hooks.ended = [&](const std::string&) { ended.set_value(); };
+        loop.runAndWait([&] { watch = std::make_unique<store_watch>(loop.context, server.address(), "", "a/", 1, hooks); });
+        ended.get_future().get();
+        loop.runAndWait([&] { watch.reset(); });
+        return keys;
+    }
+
 }
 
 // Guards against a change that is reported as made, or as lost to another, by a part of an answer.
@@ -77,4 +105,20 @@
     EXPECT_TRUE(std::get<store_swap>(gatewaySwap).succeeded);
 }
 
+// Guards against changes that are taken from an answer which is none, or from a line that was cut off.
+TEST(BrokenAnswersOfStores, ReportNothingToAWatch)
+{
+    const std::string stream = "\r\n\r\n" + watchLine("a/1");
+    for (const char* status : { "000", "099", "100", "101", "204", "404", "503", "600", "999" }) {
+        EXPECT_TRUE(watchedKeys({ "HTTP/1.1 " + std::string(status) + " x" + stream }).empty()) << status;
+    }
+    const std::string sound = "HTTP/1.1 200 OK" + stream;
+    for (auto end : { connection_end::Closed, connection_end::Reset }) {
+        for (std::size_t cut = 0; cut < sound.size(); ++cut) {
+            ASSERT_TRUE(watchedKeys({ sound.substr(0, cut), end }).empty()) << sound.substr(0, cut);
+        }
+    }
+    EXPECT_EQ(watchedKeys({ sound }), std::vector<std::string> { "a/1" });
+}
+
 }
