Take no answer of a server from another node without a final status

What callers saw: with nodes of different versions in one mesh, an answer with status 000 that an older node takes from its server would go on to the callers of a node that does not. Found by looking for further readers of answers.

Cause: a frame between nodes was checked for its length, checksum and verdict, and not for the status that it carries.

Evidence: PeerCalls.AnAnswerWithoutAValidStatusIsDamaged failed for 0, 99, 100, 101, 199, 600 and 999, all of which were taken as answers.

Why it works: the frame counts as damaged, so that its connection is closed and the request may have run.

Two tests of OutsideBytes encoded such an answer, of a server and without a status, to check its fields. They have status 200 now, as every answer that a node passes on; their checks are as before.

--- a/Source/peer/call_codec.cpp
+++ b/Source/peer/call_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer/call_codec.h"
 
+#include "call/http_status.h"
 #include "peer/notice_text.h"
 
 #include <caf/binary_deserializer.hpp>
@@ -578,6 +579,10 @@
         answer.outcome.reason = static_cast<verdict_reason>(numbers.reason);
         answer.outcome.retryAfter = std::chrono::milliseconds(numbers.retryAfterMilliseconds.value);
         answer.status = static_cast<std::uint32_t>(numbers.status.value);
+        bool isServerAnswer = answer.outcome.run == execution::Ran && answer.outcome.reason == verdict_reason::Answered;
+        if (isServerAnswer && !isFinalStatus(answer.status)) {
+            return std::nullopt;
+        }
         answer.nextUse = static_cast<std::uint32_t>(numbers.nextUse.value);
         answer.retryTokens = static_cast<std::uint32_t>(numbers.retryTokens.value);
         answer.cut = static_cast<shedding_position>(numbers.cut.value);
--- a/Source/peer/call_codec.h
+++ b/Source/peer/call_codec.h
@@ -61,9 +61,9 @@
 byte_vector encodeFrame(const call_request&, std::chrono::steady_clock::time_point now, frame_history&);
 byte_vector encodeFrame(const call_answer&, const std::string& requestId, frame_history&);
 
-// Decode a payload; return nothing if encodeFrame() cannot have produced it. No later frame
-// of the connection can be decoded then, because the history is incomplete. The room belongs to the
-// message.
+// Decode a payload; return nothing if encodeFrame() cannot have produced it, or if it is the answer of a
+// server without a final status. No later frame of the connection can be decoded then, because the history is
+// incomplete. The room belongs to the message.
 std::optional<call_request> decodeRequest(std::string_view payload, std::chrono::steady_clock::time_point now, frame_history&, byte_reservation room = {});
 std::optional<call_answer> decodeAnswer(std::string_view payload, const std::string& requestId, frame_history&, byte_reservation room = {});
 
--- a/Tests/OutsideBytes/outside_bytes_test.cpp
+++ b/Tests/OutsideBytes/outside_bytes_test.cpp
@@ -154,6 +154,7 @@
     EXPECT_TRUE(read->fields.empty());
     // A field of this name from a backend server is not used as the successor.
     auto answer = makeCallAnswer(7, 1, verdict::answered());
+    answer.status = 200;
     answer.fields = { { "Vanillashunt-Successor", toString(successor) } };
     read = decodeAnswer(payloadOf(encodeFrame(answer, "r", sent)), "r", received);
     ASSERT_TRUE(read);
@@ -166,6 +167,7 @@
     frame_history sent;
     frame_history received;
     auto answer = makeCallAnswer(7, 1, verdict::answered());
+    answer.status = 200;
     answer.fields = { { "Vanillashunt-Usual-Time", "99" } };
     for (auto usual : { std::chrono::microseconds(0), std::chrono::microseconds(120000) }) {
         answer.meanServiceTime = usual;
--- a/Tests/PeerCalls/peer_calls_test.cpp
+++ b/Tests/PeerCalls/peer_calls_test.cpp
@@ -158,6 +158,22 @@
     EXPECT_EQ(result.body, "");
 }
 
+// Guards against an answer without a valid status that a node passes on for another one.
+TEST(PeerCalls, AnAnswerWithoutAValidStatusIsDamaged)
+{
+    for (std::uint32_t status : { 0U, 99U, 100U, 101U, 199U, 600U, 999U }) {
+        peer_client_counts counts;
+        auto withStatus = [status](const call_request& request) {
+            auto answer = makeAnswer(request, "an answer");
+            answer.status = status;
+            frame_history sent;
+            return encodeFrame(answer, request.context.requestId, sent);
+        };
+        EXPECT_EQ(callRawPeer(withStatus, counts).outcome.run, execution::MayHaveRun) << status;
+        EXPECT_EQ(counts.damagedAnswers, 1U) << status;
+    }
+}
+
 // Guards against a part of an answer that is taken for the whole, since the write of the request took the reset.
 TEST(PeerCalls, AnAnswerCutAtAnyByteIsLost)
 {
