Show that a part of an answer is not kept for the repeats of a write

With the program of the first try got a 200 with "a part", and its repeat with the same Idempotency-Key the same from the ledger of the node. Now both are told that the request may have run, and it runs once.

--- a/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
@@ -24,9 +24,13 @@
             isServing = waitUntil([&] { return post("/desk/reply/sound", smallBytes).status == 200; });
         }
 
-        http_answer post(const std::string& path, std::size_t bodyBytes)
+        http_answer post(const std::string& path, std::size_t bodyBytes, const std::string& key = {}, int attempt = 1)
         {
-            auto result = request("POST", node->caller(), path, { { "Vanillashunt-Customer", "hotel-seri" }, { "X-Nonce", std::to_string(++requests) }, { "Vanillashunt-Attempt", "1" } }, std::string(bodyBytes, 'u'));
+            http_fields fields { { "Vanillashunt-Customer", "hotel-seri" }, { "X-Nonce", std::to_string(++requests) }, { "Vanillashunt-Attempt", std::to_string(attempt) } };
+            if (!key.empty()) {
+                fields["Idempotency-Key"] = key;
+            }
+            auto result = request("POST", node->caller(), path, fields, std::string(bodyBytes, 'u'));
             const auto* answer = std::get_if<http_answer>(&result);
             return answer ? *answer : http_answer {};
         }
@@ -69,6 +73,17 @@
     EXPECT_EQ(node.post("/desk/reply/sound", smallBytes).status, 200U);
 }
 
+// Guards against a part of an answer that is kept as the result of a write, and given to repeats of it.
+TEST(BrokenAnswersAtNodes, AreNotKeptForRepeats)
+{
+    node_of_broken_server node;
+    ASSERT_TRUE(node.isServing);
+    node.server.setAnswer({ ok + "\r\na part", connection_end::Reset, answer_time::BeforeBody });
+    expectLost(node.post("/desk/reply/1", largeBytes, "key"), "first try");
+    expectLost(node.post("/desk/reply/sound", smallBytes, "key", 2), "repeat");
+    EXPECT_EQ(node.server.brokenAnswers(), 1U);
+}
+
 // Guards against a sound early answer that does not reach the client.
 TEST(BrokenAnswersAtNodes, ThatAreWholeAreDelivered)
 {
