--- a/Tests/BrokenAnswers/broken_answers_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_test.cpp
@@ -230,7 +230,7 @@
     }
 }
 
-// Guards against a sound answer that is lost since lines of its body begin with a blank, or of its trailer.
+// Guards against a sound answer that is lost since lines of its body begin with a blank, or its values are between blanks.
 TEST_P(broken_answers_test, DifferFromThoseWithBlanksElsewhere)
 {
     const std::string body = "\r\n\r\n a\r\n b\r\n\tc";
