Give up a server that sends informational answers without an end to http_client

Cause: answers that have always arrived already are read in turn without a wait between them. Beast ends a read by its time limit only if the limit is reported before the read completes, so that the limit is missed again and again while the machine is busy, and the event loop of the node is held up meanwhile.

Why it works: the number of informational answers to a request is bounded.

--- a/Source/http/http_client.cpp
+++ b/Source/http/http_client.cpp
@@ -30,6 +30,10 @@
     constexpr std::size_t maxHeaderPartBytes = 4096;
     constexpr std::size_t maxPartBytes = 65536;
 
+    // Further informational responses to a request are an error: read as fast as they come, they would hold up
+    // the event loop until the time limit of the request, and beyond it.
+    constexpr int maxInformationalResponses = 16;
+
     class client_connection;
 
 }
@@ -68,6 +72,7 @@
             prepare(request);
             m_sent = false;
             m_written = false;
+            m_informationalResponses = 0;
             m_idle = false;
             m_stream.expires_after(timeout);
             if (m_stream.socket().is_open()) {
@@ -178,7 +183,8 @@
         {
             while (!error && m_parser->is_done() && isInformationalStatus(m_parser->status)) {
                 beginResponse();
-                error = parseReceived(m_buffer, *m_parser);
+                bool isTooMany = ++m_informationalResponses > maxInformationalResponses;
+                error = isTooMany ? http::make_error_code(http::error::bad_status) : parseReceived(m_buffer, *m_parser);
             }
             if (error) {
                 fail(error);
@@ -266,6 +272,7 @@
         bool m_sent = false;
         // Whether the whole request was written; nothing can be sent behind a part of it.
         bool m_written = false;
+        int m_informationalResponses = 0;
         bool m_idle = false;
         bool m_cancelled = false;
     };
