Read heads of requests, and list sound early answers, in one place for the stand-ins

Cause: broken_server repeated the loop of endless_server and bulk_server that takes a head from what was received, and the tests on routes and at "node" each had the same table of sound answers.

readHead() beside fieldOf() serves the three stand-ins now, and wholeAnswers() both tests. The answers and all checks are as before; the loop over the times of an answer is in the table.

No program code is changed.

--- a/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_at_nodes_test.cpp
@@ -89,18 +89,11 @@
 {
     node_of_broken_server node;
     ASSERT_TRUE(node.isServing);
-    const std::string withoutLength = ok + "\r\nthe whole body";
-    // The next request comes on another connection, which nothing behind this answer ends.
-    const std::string withLength = ok + "Connection: close\r\nContent-Length: 14\r\n\r\nthe whole body";
-    const std::vector<broken_answer> answers { { withoutLength, connection_end::Closed }, { withoutLength, connection_end::ClosedThenReset }, { withLength, connection_end::Reset } };
     for (std::size_t size : { largeBytes, smallBytes }) {
-        for (auto time : { answer_time::BeforeBody, answer_time::AfterRequest }) {
-            for (auto answer : answers) {
-                answer.time = time;
-                auto result = node.answerTo(answer, size);
-                EXPECT_EQ(result.field("Vanillashunt-Verdict"), "ran") << answer.bytes;
-                EXPECT_EQ(result.body, "the whole body") << answer.bytes;
-            }
+        for (const auto& answer : wholeAnswers(ok)) {
+            auto result = node.answerTo(answer, size);
+            EXPECT_EQ(result.field("Vanillashunt-Verdict"), "ran") << answer.bytes;
+            EXPECT_EQ(result.body, "the whole body") << answer.bytes;
         }
     }
 }
--- a/Tests/BrokenAnswers/broken_answers_on_routes_test.cpp
+++ b/Tests/BrokenAnswers/broken_answers_on_routes_test.cpp
@@ -107,19 +107,12 @@
 TEST(BrokenAnswersOnRoutes, ThatAreWholeAreDelivered)
 {
     route_to_broken_server route;
-    const std::string withoutLength = ok + "\r\nthe whole body";
-    // The next request comes on another connection, which nothing behind this answer ends.
-    const std::string withLength = ok + "Connection: close\r\nContent-Length: 14\r\n\r\nthe whole body";
-    const std::vector<broken_answer> answers { { withoutLength, connection_end::Closed }, { withoutLength, connection_end::ClosedThenReset }, { withLength, connection_end::Reset } };
     for (std::size_t size : { largeBytes, smallBytes }) {
-        for (auto time : { answer_time::BeforeBody, answer_time::AfterRequest }) {
-            for (auto answer : answers) {
-                answer.time = time;
-                auto result = route.answerTo(answer, "/y/1", size);
-                EXPECT_EQ(result.status, "200") << answer.bytes;
-                EXPECT_EQ(result.body, "the whole body") << answer.bytes;
-                EXPECT_NE(result.head.find("Content-Length: 14"), std::string::npos);
-            }
+        for (const auto& answer : wholeAnswers(ok)) {
+            auto result = route.answerTo(answer, "/y/1", size);
+            EXPECT_EQ(result.status, "200") << answer.bytes;
+            EXPECT_EQ(result.body, "the whole body") << answer.bytes;
+            EXPECT_NE(result.head.find("Content-Length: 14"), std::string::npos);
         }
     }
 }
--- a/Tests/BrokenAnswers/broken_server.cpp
+++ b/Tests/BrokenAnswers/broken_server.cpp
@@ -61,6 +61,20 @@
 
 }
 
+std::vector<broken_answer> wholeAnswers(const std::string& head)
+{
+    const std::string withoutLength = head + "\r\nthe whole body";
+    // The next request comes on another connection, which nothing behind this answer ends.
+    const std::string withLength = head + "Connection: close\r\nContent-Length: 14\r\n\r\nthe whole body";
+    std::vector<broken_answer> answers;
+    for (auto time : { answer_time::BeforeBody, answer_time::AfterRequest }) {
+        answers.push_back({ withoutLength, connection_end::Closed, time });
+        answers.push_back({ withoutLength, connection_end::ClosedThenReset, time });
+        answers.push_back({ withLength, connection_end::Reset, time });
+    }
+    return answers;
+}
+
 broken_server::broken_server(broken_answer answer)
     : m_answer(std::move(answer))
     , m_server([this](tcp::socket& socket) { serve(socket); })
@@ -86,12 +100,10 @@
     socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     std::string received;
     while (!m_server.ends()) {
-        auto count = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
-        if (error) {
+        auto head = readHead(socket, received);
+        if (head.empty()) {
             return;
         }
-        auto head = received.substr(0, count);
-        received.erase(0, count);
         bool isSound = head.find("sound HTTP/1.1") != std::string::npos;
         auto broken = currentAnswer();
         if (isSound || broken.time == answer_time::AfterRequest) {
--- a/Tests/BrokenAnswers/broken_server.h
+++ b/Tests/BrokenAnswers/broken_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace vanillashunt {
 
@@ -30,6 +31,10 @@
     answer_time time = answer_time::AfterRequest;
 };
 
+// Sound answers with the body "the whole body" behind these lines of a header, at each answer_time: without a length
+// and ended by the server, and with a length and reset.
+std::vector<broken_answer> wholeAnswers(const std::string& head);
+
 // A backend server in trouble. A request whose path ends in "sound" is answered properly, any other with the
 // bytes of a broken_answer.
 class broken_server {
--- a/Tests/EndlessAnswers/endless_server.cpp
+++ b/Tests/EndlessAnswers/endless_server.cpp
@@ -56,12 +56,10 @@
     error_code error;
     std::string received;
     while (!m_server.ends()) {
-        auto count = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
-        if (error) {
+        auto head = readHead(socket, received);
+        if (head.empty()) {
             return;
         }
-        auto head = received.substr(0, count);
-        received.erase(0, count);
         if (head.find("small HTTP/1.1") == std::string::npos) {
             answerWithoutEnd(socket);
             return;
--- a/Tests/RawSocket/message_head.h
+++ b/Tests/RawSocket/message_head.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+
 #include <string>
 
 namespace vanillashunt {
@@ -15,4 +19,18 @@
     return head.substr(place, head.find("\r\n", place) - place);
 }
 
+// Reads the next head of an HTTP message, with the empty line behind it; empty if the connection ends first. What
+// has been received behind it stays in the buffer.
+inline std::string readHead(boost::asio::ip::tcp::socket& socket, std::string& received)
+{
+    boost::system::error_code error;
+    auto count = boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+    if (error) {
+        return "";
+    }
+    auto head = received.substr(0, count);
+    received.erase(0, count);
+    return head;
+}
+
 }
--- a/Tests/RoutedWorld/bulk_server.cpp
+++ b/Tests/RoutedWorld/bulk_server.cpp
@@ -75,12 +75,10 @@
     error_code error;
     std::string received;
     while (!error) {
-        auto count = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
-        if (error) {
+        auto head = readHead(socket, received);
+        if (head.empty()) {
             return;
         }
-        auto head = received.substr(0, count);
-        received.erase(0, count);
         auto length = fieldOf(head, "Content-Length");
         receiveBody(socket, received, length.empty() ? 0 : std::stoul(length), error);
         if (error) {
