Note a reset in the step in which a write is told of it

Cause: reset_detector was told of a write's error by the handler of async_write(). That writes in steps of 64 KB, tries each step at once, and has the result of a step that failed delivered behind what is queued already. If the readiness of the socket is in the queue then, the read is performed first, finds the end of the connection, and its handler runs before the write's.

Evidence: the calls of the new test, whose event loop is stepped by hand, with the code before:

sendmsg() = 65536 sendmsg() = 65536 (the peer resets) epoll_pwait() = EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP sendmsg() = -1 ECONNRESET recvfrom() = 0

The stream now waits until the socket is ready and writes by itself, so the reset is noted before any later read can be performed.

--- a/Source/http/socket_stream.h
+++ b/Source/http/socket_stream.h
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -89,10 +88,7 @@
         }
         boost::beast::buffers_suffix<Buffers> remaining(bytes);
         remaining.consume(written);
-        boost::asio::async_write(m_socket, remaining, [this, handler = std::move(handler), written](const error_code& writeError, std::size_t count) {
-            m_resets.written(writeError);
-            handler(writeError, written + count);
-        });
+        sendRest(std::move(remaining), written, std::move(handler));
         return false;
     }
 
@@ -106,6 +102,24 @@
     // An empty buffer with a larger capacity is released.
     static constexpr std::size_t maxRetainedBytes = 8192;
 
+    // The socket is written to as soon as it is ready, and not by an asynchronous write: a read could complete
+    // between such a write and its handler, and report the end of a connection whose reset the write has taken.
+    template <typename Remaining, typename Handler>
+    void sendRest(Remaining remaining, std::size_t written, Handler handler)
+    {
+        m_socket.async_wait(tcp_socket::wait_write, [this, remaining = std::move(remaining), written, handler = std::move(handler)](error_code error) mutable {
+            auto count = error ? 0 : m_socket.write_some(remaining, error);
+            m_resets.written(error);
+            remaining.consume(count);
+            bool continues = !error || error == boost::asio::error::would_block;
+            if (continues && boost::asio::buffer_size(remaining) > 0) {
+                sendRest(std::move(remaining), written + count, std::move(handler));
+                return;
+            }
+            handler(error, written + count);
+        });
+    }
+
     tcp_socket m_socket;
     boost::beast::flat_buffer m_received;
     reset_detector m_resets;
--- a/Tests/SocketStream/socket_stream_test.cpp
+++ b/Tests/SocketStream/socket_stream_test.cpp
@@ -150,6 +150,30 @@
     EXPECT_EQ(receivedError, asio::error::broken_pipe);
 }
 
+// Guards against a reset that is reported as the end of the connection, since the write that was told of it has
+// not completed when the read is.
+TEST(SocketStream, ReportsAResetDuringAWriteThatGoesOn)
+{
+    connected_pair pair;
+    // On a context of its own, so that each handler that pair.context runs is one of the stream.
+    asio::io_context peerContext;
+    tcp::socket peer(peerContext, tcp::v4(), pair.peer.release());
+    std::string bytes(32UL * 1024 * 1024, 'x');
+    error_code receivedError;
+    EXPECT_FALSE(pair.stream.send(asio::buffer(bytes), [](const error_code&, std::size_t) {}));
+    pair.stream.read([&](const error_code& error) { receivedError = error; });
+    pair.context.poll();
+    std::string arrived(1024UL * 1024, ' ');
+    asio::read(peer, asio::buffer(arrived));
+    // The reset arrives when the write has gone on by one step.
+    while (pair.context.poll_one() == 0) {
+    }
+    peer.set_option(asio::socket_base::linger(true, 0));
+    peer.close();
+    pair.context.run();
+    EXPECT_EQ(receivedError, asio::error::connection_reset);
+}
+
 TEST(MessageParser, LeavesOutHopByHopFields)
 {
     auto parser = parsed<true>("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nX-Own: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody");
