Release the buffer of a header that timed out while its client may close

Cause: a connection whose header timed out is given up in the budget when it is answered with 408, and its room goes to others. The read that waited for the rest of the header goes on while the client has 2 s to close, and its buffer with the header's bytes cannot be released under it.

Ruled out by reading: headers at the operators' and the servers' ports; http_server closes a connection whose header times out at once. What it rejects for another reason it discards with a buffer of its header limit, uncounted: not tried.

--- a/Source/caller/pipeline_session.cpp
+++ b/Source/caller/pipeline_session.cpp
@@ -241,7 +241,8 @@
     if (m_closed) {
         return;
     }
-    if (error) {
+    bool isCancelled = error == asio::error::operation_aborted && m_stage == stage::Lingering;
+    if (error && !isCancelled) {
         clientGone(connection_loss_cause::ClientClosed);
         return;
     }
@@ -508,6 +509,10 @@
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     enter(stage::Lingering);
     discardReceived();
+    // A read in progress holds the buffer of a request that was given up; the next one gets a small buffer.
+    if (m_reading) {
+        m_stream.socket().cancel(ignored);
+    }
 }
 
 void pipeline_session::clientGone(connection_loss_cause cause)
--- a/Tests/LargeBodies/large_bodies_test.cpp
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -298,4 +298,24 @@
     world.target->process->signal(SIGCONT);
 }
 
+// Guards against headers that timed out, and are kept while their clients are given time to close, though their
+// room is given to others.
+TEST(LargeBodies, HeadersThatTimedOutAreNotKept)
+{
+    constexpr int connections = 2000;
+    constexpr std::size_t headerBytes = 16000;
+    constexpr std::size_t allowedMegabytes = 96;
+    const std::string header = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Long: " + std::string(headerBytes, 'x');
+    large_world world("96MiB");
+    auto timedOut = beginRequests(world.entry->port("caller"), connections, header);
+    for (auto& connection : timedOut) {
+        EXPECT_EQ(connection.readUntil("\r\n\r\n").substr(9, 3), "408");
+    }
+    auto further = beginRequests(world.entry->port("caller"), connections, header);
+    while (sumOfMetric(*world.entry, "vanillashunt_message_bytes") < connections * headerBytes) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_LE(megabytes(*world.entry, "VmHWM"), allowedMegabytes);
+}
+
 }
