Wait for answers in the test of headers that timed out

LargeBodies.HeadersThatTimedOutAreNotKept waited until 2,000 headers were held at once; on a machine so busy that the first of them time out before the last one is read, that never comes. Found by reading; it did not happen in a run.

It now waits until all have been answered.

--- a/Tests/LargeBodies/large_bodies_test.cpp
+++ b/Tests/LargeBodies/large_bodies_test.cpp
@@ -312,8 +312,8 @@
         EXPECT_EQ(connection.readUntil("\r\n\r\n").substr(9, 3), "408");
     }
     auto further = beginRequests(world.entry->port("caller"), connections, header);
-    while (sumOfMetric(*world.entry, "vanillashunt_message_bytes") < connections * headerBytes) {
-        std::this_thread::sleep_for(milliseconds(20));
+    for (auto& connection : further) {
+        EXPECT_FALSE(connection.readUntil("\r\n\r\n").empty());
     }
     EXPECT_LE(megabytes(*world.entry, "VmHWM"), allowedMegabytes);
 }
